--- /dev/null
+++ b/src/libconfig/jsondocument.cpp
@@ -0,0 +1,201 @@
+/// \file jsondocument.cpp
+/// JSON with comments that remembers the line of each key.
+#include "wigeonsill/config.h"
+
+#include <boost/json/basic_parser_impl.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace wigeonsill {
+
+namespace {
+
+namespace json = boost::json;
+
+json::parse_options commentedJson()
+{
+    json::parse_options options;
+    options.allow_comments = true;
+    options.allow_trailing_commas = true;
+    return options;
+}
+
+/// Follows the parser's events and notes at which line each key stood.
+/// The feeding loop sets currentLine before each line of text.
+struct LineHandler
+{
+    // The names that boost::json::basic_parser looks for.
+    // NOLINTBEGIN(readability-identifier-naming)
+    static constexpr std::size_t max_array_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_string_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_key_size = static_cast<std::size_t>(-1);
+    // NOLINTEND(readability-identifier-naming)
+
+    struct Level
+    {
+        bool isArray = false;
+        std::size_t index = 0;
+        std::string key;
+    };
+
+    int currentLine = 1;
+    std::vector<Level> levels;
+    std::string partialKey;
+    std::map<std::string, int> lines;
+
+    std::string path() const
+    {
+        std::string text;
+        for (const Level &level : this->levels) {
+            const std::string part = level.isArray ? std::to_string(level.index) : level.key;
+            text += text.empty() ? part : "." + part;
+        }
+        return text;
+    }
+
+    void valueBegins()
+    {
+        if (!this->levels.empty() && this->levels.back().isArray) {
+            this->lines.emplace(this->path(), this->currentLine);
+        }
+    }
+
+    void valueEnded()
+    {
+        if (!this->levels.empty() && this->levels.back().isArray) {
+            ++this->levels.back().index;
+        }
+    }
+
+    bool scalar()
+    {
+        this->valueBegins();
+        this->valueEnded();
+        return true;
+    }
+
+    bool open(bool isArray)
+    {
+        this->valueBegins();
+        this->levels.push_back({ isArray, 0, {} });
+        return true;
+    }
+
+    bool close()
+    {
+        this->levels.pop_back();
+        this->valueEnded();
+        return true;
+    }
+
+    // The names below are those that boost::json::basic_parser calls.
+    // NOLINTBEGIN(readability-identifier-naming)
+    bool on_document_begin(json::error_code &) { return true; }
+    bool on_document_end(json::error_code &) { return true; }
+    bool on_object_begin(json::error_code &) { return this->open(false); }
+    bool on_object_end(std::size_t, json::error_code &) { return this->close(); }
+    bool on_array_begin(json::error_code &) { return this->open(true); }
+    bool on_array_end(std::size_t, json::error_code &) { return this->close(); }
+    bool on_key_part(json::string_view part, std::size_t, json::error_code &)
+    {
+        this->partialKey.append(part.data(), part.size());
+        return true;
+    }
+    bool on_key(json::string_view part, std::size_t, json::error_code &)
+    {
+        this->partialKey.append(part.data(), part.size());
+        this->levels.back().key = std::move(this->partialKey);
+        this->partialKey.clear();
+        this->lines.emplace(this->path(), this->currentLine);
+        return true;
+    }
+    bool on_string_part(json::string_view, std::size_t, json::error_code &) { return true; }
+    bool on_string(json::string_view, std::size_t, json::error_code &) { return this->scalar(); }
+    bool on_number_part(json::string_view, json::error_code &) { return true; }
+    bool on_int64(std::int64_t, json::string_view, json::error_code &) { return this->scalar(); }
+    bool on_uint64(std::uint64_t, json::string_view, json::error_code &) { return this->scalar(); }
+    bool on_double(double, json::string_view, json::error_code &) { return this->scalar(); }
+    bool on_bool(bool, json::error_code &) { return this->scalar(); }
+    bool on_null(json::error_code &) { return this->scalar(); }
+    bool on_comment_part(json::string_view, json::error_code &) { return true; }
+    bool on_comment(json::string_view, json::error_code &) { return true; }
+    // NOLINTEND(readability-identifier-naming)
+};
+
+struct LineScan
+{
+    json::error_code error;
+    int line = 1;
+    std::map<std::string, int> lines;
+};
+
+LineScan scanLines(std::string_view text)
+{
+    json::basic_parser<LineHandler> parser(commentedJson());
+    LineScan scan;
+    std::size_t start = 0;
+    while (start < text.size() && !scan.error) {
+        const std::size_t newline = text.find('\n', start);
+        const std::size_t end = newline == std::string_view::npos ? text.size() : newline + 1;
+        parser.handler().currentLine = scan.line;
+        parser.write_some(true, text.data() + start, end - start, scan.error);
+        if (!scan.error) {
+            ++scan.line;
+        }
+        start = end;
+    }
+    if (!scan.error) {
+        parser.write_some(false, text.data(), 0, scan.error);
+    }
+    scan.lines = std::move(parser.handler().lines);
+    return scan;
+}
+
+} // namespace
+
+Result<JsonDocument> JsonDocument::parse(std::string_view text, std::string file)
+{
+    LineScan scan = scanLines(text);
+    if (scan.error) {
+        return Error{ ResultCode::SettingsSyntax,
+            file + ":" + std::to_string(scan.line) + ": " + scan.error.message() };
+    }
+    json::error_code error;
+    JsonDocument document;
+    document.root = json::parse({ text.data(), text.size() }, error, {}, commentedJson());
+    if (error) {
+        return Error{ ResultCode::SettingsSyntax, file + ": " + error.message() };
+    }
+    document.lines = std::move(scan.lines);
+    document.fileName = std::move(file);
+    return document;
+}
+
+Result<JsonDocument> JsonDocument::load(const std::string &path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    std::ostringstream text;
+    if (!stream || !(text << stream.rdbuf())) {
+        return Error{ ResultCode::SettingsUnreadable,
+            path + ": the file cannot be read or is empty" };
+    }
+    return parse(text.str(), path);
+}
+
+JsonDocument JsonDocument::wrap(json::value value, std::string file)
+{
+    JsonDocument document;
+    document.root = std::move(value);
+    document.fileName = std::move(file);
+    return document;
+}
+
+int JsonDocument::lineOf(const std::string &path) const
+{
+    const auto found = this->lines.find(path);
+    return found == this->lines.end() ? 0 : found->second;
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libcore/agentdirectory.cpp
@@ -0,0 +1,40 @@
+/// \file agentdirectory.cpp
+/// What an entry knows of the agents.
+#include "agentdirectory.h"
+
+#include <algorithm>
+
+namespace wigeonsill {
+
+AgentView *AgentDirectory::find(const std::string &name)
+{
+    const auto found = this->agents.find(name);
+    return found == this->agents.end() ? nullptr : &found->second;
+}
+
+void AgentDirectory::setPools(AgentView &agent, const std::vector<std::string> &newPools)
+{
+    for (const std::string &pool : agent.pools) {
+        std::erase(this->pools[pool], agent.name);
+    }
+    agent.pools = newPools;
+    for (const std::string &pool : newPools) {
+        this->pools[pool].push_back(agent.name);
+    }
+}
+
+const std::vector<std::string> &AgentDirectory::ofPool(const std::string &pool) const
+{
+    static const std::vector<std::string> none;
+    const auto found = this->pools.find(pool);
+    return found == this->pools.end() ? none : found->second;
+}
+
+bool AgentDirectory::hasUsable(const std::string &pool)
+{
+    const std::vector<std::string> &names = this->ofPool(pool);
+    return std::any_of(names.begin(), names.end(),
+        [this](const std::string &name) { return this->agents[name].isUsable(); });
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libcore/agentstate.h
@@ -0,0 +1,102 @@
+/// \file agentstate.h
+/// State of an agent core and the steps that its parts share.
+#pragma once
+
+#include "answerbuffer.h"
+#include "reservationqueue.h"
+#include "tombstones.h"
+
+#include <unordered_map>
+
+namespace wigeonsill {
+
+/// A request that was handed over to this agent.
+struct AgentRun
+{
+    RequestProfile profile;
+    bool ended = false;
+    bool haveHead = false;
+    bool paused = false;
+    bool cancelled = false;
+    int status = 0;
+    Headers headers;
+    AnswerBuffer answer;
+    std::uint64_t sent = 0; ///< Offset up to which bytes went to the entry.
+    std::uint64_t acknowledged = 0; ///< Offset up to which the entry's caller took bytes.
+    bool endSent = false;
+    ResultCode result = ResultCode::Ok;
+    TokenUsage usage;
+    TimePoint startedAt;
+    TimePoint endedAt;
+};
+
+/// A pull that waits for its reply.
+struct PendingPull
+{
+    std::uint64_t tokens = 0;
+    TimePoint sentAt;
+};
+
+/// What the agent knows of one entry.
+struct EntryLink
+{
+    bool connected = false;
+    TimePoint lastHeard;
+    TimePoint disconnectedAt;
+};
+
+struct AgentCore::Private
+{
+    Private(const AgentLimits &agentLimits, Incarnation agentIncarnation)
+        : limits(agentLimits)
+        , incarnation(agentIncarnation)
+        , tombstones(agentLimits.tombstonesPerEntry)
+    {
+    }
+
+    AgentLimits limits;
+    Incarnation incarnation;
+    Location location;
+    std::vector<std::string> pools;
+    std::uint64_t configurationRevision = 0;
+    bool draining = false;
+
+    ReservationQueue queue;
+    Tombstones tombstones;
+    std::unordered_map<RequestId, PendingPull, RequestIdHash> pulls;
+    std::unordered_map<RequestId, AgentRun, RequestIdHash> runs;
+    std::map<Incarnation, EntryLink> entries;
+    std::uint64_t tokensInFlight = 0; ///< Running and pulled.
+    std::uint32_t running = 0;
+    TimePoint targetUsableAt;
+    TimePoint lastHeartbeat;
+    std::vector<AgentAction> actions;
+
+    void send(const Incarnation &entry, AgentMessage message);
+    /// Pulls from the queue as long as there is room.
+    void pullNext(TimePoint now);
+    bool hasRoomFor(std::uint64_t tokens) const;
+    void releasePull(const RequestId &id);
+    void sendHeartbeats(TimePoint now);
+    AgentHeartbeat heartbeat() const;
+
+    void onMessage(TimePoint now, const Incarnation &entry, const Reserve &message);
+    void onMessage(TimePoint now, const Incarnation &entry, const Withdraw &message);
+    void onMessage(TimePoint now, const Incarnation &entry, const Bind &message);
+    void onMessage(TimePoint now, const Incarnation &entry, const Decline &message);
+    void onMessage(TimePoint now, const Incarnation &entry, const CancelRun &message);
+    void onMessage(TimePoint now, const Incarnation &entry, const Resume &message);
+    void onMessage(TimePoint now, const Incarnation &entry, const Acknowledge &message);
+    void onMessage(TimePoint now, const Incarnation &entry, const EntryHeartbeat &message);
+
+    /// Refuses a request for ever and says so.
+    void refuse(const RequestId &id, ResultCode reason);
+    void cancel(AgentRun &run);
+    /// Sends what the window allows of an answer, and its end when all of it is out.
+    void flush(AgentRun &run);
+    void endRun(TimePoint now, AgentRun &run, ResultCode result);
+    void forgetOldAnswers(TimePoint now);
+    void watchEntries(TimePoint now);
+};
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libcore/entrymessages.cpp
@@ -0,0 +1,218 @@
+/// \file entrymessages.cpp
+/// What an entry does on each message of an agent, and when an agent comes or goes.
+#include "entrystate.h"
+
+namespace wigeonsill {
+
+void EntryCore::agentConnected(TimePoint now, const AgentHello &hello)
+{
+    const std::string &name = hello.location.instance;
+    AgentView &agent = this->d->agents.get(name);
+    agent.name = name;
+    if (agent.incarnation != hello.incarnation) {
+        this->d->endBoundRequests(agent);
+        agent.load = {};
+    }
+    agent.connected = false;
+    this->d->dropReservations(now, agent);
+    agent.incarnation = hello.incarnation;
+    agent.location = hello.location;
+    agent.connected = true;
+    agent.draining = hello.draining;
+    agent.lastHeard = now;
+    this->d->agents.setPools(agent, hello.pools);
+    for (const std::uint64_t sequence : agent.bound) {
+        this->d->ask(this->d->requests.at(sequence));
+    }
+    for (auto &[sequence, request] : this->d->requests) {
+        if (request.phase == RequestPhase::Waiting) {
+            this->d->placeReservations(now, request);
+        }
+    }
+}
+
+void EntryCore::agentDisconnected(TimePoint now, const std::string &name)
+{
+    AgentView *agent = this->d->agents.find(name);
+    if (agent == nullptr || !agent->connected) {
+        return;
+    }
+    agent->connected = false;
+    agent->disconnectedAt = now;
+    this->d->dropReservations(now, *agent);
+}
+
+void EntryCore::receive(TimePoint now, const std::string &name, const Incarnation &incarnation,
+    const AgentMessage &message)
+{
+    AgentView *agent = this->d->agents.find(name);
+    if (agent == nullptr || agent->incarnation != incarnation) {
+        return;
+    }
+    agent->lastHeard = now;
+    std::visit(
+        [this, now, agent](const auto &typed) { this->d->onMessage(now, *agent, typed); }, message);
+}
+
+EntryRequest *EntryCore::Private::boundTo(const AgentView &agent, const RequestId &id)
+{
+    EntryRequest *request = this->find(id);
+    const bool bound = request != nullptr && request->phase == RequestPhase::Bound
+        && request->agent == agent.name && request->agentIncarnation == agent.incarnation;
+    return bound ? request : nullptr;
+}
+
+void EntryCore::Private::dropReservations(TimePoint now, AgentView &agent)
+{
+    const std::set<std::uint64_t> sequences = std::exchange(agent.reserved, {});
+    for (const std::uint64_t sequence : sequences) {
+        EntryRequest &request = this->requests.at(sequence);
+        request.reservedAt.erase(agent.name);
+        this->placeReservations(now, request);
+    }
+}
+
+void EntryCore::Private::endBoundRequests(AgentView &agent)
+{
+    const std::set<std::uint64_t> sequences = std::exchange(agent.bound, {});
+    for (const std::uint64_t sequence : sequences) {
+        EntryRequest &request = this->requests.at(sequence);
+        const bool ran = request.haveHead || request.received > 0;
+        this->finish(request, ran ? ResultCode::AnswerLost : ResultCode::AgentLost);
+    }
+}
+
+void EntryCore::Private::ask(EntryRequest &request)
+{
+    this->send(request.agent, Resume{ request.id(), request.received, !request.haveHead });
+}
+
+void EntryCore::Private::onMessage(TimePoint, AgentView &, const AgentHello &) { }
+
+void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const Pull &message)
+{
+    EntryRequest *request = this->find(message.id);
+    if (this->boundTo(agent, message.id) != nullptr) {
+        return;
+    }
+    const bool wanted = request != nullptr && request->phase == RequestPhase::Waiting
+        && !request->excluded.contains(agent.name) && agent.isUsable() && request->deadline > now;
+    if (!wanted) {
+        this->send(agent.name, Decline{ message.id });
+        return;
+    }
+    this->bind(now, *request, agent);
+}
+
+void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const ReservationEnded &message)
+{
+    EntryRequest *request = this->find(message.id);
+    if (request == nullptr || request->phase != RequestPhase::Waiting) {
+        return;
+    }
+    agent.reserved.erase(message.id.sequence);
+    request->reservedAt.erase(agent.name);
+    if (message.reason == ResultCode::Draining) {
+        agent.draining = true;
+    }
+    this->placeReservations(now, *request, agent.name);
+    if (!request->reservedAt.empty()) {
+        return;
+    }
+    if (message.reason == ResultCode::Overloaded) {
+        this->finish(*request, ResultCode::Overloaded);
+        return;
+    }
+    this->placeReservations(now, *request);
+    if (request->reservedAt.empty()) {
+        this->finish(*request, ResultCode::NoTargetAvailable);
+    }
+}
+
+void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const AnswerHead &message)
+{
+    EntryRequest *request = this->boundTo(agent, message.id);
+    if (request == nullptr || request->haveHead) {
+        return;
+    }
+    request->lastProgress = now;
+    request->haveHead = true;
+    request->status = message.status;
+    request->headers = message.headers;
+    if (!request->callerIsGone) {
+        this->actions.emplace_back(DeliverHead{ message.id, message.status, message.headers });
+    }
+}
+
+void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const AnswerBytes &message)
+{
+    EntryRequest *request = this->boundTo(agent, message.id);
+    if (request == nullptr) {
+        return;
+    }
+    const std::uint64_t end = message.offset + message.bytes.size();
+    // A gap means that a message was lost; the next ask brings what is missing.
+    if (!request->haveHead || message.offset > request->received || end <= request->received) {
+        return;
+    }
+    request->lastProgress = now;
+    std::string bytes = message.bytes.substr(request->received - message.offset);
+    request->received = end;
+    if (request->isClaimed()
+        && request->recorded.size() + bytes.size() <= this->limits.maximumRecordedAnswer) {
+        request->recorded += bytes;
+    }
+    if (request->callerIsGone) {
+        request->acknowledged = request->received;
+        this->send(agent.name, Acknowledge{ message.id, request->received, false });
+        return;
+    }
+    this->actions.emplace_back(DeliverBytes{ message.id, std::move(bytes) });
+}
+
+void EntryCore::Private::onMessage(TimePoint, AgentView &agent, const AnswerEnd &message)
+{
+    EntryRequest *request = this->boundTo(agent, message.id);
+    if (request == nullptr) {
+        return;
+    }
+    const bool whole = request->haveHead && request->received == message.totalBytes;
+    if (message.result == ResultCode::Ok && !whole) {
+        this->ask(*request);
+        return;
+    }
+    this->send(agent.name, Acknowledge{ message.id, request->received, true });
+    this->finish(*request, message.result);
+}
+
+void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const NotRun &message)
+{
+    EntryRequest *request = this->boundTo(agent, message.id);
+    if (request == nullptr) {
+        return;
+    }
+    if (request->callerIsGone) {
+        this->finish(*request, ResultCode::CallerGone);
+        return;
+    }
+    this->unbind(now, *request);
+}
+
+void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const StillRunning &message)
+{
+    EntryRequest *request = this->boundTo(agent, message.id);
+    if (request != nullptr) {
+        request->lastProgress = now;
+    }
+}
+
+void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const AgentHeartbeat &message)
+{
+    agent.load = message;
+    if (message.draining && !agent.draining) {
+        agent.draining = true;
+        this->dropReservations(now, agent);
+    }
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libcore/entrystate.h
@@ -0,0 +1,109 @@
+/// \file entrystate.h
+/// State of an entry core and the steps that its parts share.
+#pragma once
+
+#include "agentdirectory.h"
+#include "placement.h"
+
+#include <set>
+#include <unordered_map>
+
+namespace wigeonsill {
+
+/// Where a request stands at its entry.
+enum class RequestPhase : std::uint8_t {
+    Claiming, ///< Its idempotency key is being claimed.
+    Waiting, ///< Reserved at agents; not handed over.
+    Bound, ///< Handed over to one agent.
+};
+inline constexpr std::array requestPhaseNames = {
+    EnumName<RequestPhase>{ RequestPhase::Claiming, "claiming" },
+    EnumName<RequestPhase>{ RequestPhase::Waiting, "waiting" },
+    EnumName<RequestPhase>{ RequestPhase::Bound, "bound" },
+};
+
+/// One request that has not ended.
+struct EntryRequest
+{
+    CallerRequest caller;
+    RequestPhase phase = RequestPhase::Waiting;
+    bool callerIsGone = false; ///< Only for claimed requests, which run on without their caller.
+    TimePoint arrivedAt;
+    TimePoint deadline;
+    std::set<std::string> reservedAt;
+    std::set<std::string> excluded; ///< Agents that refused it for ever.
+
+    std::string agent; ///< When bound.
+    Incarnation agentIncarnation;
+    TimePoint lastProgress;
+    bool haveHead = false;
+    int status = 0;
+    Headers headers;
+    std::uint64_t received = 0;
+    std::uint64_t taken = 0;
+    std::uint64_t acknowledged = 0;
+    std::string recorded; ///< Answer kept for replay, up to the limit.
+
+    bool isClaimed() const { return !this->caller.idempotencyKey.empty(); }
+    const RequestId &id() const { return this->caller.profile.id; }
+};
+
+struct EntryCore::Private
+{
+    Incarnation incarnation;
+    Location location;
+    EntryLimits limits;
+    std::mt19937_64 random;
+    std::uint64_t nextSequence = 1;
+    std::uint64_t configurationRevision = 0;
+    bool draining = false;
+
+    std::unordered_map<std::uint64_t, EntryRequest> requests;
+    std::set<std::pair<TimePoint, std::uint64_t>> deadlines; ///< Of waiting and claiming requests.
+    std::size_t waiting = 0;
+    AgentDirectory agents;
+    TimePoint lastHeartbeat;
+    TimePoint lastAsk;
+    std::vector<EntryAction> actions;
+
+    EntryRequest *find(const RequestId &id);
+    void send(const std::string &agent, EntryMessage message);
+
+    /// Starts waiting and places the first reservations.
+    void beginWaiting(TimePoint now, EntryRequest &request);
+    /// Reserves at more agents until enough hold the request.
+    /// \param avoid Name of an agent that is not asked this time, or empty.
+    void placeReservations(TimePoint now, EntryRequest &request, const std::string &avoid = {});
+    void stopWaiting(EntryRequest &request);
+    void bind(TimePoint now, EntryRequest &request, AgentView &agent);
+    /// Back to waiting: the bound agent's word is that the target never got it.
+    void unbind(TimePoint now, EntryRequest &request);
+    /// Ends a request with its last action and forgets it.
+    void finish(EntryRequest &request, ResultCode result);
+    Duration retryAfter(ResultCode result);
+
+    void onMessage(TimePoint now, AgentView &agent, const AgentHello &message);
+    void onMessage(TimePoint now, AgentView &agent, const Pull &message);
+    void onMessage(TimePoint now, AgentView &agent, const ReservationEnded &message);
+    void onMessage(TimePoint now, AgentView &agent, const AnswerHead &message);
+    void onMessage(TimePoint now, AgentView &agent, const AnswerBytes &message);
+    void onMessage(TimePoint now, AgentView &agent, const AnswerEnd &message);
+    void onMessage(TimePoint now, AgentView &agent, const NotRun &message);
+    void onMessage(TimePoint now, AgentView &agent, const StillRunning &message);
+    void onMessage(TimePoint now, AgentView &agent, const AgentHeartbeat &message);
+    /// The request when it is bound to this life of this agent, or nullptr.
+    EntryRequest *boundTo(const AgentView &agent, const RequestId &id);
+
+    /// An agent is out of reach: its reservations are void and the requests placed elsewhere.
+    void dropReservations(TimePoint now, AgentView &agent);
+    /// A life of an agent is over: whatever was bound to it has ended.
+    void endBoundRequests(AgentView &agent);
+    void ask(EntryRequest &request);
+
+    void expireWaiting(TimePoint now);
+    void watchAgents(TimePoint now);
+    void askAboutBound(TimePoint now);
+    void sendHeartbeats(TimePoint now);
+};
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libcore/reservationqueue.h
@@ -0,0 +1,64 @@
+/// \file reservationqueue.h
+/// The agent's queue of reservations: tier first, then a fair share over organisations.
+#pragma once
+
+#include "wigeonsill/core.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace wigeonsill {
+
+/// Start-time fair queueing over organisations inside each tier. Costs grow with the number of
+/// organisations that wait, not with the number of reservations. Not thread-safe.
+class ReservationQueue
+{
+public:
+    struct Entry
+    {
+        RequestProfile profile;
+        TimePoint deadline;
+    };
+
+    /// Adds a reservation. Returns false when the id is already queued.
+    bool add(const RequestProfile &profile, TimePoint deadline);
+    /// Removes a reservation. Returns false when it is not queued.
+    bool remove(const RequestId &id);
+    /// The reservation to serve next, or nullptr.
+    const Entry *front() const;
+    /// Removes and returns the reservation that front() shows. \pre the queue is not empty.
+    Entry takeFront();
+    /// Removes the reservations whose deadline is over and returns their ids.
+    std::vector<RequestId> removeExpired(TimePoint now);
+    /// Removes the reservations of one entry.
+    void removeEntry(const Incarnation &entry);
+    /// Removes everything and returns the ids.
+    std::vector<RequestId> removeAll();
+
+    std::size_t size() const { return this->byId.size(); }
+    std::size_t sizeOf(Tier tier) const;
+
+private:
+    struct Share
+    {
+        std::deque<RequestId> waiting; ///< May hold ids that were removed since.
+        std::size_t live = 0;
+        double virtualTime = 0;
+    };
+    struct TierQueue
+    {
+        std::map<std::string, Share> shares;
+        std::map<std::pair<double, std::string>, Share *>
+            order; ///< By virtual time; live shares only.
+        double virtualTime = 0;
+        std::size_t live = 0;
+    };
+
+    void skipRemoved(Share &share);
+    void forget(TierQueue &queue, const std::string &organisation);
+
+    std::array<TierQueue, tierCount> tiers;
+    std::unordered_map<RequestId, Entry, RequestIdHash> byId;
+};
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libdaemon/rundaemon.cpp
@@ -0,0 +1,255 @@
+/// \file rundaemon.cpp
+/// The life of a daemon: options, settings, signals, admin port, graceful end.
+#include "wigeonsill/daemon.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace wigeonsill {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+constexpr int exitForced = 3;
+constexpr Duration drainCheckInterval = milliseconds(50);
+
+/// Settings that every daemon has.
+struct CommonSettings
+{
+    asio::ip::tcp::endpoint admin;
+    LogOptions log;
+};
+
+constexpr std::array logLevelNames = {
+    EnumName<int>{ 0, "trace" },
+    EnumName<int>{ 1, "debug" },
+    EnumName<int>{ 2, "info" },
+    EnumName<int>{ 3, "warn" },
+    EnumName<int>{ 4, "error" },
+};
+
+CommonSettings readCommon(SettingsReader &reader)
+{
+    CommonSettings settings;
+    settings.admin = readEndpoint(reader, "admin", "127.0.0.1:0");
+    SettingsReader log = reader.object("log");
+    settings.log.level = enumName(logLevelNames, log.choice<int>("level", logLevelNames, 2));
+    settings.log.json = log.flag("json", false);
+    log.finish();
+    return settings;
+}
+
+/// Runs the daemon on one thread until it has drained.
+class DaemonRunner
+{
+public:
+    DaemonRunner(const CommonSettings &common, const DaemonFactory &create)
+        : daemon(create({ this->io, this->metrics }))
+        , admin(this->io, common.admin,
+              [this](const HttpRequest &request, HttpResponder &responder) {
+                  return this->answerAdmin(request, responder);
+              })
+        , signals(this->io, SIGTERM, SIGINT)
+        , drainTimer(this->io)
+    {
+    }
+
+    int run()
+    {
+        this->daemon->start();
+        this->admin.start();
+        this->waitForSignal();
+        this->printReady();
+        this->io.run();
+        return this->exitStatus;
+    }
+
+private:
+    void printReady() const
+    {
+        json::object ports;
+        for (const auto &[name, port] : this->daemon->ports()) {
+            ports[name] = port;
+        }
+        ports["admin"] = this->admin.endpoint().port();
+        const json::object line{ { "ready", true }, { "ports", ports } };
+        std::cout << json::serialize(line) << std::endl;
+    }
+
+    void waitForSignal()
+    {
+        this->signals.async_wait([this](const boost::system::error_code &error, int) {
+            if (error) {
+                return;
+            }
+            if (this->draining) {
+                this->exitStatus = exitForced;
+                this->io.stop();
+                return;
+            }
+            this->beginDrain();
+            this->waitForSignal();
+        });
+    }
+
+    void beginDrain()
+    {
+        if (this->draining) {
+            return;
+        }
+        LOG4CPLUS_INFO(logger("daemon"), "Draining.");
+        this->draining = true;
+        this->daemon->drain();
+        this->checkDrained();
+    }
+
+    void checkDrained()
+    {
+        if (this->daemon->isDrained()) {
+            LOG4CPLUS_INFO(logger("daemon"), "Drained; ending.");
+            this->io.stop();
+            return;
+        }
+        this->drainTimer.expires_after(drainCheckInterval);
+        this->drainTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                this->checkDrained();
+            }
+        });
+    }
+
+    HttpResponse answer(const HttpRequest &request)
+    {
+        if (request.method == "POST" && request.target == "/drain") {
+            asio::post(this->io, [this] { this->beginDrain(); });
+            return jsonResponse(202, json::object{ { "draining", true } });
+        }
+        if (request.method != "GET") {
+            return problemResponse(ResultCode::MethodNotAllowed);
+        }
+        if (request.target == "/healthz") {
+            return jsonResponse(200, json::object{ { "healthy", true } });
+        }
+        if (request.target == "/readyz") {
+            const bool ready = this->daemon->isReady() && !this->draining;
+            return jsonResponse(ready ? 200 : 503, json::object{ { "ready", ready } });
+        }
+        if (request.target == "/metrics") {
+            return { 200, { { "Content-Type", "text/plain; version=0.0.4" } },
+                this->metrics.prometheusText() };
+        }
+        if (request.target == "/state") {
+            return jsonResponse(200, this->daemon->dumpState());
+        }
+        return problemResponse(ResultCode::UnknownService);
+    }
+
+    asio::awaitable<void> answerAdmin(const HttpRequest &request, HttpResponder &responder)
+    {
+        co_await responder.respond(this->answer(request));
+    }
+
+    asio::io_context io{ 1 };
+    Metrics metrics;
+    std::unique_ptr<Daemon> daemon;
+    HttpServer admin;
+    asio::signal_set signals;
+    asio::steady_timer drainTimer;
+    bool draining = false;
+    int exitStatus = 0;
+};
+
+int printProblems(const std::vector<SettingsProblem> &problems)
+{
+    for (const SettingsProblem &problem : problems) {
+        std::cerr << toString(problem) << "\n";
+    }
+    return exitUsage;
+}
+
+} // namespace
+
+TimePoint currentTime()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+asio::ip::tcp::endpoint readEndpoint(
+    SettingsReader &reader, std::string_view key, const std::optional<std::string> &fallback)
+{
+    const bool given = reader.has(key) || fallback;
+    const std::string text = reader.text(key, fallback);
+    const auto endpoint = parseEndpoint(text);
+    if (endpoint) {
+        return endpoint.value();
+    }
+    if (given) {
+        reader.report(key, endpoint.error().code, endpoint.error().detail);
+    }
+    return {};
+}
+
+Duration readMilliseconds(SettingsReader &reader, std::string_view key, std::int64_t minimum,
+    std::int64_t maximum, Duration fallback)
+{
+    const std::int64_t value = reader.number(
+        key, minimum, maximum, std::chrono::duration_cast<milliseconds>(fallback).count());
+    return milliseconds(value);
+}
+
+int runDaemon(const ProgramInfo &info, const SettingsStep &readSettings, int argc, char **argv)
+{
+    std::string settingsFile;
+    bool checkOnly = false;
+    OptionParser parser(info.name, info.version, info.summary);
+    parser.text(
+        "settings", 's', &settingsFile, "Settings file, JSON with comments (required)", "FILE");
+    parser.flag("check", 'c', &checkOnly, "Check the settings file and exit");
+    parser.notes(info.notes
+        + "\nExit status: 0 after a graceful end, 1 after a failure, 2 for a fault of the command "
+          "line or the\nsettings, 3 when a second signal ended it before it had drained.");
+    const auto arguments = parser.parse(argc, argv);
+    if (!arguments) {
+        return arguments.error();
+    }
+    if (settingsFile.empty() || !arguments.value().empty()) {
+        std::cerr << info.name << ": expected --settings=FILE and no other arguments\n";
+        return exitUsage;
+    }
+    const Result<JsonDocument> document = JsonDocument::load(settingsFile);
+    if (!document) {
+        return printProblems(
+            { { settingsFile, 0, {}, document.error().code, document.error().detail } });
+    }
+    std::vector<SettingsProblem> problems;
+    SettingsReader reader(document.value(), problems);
+    const CommonSettings common = readCommon(reader);
+    const DaemonFactory create = readSettings(reader);
+    reader.finish();
+    if (!problems.empty()) {
+        return printProblems(problems);
+    }
+    if (checkOnly) {
+        std::cout << settingsFile << ": no problems\n";
+        return 0;
+    }
+    initializeLogging(common.log);
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        DaemonRunner runner(common, create);
+        return runner.run();
+    } catch (const std::exception &exception) {
+        std::cerr << info.name << ": " << exception.what() << "\n";
+        return exitFailure;
+    }
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libhttp/httpmessage.cpp
@@ -0,0 +1,96 @@
+/// \file httpmessage.cpp
+/// Helpers for requests and answers.
+#include "wigeonsill/http.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/string.hpp>
+
+#include <charconv>
+
+namespace wigeonsill {
+
+namespace asio = boost::asio;
+
+std::string_view fieldValue(const HttpFields &fields, std::string_view name)
+{
+    for (const HttpField &field : fields) {
+        if (boost::beast::iequals(
+                { field.name.data(), field.name.size() }, { name.data(), name.size() })) {
+            return field.value;
+        }
+    }
+    return {};
+}
+
+HttpResponse jsonResponse(int status, const boost::json::value &body)
+{
+    return { status, { { "Content-Type", "application/json" } },
+        boost::json::serialize(body) + "\n" };
+}
+
+HttpResponse problemResponse(ResultCode code, std::string_view detail, Duration retryAfter)
+{
+    const ResultInfo &info = infoOf(code);
+    boost::json::object body;
+    body["type"] = "urn:wigeonsill:result:" + std::to_string(static_cast<int>(code));
+    body["title"] = info.text;
+    body["status"] = info.httpStatus;
+    body["code"] = static_cast<int>(code);
+    body["name"] = info.name;
+    body["outcome"] = nameOf(info.outcome);
+    if (!detail.empty()) {
+        body["detail"] = detail;
+    }
+    HttpResponse response = jsonResponse(info.httpStatus, body);
+    response.fields.front().value = "application/problem+json";
+    response.fields.push_back({ "Wigeonsill-Outcome", std::string(nameOf(info.outcome)) });
+    if (retryAfter > Duration::zero()) {
+        const auto whole = std::chrono::ceil<seconds>(retryAfter).count();
+        response.fields.push_back({ "Retry-After", std::to_string(whole) });
+    }
+    return response;
+}
+
+Result<asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
+{
+    const Error error{ ResultCode::SettingsWrongType,
+        "expected IP-NUMBER:PORT, found \"" + std::string(text) + "\"" };
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return error;
+    }
+    boost::system::error_code code;
+    const asio::ip::address address
+        = asio::ip::make_address(std::string(text.substr(0, colon)), code);
+    std::uint16_t port = 0;
+    const char *const last = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, last, port);
+    if (code || parsed.ec != std::errc() || parsed.ptr != last) {
+        return error;
+    }
+    return asio::ip::tcp::endpoint(address, port);
+}
+
+std::string toString(const asio::ip::tcp::endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+void spawn(asio::io_context &context, asio::awaitable<void> task)
+{
+    asio::co_spawn(context, std::move(task), [](const std::exception_ptr &failure) {
+        if (!failure) {
+            return;
+        }
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception &exception) {
+            LOG4CPLUS_ERROR(
+                logger("task"), "A task ended with an exception: " << exception.what() << ".");
+        }
+    });
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libplatform/httpinstancelist.cpp
@@ -0,0 +1,80 @@
+/// \file httpinstancelist.cpp
+/// The instance list over HTTP/JSON.
+#include "wigeonsill/platform.h"
+
+namespace wigeonsill {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration callTimeout = seconds(2);
+
+std::string textMember(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_string() ? std::string(value->get_string())
+                                                  : std::string();
+}
+
+Result<std::vector<ListedInstance>> parseList(const std::string &text)
+{
+    json::error_code error;
+    const json::value body = json::parse(text, error);
+    const json::object *object = error ? nullptr : body.if_object();
+    const json::value *list = object == nullptr ? nullptr : object->if_contains("instances");
+    if (list == nullptr || !list->is_array()) {
+        return Error{ ResultCode::MessageMalformed, "the instance list is malformed" };
+    }
+    std::vector<ListedInstance> instances;
+    for (const json::value &element : list->get_array()) {
+        const json::object *row = element.if_object();
+        if (row == nullptr) {
+            return Error{ ResultCode::MessageMalformed, "an instance is not an object" };
+        }
+        BOOST_OUTCOME_TRY(const auto endpoint, parseEndpoint(textMember(*row, "endpoint")));
+        instances.push_back({ textMember(*row, "name"), textMember(*row, "role"), endpoint,
+            textMember(*row, "state") == "leaving" });
+    }
+    return instances;
+}
+
+class HttpInstanceList : public InstanceList
+{
+public:
+    HttpInstanceList(asio::io_context &listContext, const asio::ip::tcp::endpoint &listEndpoint)
+        : context(listContext)
+        , endpoint(listEndpoint)
+    {
+    }
+
+    asio::awaitable<Result<std::vector<ListedInstance>>> fetch() override
+    {
+        HttpRequest request{ "GET", "/v1/instances", {}, {} };
+        const Result<HttpResponse> response = co_await wigeonsill::fetch(
+            this->context, this->endpoint, std::move(request), callTimeout);
+        if (!response) {
+            co_return Error{ ResultCode::StoreUnavailable, response.error().detail };
+        }
+        if (response.value().status != 200) {
+            co_return Error{ ResultCode::StoreUnavailable,
+                "status " + std::to_string(response.value().status) };
+        }
+        co_return parseList(response.value().body);
+    }
+
+private:
+    asio::io_context &context;
+    asio::ip::tcp::endpoint endpoint;
+};
+
+} // namespace
+
+std::unique_ptr<InstanceList> makeHttpInstanceList(
+    asio::io_context &context, const asio::ip::tcp::endpoint &endpoint)
+{
+    return std::make_unique<HttpInstanceList>(context, endpoint);
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libwire/codec_test.cpp
@@ -0,0 +1,68 @@
+/// \file codec_test.cpp
+/// Messages survive encoding, and malformed bytes are refused.
+#include "wigeonsill/wire.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace wigeonsill {
+namespace {
+
+RequestProfile makeProfile()
+{
+    RequestProfile profile;
+    profile.id = { { 3, 4 }, 5 };
+    profile.tier = Tier::High;
+    profile.organisation = "org";
+    profile.pool = "pool";
+    profile.weight = 7;
+    profile.promptTokens = 11;
+    profile.outputTokens = 13;
+    profile.prefixHashes = { 17, 19 };
+    profile.timeLeft = milliseconds(23);
+    profile.nonIdempotent = true;
+    profile.preemption = Preemption::IdempotentOnly;
+    return profile;
+}
+
+TEST(Codec, bindKeepsEveryField)
+{
+    const Bind bind{ makeProfile(), { "POST", "/x", { { "A", "b" } }, std::string("\0body", 5) } };
+    const auto decoded = decodeEntryFrame(encodeFrame(EntryFrame(EntryMessage(bind))));
+    ASSERT_TRUE(decoded);
+    const auto copy = std::get<Bind>(std::get<EntryMessage>(decoded.value()));
+    EXPECT_EQ(copy.profile.id, bind.profile.id);
+    EXPECT_EQ(copy.profile.tier, Tier::High);
+    EXPECT_EQ(copy.profile.weight, 7U);
+    EXPECT_EQ(copy.profile.prefixHashes, bind.profile.prefixHashes);
+    EXPECT_EQ(copy.profile.timeLeft, bind.profile.timeLeft);
+    EXPECT_TRUE(copy.profile.nonIdempotent);
+    EXPECT_EQ(copy.profile.preemption, Preemption::IdempotentOnly);
+    EXPECT_EQ(copy.request.body, bind.request.body);
+    EXPECT_EQ(copy.request.headers.front().value, "b");
+}
+
+TEST(Codec, arbitraryBytesAreRefusedOrDecoded)
+{
+    const bool held = rc::check("no bytes crash the decoder", [](const std::string &bytes) {
+        (void)decodeEntryFrame(bytes);
+        (void)decodeAgentFrame(bytes);
+    });
+    EXPECT_TRUE(held);
+    EXPECT_EQ(decodeEntryFrame("abc").error().code, ResultCode::MessageMalformed);
+}
+
+TEST(Codec, alteredFramesAreRefusedOrDecoded)
+{
+    const std::string frame = encodeFrame(EntryFrame(EntryMessage(Bind{ makeProfile(), {} })));
+    const bool held = rc::check("no altered byte crashes the decoder", [&frame] {
+        std::string altered = frame;
+        const auto at = *rc::gen::inRange<std::size_t>(0, altered.size());
+        altered[at] = *rc::gen::arbitrary<char>();
+        (void)decodeEntryFrame(altered);
+    });
+    EXPECT_TRUE(held);
+}
+
+} // namespace
+} // namespace wigeonsill
--- /dev/null
+++ b/src/wigeonsill-agent/targetrunner.cpp
@@ -0,0 +1,177 @@
+/// \file targetrunner.cpp
+/// Sends requests to the target and reports what it answers.
+#include "targetrunner.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace wigeonsill {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration connectTimeout = seconds(1);
+constexpr Duration sendTimeout = seconds(10);
+constexpr std::size_t tailSize = 1024;
+
+std::uint32_t countMember(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_int64() ? static_cast<std::uint32_t>(value->get_int64())
+                                                 : 0;
+}
+
+} // namespace
+
+TokenUsage usageIn(std::string_view answerTail)
+{
+    constexpr std::string_view marker = "\"usage\":";
+    const std::size_t at = answerTail.rfind(marker);
+    if (at == std::string_view::npos) {
+        return {};
+    }
+    json::stream_parser parser;
+    json::error_code error;
+    const std::string_view rest = answerTail.substr(at + marker.size());
+    parser.write_some(rest.data(), rest.size(), error);
+    if (error || !parser.done()) {
+        return {};
+    }
+    const json::value value = parser.release();
+    if (!value.is_object()) {
+        return {};
+    }
+    TokenUsage usage;
+    usage.prompt = countMember(value.get_object(), "prompt_tokens");
+    usage.output = countMember(value.get_object(), "completion_tokens");
+    const json::value *details = value.get_object().if_contains("prompt_tokens_details");
+    if (details != nullptr && details->is_object()) {
+        usage.cached = countMember(details->get_object(), "cached_tokens");
+    }
+    return usage;
+}
+
+struct TargetRunner::Run
+{
+    explicit Run(asio::io_context &io)
+        : http(io)
+        , wake(io)
+    {
+    }
+
+    RequestId id;
+    HttpExchange http;
+    asio::steady_timer wake;
+    bool paused = false;
+    bool cancelled = false;
+    std::string tail; ///< Last bytes of the answer, where the token counts stand.
+};
+
+TargetRunner::TargetRunner(DaemonContext daemonContext, AgentCore &agentCore,
+    asio::ip::tcp::endpoint targetEndpoint, Duration silenceLimit, std::function<void()> corePump)
+    : context(daemonContext)
+    , core(agentCore)
+    , target(std::move(targetEndpoint))
+    , silence(silenceLimit)
+    , pump(std::move(corePump))
+{
+}
+
+void TargetRunner::start(StartAtTarget action)
+{
+    const auto run = std::make_shared<Run>(this->context.io);
+    run->id = action.id;
+    this->runs.emplace(action.id, run);
+    HttpRequest request{ action.request.method, action.request.path, {},
+        std::move(action.request.body) };
+    for (const Header &header : action.request.headers) {
+        request.fields.push_back({ header.name, header.value });
+    }
+    request.fields.push_back({ "Wigeonsill-Request-Id", toString(action.id) });
+    spawn(this->context.io, this->run(run, std::move(request)));
+}
+
+void TargetRunner::cancel(const CancelAtTarget &action)
+{
+    const auto found = this->runs.find(action.id);
+    if (found == this->runs.end()) {
+        return;
+    }
+    found->second->cancelled = true;
+    found->second->http.close();
+    found->second->wake.cancel();
+}
+
+void TargetRunner::pause(const PauseTarget &action)
+{
+    const auto found = this->runs.find(action.id);
+    if (found != this->runs.end()) {
+        found->second->paused = action.paused;
+        found->second->wake.cancel();
+    }
+}
+
+asio::awaitable<void> TargetRunner::run(RunPointer run, HttpRequest request)
+{
+    const TargetEnd end = co_await this->exchange(run, std::move(request));
+    this->runs.erase(run->id);
+    this->context.metrics.count("wigeonsill_agent_runs_total");
+    this->core.targetEnded(currentTime(), run->id, end, usageIn(run->tail));
+    this->pump();
+}
+
+asio::awaitable<TargetEnd> TargetRunner::exchange(RunPointer run, HttpRequest request)
+{
+    const Result<void> connected = co_await run->http.connect(this->target, connectTimeout);
+    if (!connected || run->cancelled) {
+        co_return TargetEnd::NeverSent;
+    }
+    const Result<void> sent = co_await run->http.send(std::move(request), sendTimeout);
+    if (!sent) {
+        co_return TargetEnd::BrokeOff;
+    }
+    Result<HttpHead> head = co_await run->http.readHead(this->silence);
+    if (!head) {
+        co_return TargetEnd::Silent;
+    }
+    Headers headers;
+    for (HttpField &field : head.value().fields) {
+        const bool hopByHop = field.name == "Connection" || field.name == "Transfer-Encoding"
+            || field.name == "Keep-Alive";
+        if (!hopByHop) {
+            headers.push_back({ std::move(field.name), std::move(field.value) });
+        }
+    }
+    this->core.targetHead(currentTime(), run->id, head.value().status, std::move(headers));
+    this->pump();
+    co_return co_await this->readBody(run);
+}
+
+asio::awaitable<TargetEnd> TargetRunner::readBody(RunPointer run)
+{
+    for (;;) {
+        while (run->paused && !run->cancelled) {
+            run->wake.expires_after(this->silence);
+            boost::system::error_code ignored;
+            co_await run->wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        Result<std::string> piece = co_await run->http.readSome(this->silence);
+        if (!piece) {
+            co_return TargetEnd::BrokeOff;
+        }
+        if (piece.value().empty()) {
+            co_return TargetEnd::Whole;
+        }
+        run->tail += piece.value();
+        if (run->tail.size() > tailSize) {
+            run->tail.erase(0, run->tail.size() - tailSize);
+        }
+        this->core.targetBytes(currentTime(), run->id, piece.value());
+        this->pump();
+    }
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/wigeonsill-entry/entrydaemon.h
@@ -0,0 +1,69 @@
+/// \file entrydaemon.h
+/// The entry process: the core, and what connects it to callers, agents and the platform.
+#pragma once
+
+#include "agentlinks.h"
+#include "callerfront.h"
+#include "claimclient.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace wigeonsill {
+
+/// Settings of an entry beside those of every daemon.
+struct EntrySettings
+{
+    Location location;
+    boost::asio::ip::tcp::endpoint listen;
+    boost::asio::ip::tcp::endpoint store;
+    boost::asio::ip::tcp::endpoint instanceList;
+    EntryLimits limits;
+    HttpServerLimits http;
+};
+
+EntrySettings readEntrySettings(SettingsReader &reader);
+
+/// One entry process.
+class EntryDaemon : public Daemon
+{
+public:
+    EntryDaemon(DaemonContext context, const EntrySettings &settings);
+
+    void start() override;
+    bool isReady() const override;
+    void drain() override;
+    bool isDrained() const override;
+    boost::json::object dumpState() const override;
+    std::map<std::string, std::uint16_t> ports() const override;
+
+private:
+    /// Carries out the core's actions until there are none.
+    void pump();
+    void perform(SendToAgent &action);
+    void perform(ReconnectAgent &action);
+    void perform(DeliverHead &action);
+    void perform(DeliverBytes &action);
+    void perform(DeliverEnd &action);
+    void perform(ClaimKey &action);
+    void perform(RecordClaim &action);
+
+    boost::asio::awaitable<void> claim(ClaimKey action);
+    boost::asio::awaitable<void> recordClaim(RecordClaim action);
+    boost::asio::awaitable<void> tickLoop();
+    boost::asio::awaitable<void> watchConfiguration();
+    boost::asio::awaitable<void> watchInstances();
+
+    DaemonContext context;
+    Incarnation incarnation;
+    std::unique_ptr<EntryCore> core;
+    std::unique_ptr<Store> store;
+    std::unique_ptr<InstanceList> instanceList;
+    ClaimClient claims;
+    std::size_t claimsInProgress = 0;
+    CallerFront front;
+    AgentLinks links;
+    HttpServer server;
+    bool pumping = false;
+};
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/wigeonsill-entry/requestreader.cpp
@@ -0,0 +1,223 @@
+/// \file requestreader.cpp
+/// From a caller's HTTP request to the request that the core decides about.
+#include "requestreader.h"
+
+#include <boost/beast/core/string.hpp>
+
+namespace wigeonsill {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view bearerPrefix = "Bearer ";
+constexpr std::string_view plainPrefix = "/services/";
+constexpr std::size_t bytesPerToken = 4;
+constexpr std::size_t prefixStepBytes = 1024;
+constexpr std::size_t maximumPrefixHashes = 16;
+
+constexpr std::array hopByHopFields = {
+    std::string_view("connection"),
+    std::string_view("keep-alive"),
+    std::string_view("transfer-encoding"),
+    std::string_view("te"),
+    std::string_view("trailer"),
+    std::string_view("upgrade"),
+    std::string_view("host"),
+    std::string_view("authorization"),
+    std::string_view("content-length"),
+    std::string_view("expect"),
+};
+
+bool isHopByHop(std::string_view name)
+{
+    for (const std::string_view field : hopByHopFields) {
+        if (boost::beast::iequals({ field.data(), field.size() }, { name.data(), name.size() })) {
+            return true;
+        }
+    }
+    return false;
+}
+
+Result<const Organisation *> findOrganisation(
+    const Configuration &configuration, const HttpRequest &request)
+{
+    const std::string_view authorization = fieldValue(request.fields, "Authorization");
+    const Organisation *organisation = nullptr;
+    if (authorization.starts_with(bearerPrefix)) {
+        organisation = configuration.findByToken(authorization.substr(bearerPrefix.size()));
+    } else {
+        organisation
+            = configuration.findByName(fieldValue(request.fields, "Wigeonsill-Organisation"));
+    }
+    if (organisation == nullptr) {
+        return Error{ ResultCode::UnknownOrganisation, "send a known bearer token" };
+    }
+    return organisation;
+}
+
+Result<const ServiceDefinition *> findService(
+    const Organisation &organisation, std::string_view name)
+{
+    const auto found = organisation.services.find(name);
+    if (found == organisation.services.end()) {
+        return Error{ ResultCode::UnknownService,
+            "organisation " + organisation.name + " has no service \"" + std::string(name) + "\"" };
+    }
+    return &found->second;
+}
+
+Result<std::string> readKey(const ServiceDefinition &service, const HttpRequest &request)
+{
+    const std::string_view key = fieldValue(request.fields, "Idempotency-Key");
+    if (key.empty() && service.nonIdempotent) {
+        return Error{ ResultCode::IdempotencyKeyRequired, "service " + service.name };
+    }
+    if (key.size() > maximumIdempotencyKey) {
+        return Error{ ResultCode::IdempotencyKeyTooLong,
+            "at most " + std::to_string(maximumIdempotencyKey) + " bytes" };
+    }
+    return service.nonIdempotent ? std::string(key) : std::string();
+}
+
+std::vector<std::uint64_t> prefixHashesOf(std::string_view prompt)
+{
+    std::vector<std::uint64_t> hashes;
+    std::uint64_t hash = 0;
+    for (std::size_t at = 0;
+         at + prefixStepBytes <= prompt.size() && hashes.size() < maximumPrefixHashes;
+         at += prefixStepBytes) {
+        hash = stableHash(prompt.substr(at, prefixStepBytes), hash);
+        hashes.push_back(hash);
+    }
+    return hashes;
+}
+
+void fillProfile(
+    RequestProfile &profile, const Organisation &organisation, const ServiceDefinition &service)
+{
+    profile.tier = service.tier;
+    profile.organisation = organisation.name;
+    profile.pool = service.pool;
+    profile.weight = organisation.weight;
+    profile.timeLeft = service.deadline;
+    profile.nonIdempotent = service.nonIdempotent;
+    profile.preemption = organisation.preemption;
+}
+
+/// Text of the prompt, as far as estimates need it.
+std::string promptText(const json::object &body)
+{
+    const json::value *prompt = body.if_contains("prompt");
+    if (prompt == nullptr) {
+        prompt = body.if_contains("messages");
+    }
+    if (prompt == nullptr) {
+        return {};
+    }
+    return prompt->is_string() ? std::string(prompt->get_string()) : json::serialize(*prompt);
+}
+
+std::string_view serviceNameOf(const HttpRequest &request, const json::object &body)
+{
+    const std::string_view header = fieldValue(request.fields, "Wigeonsill-Service");
+    if (!header.empty()) {
+        return header;
+    }
+    const json::value *model = body.if_contains("model");
+    return model != nullptr && model->is_string() ? std::string_view(model->get_string())
+                                                  : std::string_view();
+}
+
+/// Sets the engine's model name and the limit of output tokens.
+std::uint32_t limitOutput(json::object &body, const ServiceDefinition &service)
+{
+    const json::value *wanted = body.if_contains("max_tokens");
+    std::int64_t tokens = service.maximumOutputTokens;
+    if (wanted != nullptr && wanted->is_int64() && wanted->get_int64() > 0) {
+        tokens = std::min(tokens, wanted->get_int64());
+    }
+    body["max_tokens"] = tokens;
+    return static_cast<std::uint32_t>(tokens);
+}
+
+Result<CallerRequest> readCompletion(const Configuration &configuration,
+    const Organisation &organisation, const HttpRequest &request)
+{
+    if (request.method != "POST") {
+        return Error{ ResultCode::MethodNotAllowed, "use POST" };
+    }
+    json::error_code error;
+    json::value parsed = json::parse(request.body, error);
+    if (error || !parsed.is_object()) {
+        return Error{ ResultCode::MalformedRequest, "the body must be a JSON object" };
+    }
+    json::object &body = parsed.get_object();
+    BOOST_OUTCOME_TRY(
+        const ServiceDefinition *service, findService(organisation, serviceNameOf(request, body)));
+    const auto pool = configuration.pools.find(service->pool);
+    if (pool == configuration.pools.end() || pool->second.kind != PoolKind::Engine) {
+        return Error{ ResultCode::UnknownService, service->name + " is not served by an engine" };
+    }
+    const std::string prompt = promptText(body);
+    if (prompt.empty()) {
+        return Error{ ResultCode::MalformedRequest, "the body needs \"prompt\" or \"messages\"" };
+    }
+    CallerRequest result;
+    fillProfile(result.profile, organisation, *service);
+    BOOST_OUTCOME_TRY(result.idempotencyKey, readKey(*service, request));
+    result.profile.promptTokens = static_cast<std::uint32_t>(prompt.size() / bytesPerToken + 1);
+    result.profile.prefixHashes = prefixHashesOf(prompt);
+    result.profile.outputTokens = limitOutput(body, *service);
+    body["model"] = pool->second.model;
+    result.request.method = "POST";
+    result.request.path = request.target;
+    result.request.headers.push_back({ "Content-Type", "application/json" });
+    result.request.body = json::serialize(body);
+    return result;
+}
+
+Result<CallerRequest> readPlain(const Configuration &configuration,
+    const Organisation &organisation, const HttpRequest &request)
+{
+    const std::string_view rest = std::string_view(request.target).substr(plainPrefix.size());
+    const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
+    BOOST_OUTCOME_TRY(
+        const ServiceDefinition *service, findService(organisation, rest.substr(0, end)));
+    const auto pool = configuration.pools.find(service->pool);
+    if (pool == configuration.pools.end() || pool->second.kind != PoolKind::Plain) {
+        return Error{ ResultCode::UnknownService, service->name + " is not a plain service" };
+    }
+    CallerRequest result;
+    fillProfile(result.profile, organisation, *service);
+    BOOST_OUTCOME_TRY(result.idempotencyKey, readKey(*service, request));
+    const std::string_view path = rest.substr(end);
+    result.request.method = request.method;
+    result.request.path = path.starts_with('/') ? std::string(path) : "/" + std::string(path);
+    for (const HttpField &field : request.fields) {
+        if (!isHopByHop(field.name)) {
+            result.request.headers.push_back({ field.name, field.value });
+        }
+    }
+    result.request.body = request.body;
+    return result;
+}
+
+} // namespace
+
+Result<CallerRequest> readCallerRequest(
+    const Configuration &configuration, const HttpRequest &request)
+{
+    BOOST_OUTCOME_TRY(const Organisation *organisation, findOrganisation(configuration, request));
+    const std::string_view path
+        = std::string_view(request.target).substr(0, request.target.find('?'));
+    if (path == "/v1/completions" || path == "/v1/chat/completions") {
+        return readCompletion(configuration, *organisation, request);
+    }
+    if (path.starts_with(plainPrefix)) {
+        return readPlain(configuration, *organisation, request);
+    }
+    return Error{ ResultCode::UnknownService, "no service at this path" };
+}
+
+} // namespace wigeonsill
