--- /dev/null
+++ b/scripts/measure-control.py
@@ -0,0 +1,86 @@
+#!/usr/bin/env python3
+"""Measures what control costs at rest: processor time and memory of one entry by its number of agents,
+and of one agent by its number of entries. Prints a table and the slopes.
+
+Usage: scripts/measure-control.py [--seconds N] [--peers 1,20,60]
+Needs a release build. Runs at most 62 small processes on loopback at a time.
+"""
+
+import argparse
+import os
+import pathlib
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "testsuite"))
+
+from harness import Cluster  # noqa: E402
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+def cpu_seconds(process):
+    fields = pathlib.Path("/proc/%d/stat" % process.popen.pid).read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def memory_mb(process):
+    for line in pathlib.Path("/proc/%d/status" % process.popen.pid).read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def measure(process, seconds):
+    """Share of one core in percent and resident memory in MB."""
+    before = cpu_seconds(process)
+    start = time.monotonic()
+    time.sleep(seconds)
+    used = cpu_seconds(process) - before
+    return 100 * used / (time.monotonic() - start), memory_mb(process)
+
+
+def run(entries, agents, seconds):
+    with Cluster() as cluster:
+        engine = cluster.standin("engine", role="engine")
+        agent_processes = [
+            cluster.agent("agent-%d" % i, engine, "camp-language", log={"level": "warn"}) for i in range(agents)
+        ]
+        entry_processes = [cluster.entry("entry-%d" % i, log={"level": "warn"}) for i in range(entries)]
+        cluster.apply(ROOT / "examples/consortium")
+        cluster.wait_ready(*entry_processes, agents=agents)
+        time.sleep(2)
+        return measure(entry_processes[0], seconds), measure(agent_processes[0], seconds)
+
+
+def slope(points):
+    """Least squares over (count, value)."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    return sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--peers", default="1,20,60")
+    arguments = parser.parse_args()
+    peers = [int(text) for text in arguments.peers.split(",")]
+    print("role   peers  core %  MB")
+    for role in ("entry", "agent"):
+        cpu, memory = [], []
+        for count in peers:
+            sizes = (1, count) if role == "entry" else (count, 1)
+            entry, agent = run(*sizes, arguments.seconds)
+            percent, megabytes = entry if role == "entry" else agent
+            cpu.append((count, percent))
+            memory.append((count, megabytes))
+            print("%-6s %5d  %6.3f  %.1f" % (role, count, percent, megabytes))
+        print("%-6s slope  %6.4f %% of a core and %.4f MB for each peer" % (role, slope(cpu), slope(memory)))
+
+
+if __name__ == "__main__":
+    main()
