Timing of connections: fewer heartbeats where no request depends on one

Cause: a heartbeat a second on every connection costs most of the 14 KB/s budget at the target size.

--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -192,6 +192,15 @@
 using AgentMessage = std::variant<AgentHello, Pull, ReservationEnded, AnswerHead, AnswerBytes,
     AnswerEnd, NotRun, StillRunning, AgentHeartbeat>;
 
+/// Heartbeats of a connection between entry and agent.
+struct HeartbeatIntervals
+{
+    Duration busy = seconds(1); ///< Between beats while requests depend on the connection.
+    Duration idle = seconds(3); ///< Between beats otherwise.
+    Duration busySilence = seconds(3); ///< A quiet busy connection is replaced after this.
+    Duration idleSilence = seconds(10);
+};
+
 // ---------------------------------------------------------------------------------------------
 // Entry
 
