--- a/src/include/wigeonsill/platform.h
+++ b/src/include/wigeonsill/platform.h
@@ -48,6 +48,8 @@
 {
     std::string name;
     std::string role; ///< "entry" or "agent"
+    std::string region; ///< Empty where the list does not tell.
+    std::vector<std::string> pools; ///< Of an agent; empty where the list does not tell.
     boost::asio::ip::tcp::endpoint endpoint;
     bool leaving = false;
 };
--- a/src/libcore/agentsubset.cpp
+++ b/src/libcore/agentsubset.cpp
@@ -1,8 +1,6 @@
 /// \file agentsubset.cpp
 /// Rendezvous hashing of agents for an entry.
-#include "agentsubset.h"
-
-#include "wigeonsill/util.h"
+#include "wigeonsill/core.h"
 
 #include <algorithm>
 
--- a/src/libcore/agentsubset_test.cpp
+++ b/src/libcore/agentsubset_test.cpp
@@ -1,6 +1,6 @@
 /// \file agentsubset_test.cpp
 /// The choice of agents is stable and even.
-#include "agentsubset.h"
+#include "wigeonsill/core.h"
 
 #include <gtest/gtest.h>
 
--- a/src/libplatform/httpinstancelist.cpp
+++ b/src/libplatform/httpinstancelist.cpp
@@ -18,6 +18,21 @@
                                                   : std::string();
 }
 
+std::vector<std::string> textListMember(const json::object &object, std::string_view key)
+{
+    std::vector<std::string> texts;
+    const json::value *value = object.if_contains(key);
+    if (value == nullptr || !value->is_array()) {
+        return texts;
+    }
+    for (const json::value &element : value->get_array()) {
+        if (element.is_string()) {
+            texts.emplace_back(element.get_string());
+        }
+    }
+    return texts;
+}
+
 Result<std::vector<ListedInstance>> parseList(const std::string &text)
 {
     json::error_code error;
@@ -34,8 +49,14 @@
             return Error{ ResultCode::MessageMalformed, "an instance is not an object" };
         }
         BOOST_OUTCOME_TRY(const auto endpoint, parseEndpoint(textMember(*row, "endpoint")));
-        instances.push_back({ textMember(*row, "name"), textMember(*row, "role"), endpoint,
-            textMember(*row, "state") == "leaving" });
+        ListedInstance instance;
+        instance.name = textMember(*row, "name");
+        instance.role = textMember(*row, "role");
+        instance.region = textMember(*row, "region");
+        instance.pools = textListMember(*row, "pools");
+        instance.endpoint = endpoint;
+        instance.leaving = textMember(*row, "state") == "leaving";
+        instances.push_back(std::move(instance));
     }
     return instances;
 }
