Smaller subsets and rarer idle heartbeats

Cause: at the target size 24 agents a pool and a beat every 3 s come to more than 14 KB/s a daemon by the message sizes measured.

Change: 12 agents of a pool at home and 2 in each other region; idle beats every 5 s.

Figures: by arithmetic, 96 connections at 310 bytes a beat cost 5.9 KB/s in place of 9.9.

--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -196,9 +196,9 @@
 struct HeartbeatIntervals
 {
     Duration busy = seconds(1); ///< Between beats while requests depend on the connection.
-    Duration idle = seconds(3); ///< Between beats otherwise.
+    Duration idle = seconds(5); ///< Between beats otherwise.
     Duration busySilence = seconds(3); ///< A quiet busy connection is replaced after this.
-    Duration idleSilence = seconds(10);
+    Duration idleSilence = seconds(16);
 };
 
 // ---------------------------------------------------------------------------------------------
--- a/src/wigeonsill-entry/agentchoice.h
+++ b/src/wigeonsill-entry/agentchoice.h
@@ -10,8 +10,8 @@
 /// Most agents of one pool and region that an entry connects to.
 struct AgentChoiceLimits
 {
-    std::size_t perPoolAtHome = 24; ///< In the entry's own region.
-    std::size_t perPoolElsewhere = 4; ///< In each other region.
+    std::size_t perPoolAtHome = 12; ///< In the entry's own region.
+    std::size_t perPoolElsewhere = 2; ///< In each other region.
 };
 
 /// Keeps the agents that this entry connects to: of each pool and region a subset that every
