HTTP: answers to bad input, a minimum rate for slow readers, callers that go away

Cause: a late header closed the connection without an answer; a reader of a byte a second was limited for each piece only; HEAD, 204 and 304 got bodies; a caller that pipelined was not seen to go; an answer held until whole stopped at the window of its stream; fields of one hop passed through in another case of letters; the accept loops span on errors; a request waited with two copies of itself. Change: the server answers 408 before it closes, bounds blocked writes by a rate, reads ahead a little while an answer goes out, takes pending connections before it drains, ends HTTP/1.0 answers by a reset when they break. TCP keepalive and user timeout on connections to callers and targets. Links of instances that are not listed any more are forgotten, newcomers without a hello are closed.

--- a/src/include/wigeonsill/daemon.h
+++ b/src/include/wigeonsill/daemon.h
@@ -52,9 +52,6 @@
 /// ended it before it had drained.
 int runDaemon(const ProgramInfo &info, const SettingsStep &readSettings, int argc, char **argv);
 
-/// Present time of the monotonic clock. Thread-safe.
-TimePoint currentTime();
-
 /// Reads an "IP:PORT" text and reports a fault at its key.
 boost::asio::ip::tcp::endpoint readEndpoint(SettingsReader &reader, std::string_view key,
     const std::optional<std::string> &fallback = std::nullopt);
--- a/src/include/wigeonsill/http.h
+++ b/src/include/wigeonsill/http.h
@@ -22,6 +22,13 @@
 /// Value of the first field of a name, compared without case; empty when absent. Thread-safe.
 std::string_view fieldValue(const HttpFields &fields, std::string_view name);
 
+/// Whether two names of fields are the same. Thread-safe.
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+/// Whether a field belongs to one connection only, or to the system itself ("Wigeonsill-..."), and
+/// so is not passed on.
+/// \param connection Value of the message's Connection field, which may name more of them.
+bool isHopByHop(std::string_view name, std::string_view connection);
+
 struct HttpRequest
 {
     std::string method = "GET";
@@ -57,10 +64,12 @@
 {
 public:
     virtual ~HttpResponder() = default;
-    /// Sends a whole answer. \pre nothing was sent before.
+    /// Sends a whole answer. A Content-Length field counts only in an answer to HEAD.
+    /// \pre nothing was sent before.
     virtual boost::asio::awaitable<bool> respond(HttpResponse response) = 0;
     /// Starts an answer whose body comes by write(). With a Content-Length field the body has that
-    /// length; otherwise it is chunked. \pre nothing was sent before.
+    /// length; otherwise it is chunked, or ends with the connection for HTTP/1.0. Answers to HEAD
+    /// and those of status 1xx, 204 and 304 have no body. \pre nothing was sent before.
     virtual boost::asio::awaitable<bool> begin(int status, HttpFields fields) = 0;
     /// \pre begin() was called.
     virtual boost::asio::awaitable<bool> write(std::string_view bytes) = 0;
@@ -72,8 +81,8 @@
     virtual void whenCallerGone(std::function<void()> function) = 0;
 };
 
-using HttpHandler
-    = std::function<boost::asio::awaitable<void>(const HttpRequest &, HttpResponder &)>;
+/// The handler may take the request's parts away, so that they are not kept while it waits.
+using HttpHandler = std::function<boost::asio::awaitable<void>(HttpRequest &, HttpResponder &)>;
 
 struct HttpServerLimits
 {
@@ -83,7 +92,8 @@
     Duration idle = seconds(60); ///< Between two requests of a connection.
     Duration headerTime = seconds(10); ///< From the first byte of a header to its last.
     Duration bodyTime = seconds(30);
-    Duration writeTime = seconds(30); ///< For one piece of an answer.
+    Duration writeTime = seconds(30); ///< How long writes may be blocked beyond the minimum rate.
+    std::int64_t minimumWriteRate = 16'384; ///< Bytes per second that a caller must take.
 };
 
 /// Accepts connections and runs the handler for each request.
@@ -150,6 +160,13 @@
 boost::asio::awaitable<Result<HttpResponse>> fetch(boost::asio::io_context &context,
     boost::asio::ip::tcp::endpoint endpoint, HttpRequest request, Duration timeout);
 
+/// Sets what every TCP connection of the project has: no delay of small writes, and an end within
+/// a minute when the other side is silent for good. Thread-safe for distinct sockets.
+void tuneSocket(boost::asio::ip::tcp::socket &socket);
+
+/// Present time of the monotonic clock. Thread-safe.
+TimePoint currentTime();
+
 /// Runs a coroutine on the context; an exception that leaves it is logged and ends nothing else.
 void spawn(boost::asio::io_context &context, boost::asio::awaitable<void> task);
 
--- a/src/libdaemon/rundaemon.cpp
+++ b/src/libdaemon/rundaemon.cpp
@@ -177,11 +177,6 @@
 
 } // namespace
 
-TimePoint currentTime()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 asio::ip::tcp::endpoint readEndpoint(
     SettingsReader &reader, std::string_view key, const std::optional<std::string> &fallback)
 {
--- a/src/libhttp/httpexchange.cpp
+++ b/src/libhttp/httpexchange.cpp
@@ -58,8 +58,7 @@
         co_return Error{ ResultCode::ConnectionFailed,
             toString(endpoint) + ": " + error.message() };
     }
-    error_code ignored;
-    this->d->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    tuneSocket(this->d->stream.socket());
     co_return boost::outcome_v2::success();
 }
 
@@ -67,6 +66,7 @@
 {
     http::request<http::string_body> message;
     message.method_string(request.method);
+    this->d->parser.skip(message.method() == http::verb::head);
     message.target(request.target);
     message.version(11);
     for (const HttpField &field : request.fields) {
--- a/src/libhttp/httpmessage.cpp
+++ b/src/libhttp/httpmessage.cpp
@@ -6,24 +6,67 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace wigeonsill {
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr std::array hopByHopFields = {
+    std::string_view("connection"),
+    std::string_view("keep-alive"),
+    std::string_view("proxy-authorization"),
+    std::string_view("proxy-connection"),
+    std::string_view("te"),
+    std::string_view("trailer"),
+    std::string_view("transfer-encoding"),
+    std::string_view("upgrade"),
+};
+constexpr std::string_view ownFieldPrefix = "wigeonsill-";
+
+constexpr int keepAliveIdleS = 15;
+constexpr int keepAliveIntervalS = 5;
+constexpr int keepAliveProbes = 3;
+constexpr int userTimeoutMs = 30'000;
+
+} // namespace
+
 std::string_view fieldValue(const HttpFields &fields, std::string_view name)
 {
     for (const HttpField &field : fields) {
-        if (boost::beast::iequals(
-                { field.name.data(), field.name.size() }, { name.data(), name.size() })) {
+        if (equalsIgnoringCase(field.name, name)) {
             return field.value;
         }
     }
     return {};
 }
 
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return boost::beast::iequals({ left.data(), left.size() }, { right.data(), right.size() });
+}
+
+bool isHopByHop(std::string_view name, std::string_view connection)
+{
+    if (equalsIgnoringCase(name.substr(0, ownFieldPrefix.size()), ownFieldPrefix)) {
+        return true;
+    }
+    boost::beast::http::token_list named({ connection.data(), connection.size() });
+    if (named.exists({ name.data(), name.size() })) {
+        return true;
+    }
+    return std::any_of(hopByHopFields.begin(), hopByHopFields.end(),
+        [name](std::string_view field) { return equalsIgnoringCase(field, name); });
+}
+
 HttpResponse jsonResponse(int status, const boost::json::value &body)
 {
     return { status, { { "Content-Type", "application/json" } },
@@ -78,6 +121,25 @@
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+TimePoint currentTime()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+void tuneSocket(asio::ip::tcp::socket &socket)
+{
+    const int handle = socket.native_handle();
+    const auto set = [handle](int level, int name, int value) {
+        setsockopt(handle, level, name, &value, sizeof(value));
+    };
+    set(IPPROTO_TCP, TCP_NODELAY, 1);
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleS);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalS);
+    set(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
+}
+
 void spawn(asio::io_context &context, asio::awaitable<void> task)
 {
     asio::co_spawn(context, std::move(task), [](const std::exception_ptr &failure) {
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include <list>
+#include <sstream>
 
 namespace wigeonsill {
 
@@ -21,9 +22,23 @@
 namespace {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t firstReadSize = 1'024;
+constexpr std::size_t pipelinedLimit = 16'384; ///< Bytes read ahead while an answer is going out.
 constexpr std::size_t discardPiece = 16'384;
 constexpr std::size_t discardLimit = 16'777'216;
 constexpr Duration discardTime = seconds(2);
+constexpr Duration drainingIdle = seconds(2);
+constexpr Duration acceptRetryInterval = milliseconds(50);
+constexpr unsigned http11 = 11;
+constexpr int firstStatusWithBody = 200;
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
+bool statusHasBody(int status)
+{
+    return status >= firstStatusWithBody && status != statusNoContent
+        && status != statusNotModified;
+}
 
 ResultCode codeOfParseError(const error_code &error)
 {
@@ -33,9 +48,6 @@
     if (error == http::error::body_limit) {
         return ResultCode::BodyTooLarge;
     }
-    if (error == beast::error::timeout) {
-        return ResultCode::RequestTimeout;
-    }
     return ResultCode::MalformedRequest;
 }
 
@@ -47,6 +59,25 @@
     }
 }
 
+HttpRequest requestOf(http::request<http::string_body> &message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+std::string serializeHead(const http::response_header<> &head)
+{
+    std::ostringstream text;
+    text << head;
+    return text.str();
+}
+
 } // namespace
 
 class HttpSession : public HttpResponder, public std::enable_shared_from_this<HttpSession>
@@ -57,9 +88,10 @@
         : stream(std::move(socket))
         , handler(std::move(sessionHandler))
         , limits(sessionLimits)
+        , readTimer(this->stream.get_executor())
+        , patience(sessionLimits.writeTime)
     {
-        error_code ignored;
-        this->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        tuneSocket(this->stream.socket());
     }
 
     asio::awaitable<void> run();
@@ -76,19 +108,36 @@
     }
 
 private:
+    asio::awaitable<bool> readFirstBytes();
     asio::awaitable<std::optional<HttpRequest>> readRequest();
-    asio::awaitable<void> refuse(ResultCode code, std::string detail);
+    asio::awaitable<void> refuse(error_code error);
     asio::awaitable<void> discardInput();
-    asio::awaitable<bool> writeRaw(asio::const_buffer bytes);
+    asio::awaitable<void> end();
+    /// Writes everything, at no less than the minimum rate over time.
+    template <class Buffers>
+    asio::awaitable<bool> writeAll(Buffers buffers);
+    http::response_header<> headOf(int status, const HttpFields &fields) const;
+    void limitReading(Duration limit);
+    void endReadLimit();
     void watchCaller();
+    bool readAhead(std::size_t available);
     void callerIsGone();
+    void closeSocket();
 
     beast::tcp_stream stream;
     HttpHandler handler;
     HttpServerLimits limits;
     beast::flat_buffer buffer;
+    asio::steady_timer readTimer;
+    Duration patience; ///< How much longer writes may be blocked.
     std::function<void()> onCallerGone;
     std::uint64_t answerNumber = 0; ///< Tells late watch events of an earlier answer.
+    std::uint64_t readNumber = 0; ///< Tells late timer events of an earlier step.
+    unsigned version = http11;
+    bool headOnly = false; ///< The request's method is HEAD.
+    bool bodyless = false; ///< The present answer has no body.
+    bool closeDelimited = false; ///< The present answer's body ends with the connection.
+    bool timedOut = false;
     bool keepAlive = true;
     bool draining = false;
     bool idle = true;
@@ -100,7 +149,7 @@
 asio::awaitable<void> HttpSession::run()
 {
     const auto self = this->shared_from_this();
-    while (this->keepAlive && !this->broken && !this->draining) {
+    do {
         std::optional<HttpRequest> request = co_await this->readRequest();
         if (!request) {
             break;
@@ -116,64 +165,108 @@
         if (!this->broken) {
             this->stream.socket().cancel();
         }
+    } while (this->keepAlive && !this->broken && !this->draining);
+    co_await this->end();
+}
+
+asio::awaitable<void> HttpSession::end()
+{
+    if (this->broken) {
+        co_return;
     }
     error_code ignored;
+    if (this->stream.socket().available(ignored) > 0) {
+        co_await this->discardInput();
+    }
     this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    this->stream.close();
+    this->closeSocket();
 }
 
-asio::awaitable<std::optional<HttpRequest>> HttpSession::readRequest()
+void HttpSession::limitReading(Duration limit)
+{
+    // The stream's own time limit would close the socket, and nothing could be answered then.
+    this->timedOut = false;
+    const std::uint64_t number = ++this->readNumber;
+    this->readTimer.expires_after(limit);
+    this->readTimer.async_wait([self = this->shared_from_this(), number](const error_code &error) {
+        if (!error && number == self->readNumber && !self->broken) {
+            self->timedOut = true;
+            self->stream.socket().cancel();
+        }
+    });
+}
+
+void HttpSession::endReadLimit()
+{
+    ++this->readNumber;
+    this->readTimer.cancel();
+}
+
+asio::awaitable<bool> HttpSession::readFirstBytes()
 {
     this->idle = true;
     if (this->buffer.size() == 0) {
-        this->stream.expires_after(this->limits.idle);
+        // An idle connection holds no more memory than this.
+        this->buffer.shrink_to_fit();
+        this->limitReading(this->draining ? drainingIdle : this->limits.idle);
         auto [error, size]
-            = co_await this->stream.async_read_some(this->buffer.prepare(discardPiece), useTuple);
+            = co_await this->stream.async_read_some(this->buffer.prepare(firstReadSize), useTuple);
+        this->endReadLimit();
         if (error) {
-            co_return std::nullopt;
+            co_return false;
         }
         this->buffer.commit(size);
     }
     this->idle = false;
+    co_return true;
+}
+
+asio::awaitable<std::optional<HttpRequest>> HttpSession::readRequest()
+{
+    const bool begun = co_await this->readFirstBytes();
+    if (!begun) {
+        co_return std::nullopt;
+    }
     http::request_parser<http::string_body> parser;
     parser.header_limit(this->limits.headerBytes);
     parser.body_limit(this->limits.bodyBytes);
-    this->stream.expires_after(this->limits.headerTime);
+    this->headOnly = false;
+    this->limitReading(this->limits.headerTime);
     auto [headError, headSize]
         = co_await http::async_read_header(this->stream, this->buffer, parser, useTuple);
+    this->endReadLimit();
     if (headError) {
-        co_await this->refuse(codeOfParseError(headError), headError.message());
+        co_await this->refuse(headError);
         co_return std::nullopt;
     }
-    this->stream.expires_after(this->limits.bodyTime);
+    this->version = parser.get().version();
+    this->keepAlive = parser.get().keep_alive() && this->version >= http11;
+    this->headOnly = parser.get().method() == http::verb::head;
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         static const std::string goOn = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await this->writeRaw(asio::buffer(goOn));
-        this->stream.expires_after(this->limits.bodyTime);
+        co_await this->writeAll(asio::const_buffer(goOn.data(), goOn.size()));
     }
+    this->limitReading(this->limits.bodyTime);
     auto [bodyError, bodySize]
         = co_await http::async_read(this->stream, this->buffer, parser, useTuple);
+    this->endReadLimit();
     if (bodyError) {
-        co_await this->refuse(codeOfParseError(bodyError), bodyError.message());
+        co_await this->refuse(bodyError);
         co_return std::nullopt;
     }
-    this->keepAlive = parser.get().keep_alive();
-    HttpRequest request;
-    request.method = std::string(parser.get().method_string());
-    request.target = std::string(parser.get().target());
-    for (const auto &field : parser.get()) {
-        request.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    }
-    request.body = std::move(parser.get().body());
-    co_return request;
+    co_return requestOf(parser.get());
 }
 
-asio::awaitable<void> HttpSession::refuse(ResultCode code, std::string detail)
+asio::awaitable<void> HttpSession::refuse(error_code error)
 {
     this->keepAlive = false;
     this->answered = false;
+    const ResultCode code = this->timedOut ? ResultCode::RequestTimeout : codeOfParseError(error);
+    const std::string detail = this->timedOut ? std::string() : error.message();
     co_await this->respond(problemResponse(code, detail));
-    co_await this->discardInput();
+    if (!this->broken) {
+        co_await this->discardInput();
+    }
 }
 
 asio::awaitable<void> HttpSession::discardInput()
@@ -191,6 +284,7 @@
         }
         total += size;
     }
+    this->stream.expires_never();
 }
 
 void HttpSession::watchCaller()
@@ -204,17 +298,33 @@
             const std::size_t available = self->stream.socket().available(failure);
             if (failure || available == 0) {
                 self->callerIsGone();
+            } else if (self->readAhead(available)) {
+                self->watchCaller();
             }
         });
 }
 
+bool HttpSession::readAhead(std::size_t available)
+{
+    // The end of the connection shows only behind the bytes of a pipelined request.
+    const std::size_t room = pipelinedLimit - std::min(this->buffer.size(), pipelinedLimit);
+    const std::size_t wanted = std::min(available, room);
+    if (wanted == 0) {
+        return false;
+    }
+    error_code error;
+    const std::size_t size = this->stream.socket().read_some(this->buffer.prepare(wanted), error);
+    this->buffer.commit(size);
+    return !error;
+}
+
 void HttpSession::callerIsGone()
 {
     if (this->broken) {
         return;
     }
     this->broken = true;
-    this->stream.close();
+    this->closeSocket();
     if (const auto notify = std::exchange(this->onCallerGone, nullptr)) {
         notify();
     }
@@ -224,29 +334,60 @@
 {
     this->broken = true;
     this->onCallerGone = nullptr;
+    if (this->closeDelimited) {
+        // Only a reset tells such a caller that the answer is not whole.
+        error_code ignored;
+        this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    this->closeSocket();
+}
+
+void HttpSession::closeSocket()
+{
+    this->endReadLimit();
     this->stream.close();
 }
 
 void HttpSession::drain()
 {
     this->draining = true;
-    if (this->idle) {
+    error_code error;
+    const bool quiet = this->idle && this->stream.socket().available(error) == 0;
+    if (quiet || error) {
         this->abort();
     }
 }
 
-asio::awaitable<bool> HttpSession::writeRaw(asio::const_buffer bytes)
+template <class Buffers>
+asio::awaitable<bool> HttpSession::writeAll(Buffers buffers)
 {
-    if (this->broken) {
-        co_return false;
+    beast::buffers_suffix<Buffers> left(buffers);
+    while (!this->broken && beast::buffer_bytes(left) > 0) {
+        const TimePoint start = currentTime();
+        this->stream.expires_after(this->patience);
+        auto [error, size] = co_await this->stream.async_write_some(left, useTuple);
+        if (error) {
+            this->callerIsGone();
+            co_return false;
+        }
+        left.consume(size);
+        const Duration earned(
+            static_cast<std::int64_t>(size) * 1'000'000 / this->limits.minimumWriteRate);
+        this->patience -= currentTime() - start;
+        this->patience = std::min(this->patience + earned, this->limits.writeTime);
     }
-    this->stream.expires_after(this->limits.writeTime);
-    auto [error, size] = co_await asio::async_write(this->stream, bytes, useTuple);
-    if (error) {
-        this->callerIsGone();
-        co_return false;
+    if (!this->broken) {
+        this->stream.expires_never();
     }
-    co_return true;
+    co_return !this->broken;
+}
+
+http::response_header<> HttpSession::headOf(int status, const HttpFields &fields) const
+{
+    http::response<http::empty_body> message(static_cast<http::status>(status), http11);
+    setFields(message, fields);
+    message.keep_alive(this->keepAlive && !this->draining);
+    return std::move(message.base());
 }
 
 asio::awaitable<bool> HttpSession::respond(HttpResponse response)
@@ -255,17 +396,22 @@
         co_return false;
     }
     this->answered = true;
-    http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
-    setFields(message, response.fields);
-    message.body() = std::move(response.body);
-    message.keep_alive(this->keepAlive && !this->draining);
-    message.prepare_payload();
-    this->stream.expires_after(this->limits.writeTime);
-    auto [error, size] = co_await http::async_write(this->stream, message, useTuple);
-    if (error) {
-        this->callerIsGone();
-    }
-    co_return !error;
+    http::response_header<> head = this->headOf(response.status, response.fields);
+    if (!this->headOnly) {
+        head.erase(http::field::content_length);
+    }
+    if (!statusHasBody(response.status)) {
+        response.body.clear();
+    } else if (head.find(http::field::content_length) == head.end()) {
+        head.set(http::field::content_length, std::to_string(response.body.size()));
+    }
+    if (this->headOnly) {
+        response.body.clear();
+    }
+    const std::string headText = serializeHead(head);
+    const std::array<asio::const_buffer, 2> buffers
+        = { asio::buffer(headText), asio::buffer(response.body) };
+    co_return co_await this->writeAll(buffers);
 }
 
 asio::awaitable<bool> HttpSession::begin(int status, HttpFields fields)
@@ -274,38 +420,34 @@
         co_return false;
     }
     this->answered = true;
-    http::response<http::empty_body> message(static_cast<http::status>(status), 11);
-    setFields(message, fields);
-    this->chunked = fieldValue(fields, "Content-Length").empty();
-    message.chunked(this->chunked);
-    message.keep_alive(this->keepAlive && !this->draining);
-    http::response_serializer<http::empty_body> serializer(message);
-    this->stream.expires_after(this->limits.writeTime);
-    auto [error, size] = co_await http::async_write_header(this->stream, serializer, useTuple);
-    if (error) {
-        this->callerIsGone();
-    }
-    co_return !error;
+    this->bodyless = this->headOnly || !statusHasBody(status);
+    const bool hasLength = !fieldValue(fields, "Content-Length").empty();
+    this->chunked = !this->bodyless && !hasLength && this->version >= http11;
+    this->closeDelimited = !this->bodyless && !hasLength && !this->chunked;
+    if (this->closeDelimited) {
+        this->keepAlive = false;
+    }
+    http::response_header<> head = this->headOf(status, fields);
+    if (this->chunked) {
+        head.set(http::field::transfer_encoding, "chunked");
+    } else {
+        head.erase(http::field::trailer);
+    }
+    const std::string headText = serializeHead(head);
+    co_return co_await this->writeAll(asio::const_buffer(headText.data(), headText.size()));
 }
 
 asio::awaitable<bool> HttpSession::write(std::string_view bytes)
 {
-    if (bytes.empty()) {
+    if (bytes.empty() || this->bodyless) {
         co_return !this->broken;
     }
+    const asio::const_buffer body(bytes.data(), bytes.size());
     if (!this->chunked) {
-        co_return co_await this->writeRaw(asio::buffer(bytes));
+        co_return co_await this->writeAll(body);
     }
-    if (this->broken) {
-        co_return false;
-    }
-    this->stream.expires_after(this->limits.writeTime);
-    const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
-    auto [error, size] = co_await asio::async_write(this->stream, chunk, useTuple);
-    if (error) {
-        this->callerIsGone();
-    }
-    co_return !error;
+    const auto chunk = http::make_chunk(body);
+    co_return co_await this->writeAll(chunk);
 }
 
 asio::awaitable<bool> HttpSession::finish(HttpFields trailers)
@@ -318,7 +460,7 @@
         lastChunk += field.name + ": " + field.value + "\r\n";
     }
     lastChunk += "\r\n";
-    co_return co_await this->writeRaw(asio::buffer(lastChunk));
+    co_return co_await this->writeAll(asio::const_buffer(lastChunk.data(), lastChunk.size()));
 }
 
 struct HttpServer::Private
@@ -340,13 +482,16 @@
 
 namespace {
 
+/// \pre the connection is counted already.
 template <class ServerState>
 asio::awaitable<void> serveConnection(
     std::shared_ptr<ServerState> state, asio::ip::tcp::socket socket)
 {
     auto session = std::make_shared<HttpSession>(std::move(socket), state->handler, state->limits);
+    if (state->draining) {
+        session->drain();
+    }
     const auto place = state->sessions.insert(state->sessions.end(), session);
-    ++state->connections;
     try {
         co_await session->run();
     } catch (const std::exception &exception) {
@@ -357,6 +502,27 @@
     state->sessions.erase(place);
 }
 
+asio::awaitable<void> pauseFor(asio::io_context &context, Duration duration)
+{
+    asio::steady_timer timer(context, duration);
+    co_await timer.async_wait(useTuple);
+}
+
+/// Takes the connections that callers have made already, so that none of them is reset.
+template <class ServerState>
+void acceptPending(const std::shared_ptr<ServerState> &state)
+{
+    error_code error;
+    state->acceptor.non_blocking(true, error);
+    while (!error && state->connections < state->limits.connections) {
+        asio::ip::tcp::socket socket = state->acceptor.accept(error);
+        if (!error) {
+            ++state->connections;
+            spawn(state->context, serveConnection(state, std::move(socket)));
+        }
+    }
+}
+
 template <class ServerState>
 asio::awaitable<void> acceptLoop(std::shared_ptr<ServerState> state)
 {
@@ -368,12 +534,14 @@
             }
             LOG4CPLUS_WARN(
                 logger("http"), "A connection was not accepted: " << error.message() << ".");
+            co_await pauseFor(state->context, acceptRetryInterval);
             continue;
         }
         if (state->connections >= state->limits.connections) {
             socket.close();
             continue;
         }
+        ++state->connections;
         spawn(state->context, serveConnection(state, std::move(socket)));
     }
 }
@@ -409,6 +577,7 @@
         return;
     }
     this->d->draining = true;
+    acceptPending(this->d);
     error_code ignored;
     this->d->acceptor.close(ignored);
     for (const std::weak_ptr<HttpSession> &weak : this->d->sessions) {
--- a/src/wigeonsill-agent/entrylinks.cpp
+++ b/src/wigeonsill-agent/entrylinks.cpp
@@ -3,16 +3,23 @@
 #include "entrylinks.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace wigeonsill {
 
 namespace asio = boost::asio;
 
+namespace {
+constexpr Duration helloTimeout = seconds(5);
+constexpr Duration acceptRetryInterval = milliseconds(50);
+} // namespace
+
 struct EntryLinks::Link
 {
     std::shared_ptr<FrameConnection> connection;
     std::optional<EntryHello> hello;
+    TimePoint acceptedAt;
 };
 
 EntryLinks::EntryLinks(DaemonContext daemonContext, AgentCore &agentCore,
@@ -60,15 +67,37 @@
         if (error == asio::error::operation_aborted) {
             co_return;
         }
-        if (!error) {
-            this->attach(std::move(socket));
+        if (error) {
+            co_await this->pauseAccepting();
+            continue;
         }
+        this->dropSilentNewcomers();
+        this->attach(std::move(socket));
     }
 }
 
+asio::awaitable<void> EntryLinks::pauseAccepting()
+{
+    asio::steady_timer timer(this->context.io, acceptRetryInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void EntryLinks::dropSilentNewcomers()
+{
+    const TimePoint now = currentTime();
+    std::erase_if(this->newcomers, [now](const LinkPointer &link) {
+        const bool silent = now - link->acceptedAt > helloTimeout;
+        if (silent) {
+            link->connection->close();
+        }
+        return silent;
+    });
+}
+
 void EntryLinks::attach(asio::ip::tcp::socket socket)
 {
     const auto link = std::make_shared<Link>();
+    link->acceptedAt = currentTime();
     link->connection = FrameConnection::create(std::move(socket));
     this->newcomers.push_back(link);
     FrameConnection::Handlers handlers;
--- a/src/wigeonsill-agent/entrylinks.h
+++ b/src/wigeonsill-agent/entrylinks.h
@@ -27,6 +27,9 @@
     using LinkPointer = std::shared_ptr<Link>;
 
     boost::asio::awaitable<void> acceptLoop();
+    boost::asio::awaitable<void> pauseAccepting();
+    /// Ends connections that never said who they are.
+    void dropSilentNewcomers();
     void attach(boost::asio::ip::tcp::socket socket);
     void onFrame(const LinkPointer &link, std::string_view frame);
     void onHello(const LinkPointer &link, const EntryHello &hello);
--- a/src/wigeonsill-agent/targetrunner.cpp
+++ b/src/wigeonsill-agent/targetrunner.cpp
@@ -126,7 +126,11 @@
 asio::awaitable<TargetEnd> TargetRunner::exchange(RunPointer run, HttpRequest request)
 {
     const Result<void> connected = co_await run->http.connect(this->target, connectTimeout);
-    if (!connected || run->cancelled) {
+    if (run->cancelled) {
+        // Not the target's doing, so it must not count as a refused connection.
+        co_return TargetEnd::BrokeOff;
+    }
+    if (!connected) {
         co_return TargetEnd::NeverSent;
     }
     const Result<void> sent = co_await run->http.send(std::move(request), sendTimeout);
@@ -138,10 +142,9 @@
         co_return TargetEnd::Silent;
     }
     Headers headers;
+    const std::string connection(fieldValue(head.value().fields, "Connection"));
     for (HttpField &field : head.value().fields) {
-        const bool hopByHop = field.name == "Connection" || field.name == "Transfer-Encoding"
-            || field.name == "Keep-Alive";
-        if (!hopByHop) {
+        if (!isHopByHop(field.name, connection)) {
             headers.push_back({ std::move(field.name), std::move(field.value) });
         }
     }
--- a/src/wigeonsill-entry/agentlinks.cpp
+++ b/src/wigeonsill-entry/agentlinks.cpp
@@ -103,8 +103,8 @@
 asio::awaitable<void> AgentLinks::keepConnected(LinkPointer link)
 {
     boost::system::error_code ignored;
-    for (;;) {
-        if (!link->connection && link->listed) {
+    while (link->connection || link->listed) {
+        if (!link->connection) {
             boost::beast::tcp_stream stream(this->context.io);
             stream.expires_after(connectTimeout);
             auto [error] = co_await stream.async_connect(
@@ -123,6 +123,7 @@
         link->wake.expires_after(retryInterval);
         co_await link->wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
+    this->links.erase(link->name);
 }
 
 void AgentLinks::attach(const LinkPointer &link, asio::ip::tcp::socket socket)
--- a/src/wigeonsill-entry/callerfront.cpp
+++ b/src/wigeonsill-entry/callerfront.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/string.hpp>
 
 namespace wigeonsill {
 
@@ -28,10 +27,23 @@
     return fields;
 }
 
-std::uint64_t contentLengthOf(const HttpFields &fields)
+void eraseField(HttpFields &fields, std::string_view name)
 {
+    std::erase_if(
+        fields, [name](const HttpField &field) { return equalsIgnoringCase(field.name, name); });
+}
+
+/// Whether an answer waits until it is whole: where its length says that it is short, or where it
+/// has no body.
+bool isHeld(const HttpFields &fields, int status, bool headOnly)
+{
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    if (headOnly || status == noContent || status == notModified) {
+        return true;
+    }
     const std::string text(fieldValue(fields, "Content-Length"));
-    return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
+    return !text.empty() && std::strtoull(text.c_str(), nullptr, 10) <= heldAnswerLimit;
 }
 
 } // namespace
@@ -52,8 +64,9 @@
     std::optional<DeliverEnd> end;
     bool begun = false;
     bool held = false; ///< The answer waits until it is whole.
+    bool headOnly = false; ///< The request's method is HEAD.
     bool callerGone = false;
-    std::uint64_t written = 0;
+    std::uint64_t taken = 0; ///< Bytes that the agent need not hold any more.
     asio::steady_timer news;
 };
 
@@ -100,7 +113,7 @@
     }
 }
 
-asio::awaitable<void> CallerFront::handle(const HttpRequest &request, HttpResponder &responder)
+asio::awaitable<void> CallerFront::handle(HttpRequest &request, HttpResponder &responder)
 {
     if (!this->current) {
         co_await responder.respond(problemResponse(ResultCode::NoConfiguration, {}, seconds(1)));
@@ -116,6 +129,9 @@
     const auto mailbox = std::make_shared<Mailbox>(this->context.io);
     mailbox->tier = read.value().profile.tier;
     mailbox->arrivedAt = currentTime();
+    mailbox->headOnly = request.method == "HEAD";
+    // The core holds what the target gets; a waiting request must not be in memory twice.
+    request = {};
     mailbox->id = this->core.arrive(mailbox->arrivedAt, std::move(read).value());
     this->mailboxes.emplace(mailbox->id.sequence, mailbox);
     responder.whenCallerGone([this, mailbox] {
@@ -145,14 +161,21 @@
                 co_return;
             }
         }
+        if (mailbox->held && mailbox->taken < mailbox->bytes.size()) {
+            // What is held here the agent need not hold, or its window would close for good.
+            mailbox->taken = mailbox->bytes.size();
+            this->core.callerTook(currentTime(), mailbox->id, mailbox->taken);
+            this->pump();
+            continue;
+        }
         if (mailbox->begun && !mailbox->bytes.empty()) {
             const std::string piece = std::exchange(mailbox->bytes, {});
             const bool written = co_await responder.write(piece);
             if (!written) {
                 co_return;
             }
-            mailbox->written += piece.size();
-            this->core.callerTook(currentTime(), mailbox->id, mailbox->written);
+            mailbox->taken += piece.size();
+            this->core.callerTook(currentTime(), mailbox->id, mailbox->taken);
             this->pump();
             continue;
         }
@@ -167,11 +190,12 @@
 asio::awaitable<bool> CallerFront::beginAnswer(MailboxPointer mailbox, HttpResponder &responder)
 {
     HttpFields fields = fieldsOf(mailbox->head->headers);
-    const std::uint64_t length = contentLengthOf(fields);
-    if (length > 0 && length <= heldAnswerLimit) {
+    if (isHeld(fields, mailbox->head->status, mailbox->headOnly)) {
         mailbox->held = true;
         co_return true;
     }
+    // Only a chunked answer can say at its end how it went.
+    eraseField(fields, "Content-Length");
     this->context.metrics.sample("wigeonsill_entry_first_byte_seconds", {},
         double((currentTime() - mailbox->arrivedAt).count()) / 1e6);
     fields.push_back({ "Wigeonsill-Request-Id", toString(mailbox->id) });
@@ -189,9 +213,6 @@
         if (result == ResultCode::Ok) {
             response = { mailbox->head->status, fieldsOf(mailbox->head->headers),
                 std::move(mailbox->bytes) };
-            std::erase_if(response.fields, [](const HttpField &field) {
-                return boost::beast::iequals(field.name, "Content-Length");
-            });
             response.fields.push_back(
                 { "Wigeonsill-Outcome", std::string(nameOf(Outcome::Completed)) });
         }
--- a/src/wigeonsill-entry/callerfront.h
+++ b/src/wigeonsill-entry/callerfront.h
@@ -21,7 +21,7 @@
     void setConfiguration(std::shared_ptr<const Configuration> value);
     const std::shared_ptr<const Configuration> &configuration() const { return this->current; }
 
-    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
+    boost::asio::awaitable<void> handle(HttpRequest &request, HttpResponder &responder);
 
     void deliver(DeliverHead action);
     void deliver(const DeliverBytes &action);
--- a/src/wigeonsill-entry/entrydaemon.cpp
+++ b/src/wigeonsill-entry/entrydaemon.cpp
@@ -81,7 +81,7 @@
           [this] { this->pump(); })
     , server(
           daemonContext.io, settings.listen,
-          [this](const HttpRequest &request, HttpResponder &responder) {
+          [this](HttpRequest &request, HttpResponder &responder) {
               return this->front.handle(request, responder);
           },
           settings.http)
--- a/src/wigeonsill-entry/requestreader.cpp
+++ b/src/wigeonsill-entry/requestreader.cpp
@@ -2,7 +2,7 @@
 /// From a caller's HTTP request to the request that the core decides about.
 #include "requestreader.h"
 
-#include <boost/beast/core/string.hpp>
+#include <algorithm>
 
 namespace wigeonsill {
 
@@ -16,27 +16,39 @@
 constexpr std::size_t prefixStepBytes = 1024;
 constexpr std::size_t maximumPrefixHashes = 16;
 
-constexpr std::array hopByHopFields = {
-    std::string_view("connection"),
-    std::string_view("keep-alive"),
-    std::string_view("transfer-encoding"),
-    std::string_view("te"),
-    std::string_view("trailer"),
-    std::string_view("upgrade"),
+/// Fields that the entry uses up; the agent writes its own.
+constexpr std::array consumedFields = {
     std::string_view("host"),
     std::string_view("authorization"),
     std::string_view("content-length"),
     std::string_view("expect"),
 };
+/// Fields that decide how a request is treated; they may come only once.
+constexpr std::array singleFields = {
+    std::string_view("Authorization"),
+    std::string_view("Idempotency-Key"),
+    std::string_view("Wigeonsill-Organisation"),
+    std::string_view("Wigeonsill-Service"),
+};
 
-bool isHopByHop(std::string_view name)
+bool isPassedOn(std::string_view name, std::string_view connection)
 {
-    for (const std::string_view field : hopByHopFields) {
-        if (boost::beast::iequals({ field.data(), field.size() }, { name.data(), name.size() })) {
-            return true;
+    return !isHopByHop(name, connection)
+        && std::none_of(consumedFields.begin(), consumedFields.end(),
+            [name](std::string_view field) { return equalsIgnoringCase(field, name); });
+}
+
+Result<void> checkSingleFields(const HttpRequest &request)
+{
+    for (const std::string_view name : singleFields) {
+        const auto count = std::count_if(request.fields.begin(), request.fields.end(),
+            [name](const HttpField &field) { return equalsIgnoringCase(field.name, name); });
+        if (count > 1) {
+            return Error{ ResultCode::MalformedRequest,
+                std::string(name) + " may be given only once" };
         }
     }
-    return false;
+    return boost::outcome_v2::success();
 }
 
 Result<const Organisation *> findOrganisation(
@@ -132,11 +144,14 @@
 /// Sets the engine's model name and the limit of output tokens.
 std::uint32_t limitOutput(json::object &body, const ServiceDefinition &service)
 {
-    const json::value *wanted = body.if_contains("max_tokens");
     std::int64_t tokens = service.maximumOutputTokens;
-    if (wanted != nullptr && wanted->is_int64() && wanted->get_int64() > 0) {
-        tokens = std::min(tokens, wanted->get_int64());
+    for (const std::string_view name : { "max_tokens", "max_completion_tokens" }) {
+        const json::value *wanted = body.if_contains(name);
+        if (wanted != nullptr && wanted->is_int64() && wanted->get_int64() > 0) {
+            tokens = std::min(tokens, wanted->get_int64());
+        }
     }
+    body.erase("max_completion_tokens");
     body["max_tokens"] = tokens;
     return static_cast<std::uint32_t>(tokens);
 }
@@ -194,8 +209,9 @@
     const std::string_view path = rest.substr(end);
     result.request.method = request.method;
     result.request.path = path.starts_with('/') ? std::string(path) : "/" + std::string(path);
+    const std::string_view connection = fieldValue(request.fields, "Connection");
     for (const HttpField &field : request.fields) {
-        if (!isHopByHop(field.name)) {
+        if (isPassedOn(field.name, connection)) {
             result.request.headers.push_back({ field.name, field.value });
         }
     }
@@ -208,6 +224,7 @@
 Result<CallerRequest> readCallerRequest(
     const Configuration &configuration, const HttpRequest &request)
 {
+    BOOST_OUTCOME_TRY(checkSingleFields(request));
     BOOST_OUTCOME_TRY(const Organisation *organisation, findOrganisation(configuration, request));
     const std::string_view path
         = std::string_view(request.target).substr(0, request.target.find('?'));
