Stand-in engine: resume, cancel, KV transfer, cache events, orders, faults

Cause: the stand-in knew completions and two faults only. Change: the engine's model is apart from its HTTP side and driven without a clock; streams are resumed and cancelled, KV cache is exported and imported at a cost, cache events come late and with gaps, load reports lag, orders are fenced or not; a weight store with a rate limit. Repeated and cancelled prompt work is counted. Conclusion: faults of the engines can be caused by a test.

--- a/src/wigeonsill-standin/enginestandin.cpp
+++ b/src/wigeonsill-standin/enginestandin.cpp
@@ -1,22 +1,26 @@
 /// \file enginestandin.cpp
-/// Stand-in for a model engine: OpenAI-compatible, continuous batching, a prefix cache.
+/// HTTP side of the stand-in engine.
 ///
 ///   POST /v1/completions, /v1/chat/completions   "stream" and "max_tokens" are understood
-///   POST /admin/faults {"slowdown":x,"dieAfterTokens":n}
-///   GET  /admin/load                             tokens computed, wasted, and the queue
+///   POST /v1/cancel {"id"}                       ends a stream; its id is its
+///   Wigeonsill-Request-Id GET  /v1/streams/ID?offset=N                 a stream's events from
+///   token N on POST /v1/kv/export {"prompt"}                the cached prefix; costs time by its
+///   size POST /v1/kv/import                           takes what an export gave; costs as much GET
+///   /v1/cache-events?after=N                stored and evicted blocks, late and with gaps GET
+///   /v1/load                                running and queued sequences, as they were POST
+///   /v1/orders {"kind","name","fence"}      GET lists those that took effect POST /admin/faults
+///   any field of EngineFaults GET  /admin/load, /admin/blocks              counters; blocks
+///   computed
 ///
 /// The answer's words are "HASH:0 HASH:1 ...", where HASH is that of the prompt, so that a caller
 /// can tell its own whole answer from any other.
-#include "standin.h"
+#include "enginemodel.h"
+#include "engineorders.h"
 
-#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <cstdio>
-#include <list>
-#include <unordered_map>
-
 namespace wigeonsill {
 
 namespace asio = boost::asio;
@@ -24,98 +28,47 @@
 
 namespace {
 
-constexpr std::size_t bytesPerToken = 4;
-constexpr std::size_t blockTokens = 16;
-constexpr double prefillTokensPerStep = 512;
 constexpr std::int64_t defaultOutputTokens = 64;
+constexpr std::size_t endedStreamLimit = 256;
+constexpr Duration stallStep = milliseconds(20);
+constexpr std::string_view streamsPath = "/v1/streams/";
 
-/// Least recently used prompt blocks. A block's hash covers all blocks before it.
-class PrefixCache
+std::string promptOf(const json::object &body)
 {
-public:
-    explicit PrefixCache(std::size_t blockLimit)
-        : limit(blockLimit)
-    {
-    }
-
-    /// Number of leading blocks that are cached.
-    std::size_t match(const std::vector<std::uint64_t> &blocks)
-    {
-        std::size_t count = 0;
-        while (count < blocks.size() && this->places.contains(blocks[count])) {
-            this->touch(blocks[count]);
-            ++count;
-        }
-        return count;
-    }
-
-    void add(const std::vector<std::uint64_t> &blocks)
-    {
-        for (const std::uint64_t block : blocks) {
-            this->touch(block);
-        }
-    }
-
-    std::size_t size() const { return this->places.size(); }
-
-private:
-    void touch(std::uint64_t block)
-    {
-        const auto found = this->places.find(block);
-        if (found != this->places.end()) {
-            this->order.erase(found->second);
-        }
-        this->places[block] = this->order.insert(this->order.begin(), block);
-        while (this->places.size() > this->limit) {
-            this->places.erase(this->order.back());
-            this->order.pop_back();
-        }
+    if (const json::value *prompt = body.if_contains("prompt")) {
+        return prompt->is_string() ? std::string(prompt->get_string()) : json::serialize(*prompt);
     }
+    const json::value *messages = body.if_contains("messages");
+    return messages == nullptr ? std::string() : json::serialize(*messages);
+}
 
-    std::size_t limit;
-    std::list<std::uint64_t> order;
-    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places;
-};
-
-struct Sequence
+json::object usageOf(const EngineSequence &sequence)
 {
-    std::vector<std::uint64_t> blocks;
-    std::string hash;
-    std::int64_t promptTokens = 0;
-    std::int64_t cachedTokens = 0;
-    double prefillLeft = 0;
-    std::int64_t outputTokens = 0;
-    std::int64_t produced = 0;
-    bool gone = false;
-    bool broken = false;
-    asio::steady_timer news;
-
-    explicit Sequence(asio::io_context &io)
-        : news(io)
-    {
-    }
-};
+    return { { "prompt_tokens", sequence.promptTokens }, { "completion_tokens", sequence.produced },
+        { "prompt_tokens_details", json::object{ { "cached_tokens", sequence.cachedTokens } } } };
+}
 
-std::vector<std::uint64_t> blocksOf(std::string_view prompt)
+std::optional<json::object> parseObject(const std::string &text)
 {
-    constexpr std::size_t blockBytes = blockTokens * bytesPerToken;
-    std::vector<std::uint64_t> blocks;
-    std::uint64_t hash = 0;
-    for (std::size_t at = 0; at + blockBytes <= prompt.size(); at += blockBytes) {
-        hash = stableHash(prompt.substr(at, blockBytes), hash);
-        blocks.push_back(hash);
+    json::error_code error;
+    json::value value = json::parse(text, error);
+    if (error || !value.is_object()) {
+        return std::nullopt;
     }
-    return blocks;
+    return std::move(value.get_object());
 }
 
-std::string promptOf(const json::object &body)
+/// A sequence and whoever waits for its tokens.
+struct EngineStream
 {
-    if (const json::value *prompt = body.if_contains("prompt")) {
-        return prompt->is_string() ? std::string(prompt->get_string()) : json::serialize(*prompt);
+    explicit EngineStream(asio::io_context &io)
+        : news(io, asio::steady_timer::time_point::max())
+    {
     }
-    const json::value *messages = body.if_contains("messages");
-    return messages == nullptr ? std::string() : json::serialize(*messages);
-}
+    std::shared_ptr<EngineSequence> sequence;
+    bool chat = false;
+    asio::steady_timer news; ///< Cancelled at each change.
+};
 
 class EngineStandin : public Standin
 {
@@ -123,274 +76,386 @@
     EngineStandin(asio::io_context &engineIo, const EngineSettings &engineSettings)
         : io(engineIo)
         , settings(engineSettings)
-        , cache(std::size_t(engineSettings.cacheTokens) / blockTokens)
-        , stepTimer(engineIo)
+        , model(engineSettings)
     {
     }
 
     asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder) override
     {
         const std::string_view path = pathOf(request.target);
-        if (path == "/admin/faults") {
-            co_await responder.respond(this->setFaults(request));
-        } else if (path == "/admin/load") {
-            co_await responder.respond(jsonResponse(200, this->dumpState()));
-        } else if (path == "/v1/completions" || path == "/v1/chat/completions") {
-            co_await this->complete(request, responder, path == "/v1/chat/completions");
-        } else {
-            co_await responder.respond(problemResponse(ResultCode::UnknownService));
+        if (this->model.faults.refuse && !path.starts_with("/admin/")) {
+            responder.abort();
+            co_return;
+        }
+        if (path.starts_with(streamsPath)) {
+            co_await this->resume(request, responder);
+            co_return;
+        }
+        for (const Route &route : routes) {
+            if (route.path == path) {
+                co_await (this->*route.handler)(request, responder);
+                co_return;
+            }
         }
+        co_await responder.respond(problemResponse(ResultCode::UnknownService));
     }
 
     json::object dumpState() const override
     {
-        json::object state;
-        state["running"] = this->running.size();
-        state["queued"] = this->queued.size();
-        state["promptTokensComputed"] = this->promptComputed;
-        state["promptTokensWasted"] = this->promptWasted;
-        state["promptTokensCached"] = this->promptCached;
-        state["outputTokens"] = this->outputTotal;
-        state["requests"] = this->requests;
-        state["cachedBlocks"] = this->cache.size();
+        json::object state = this->model.counters();
+        state["streams"] = this->streams.size();
         return state;
     }
 
 private:
-    using SequencePointer = std::shared_ptr<Sequence>;
+    using StreamPointer = std::shared_ptr<EngineStream>;
+    using Handler = asio::awaitable<void> (EngineStandin::*)(const HttpRequest &, HttpResponder &);
+    struct Route
+    {
+        std::string_view path;
+        Handler handler;
+    };
+    static const std::array<Route, 11> routes;
 
-    HttpResponse setFaults(const HttpRequest &request)
+    asio::awaitable<void> setFaults(const HttpRequest &request, HttpResponder &responder)
     {
-        json::error_code error;
-        const json::value body = json::parse(request.body, error);
-        if (error || !body.is_object()) {
-            return problemResponse(ResultCode::MalformedRequest);
+        const std::optional<json::object> body = parseObject(request.body);
+        if (!body) {
+            co_await responder.respond(problemResponse(ResultCode::MalformedRequest));
+            co_return;
         }
-        this->slowdown = numberMember(body.get_object(), "slowdown", this->slowdown);
-        this->dieAfterTokens = std::int64_t(
-            numberMember(body.get_object(), "dieAfterTokens", double(this->dieAfterTokens)));
-        return jsonResponse(200, this->dumpState());
+        updateFaults(this->model.faults, *body);
+        co_await responder.respond(jsonResponse(200, this->dumpState()));
+    }
+
+    asio::awaitable<void> showCounters(const HttpRequest &, HttpResponder &responder)
+    {
+        co_await responder.respond(jsonResponse(200, this->dumpState()));
+    }
+
+    asio::awaitable<void> showBlocks(const HttpRequest &, HttpResponder &responder)
+    {
+        json::array blocks;
+        for (const std::uint64_t block : this->model.computedBlocks()) {
+            blocks.push_back(block);
+        }
+        const json::object answer{ { "blocks", std::move(blocks) },
+            { "blockTokens", blockTokens } };
+        co_await responder.respond(jsonResponse(200, answer));
+    }
+
+    asio::awaitable<void> completions(const HttpRequest &request, HttpResponder &responder)
+    {
+        return this->complete(request, responder, false);
+    }
+
+    asio::awaitable<void> chatCompletions(const HttpRequest &request, HttpResponder &responder)
+    {
+        return this->complete(request, responder, true);
     }
 
     asio::awaitable<void> complete(const HttpRequest &request, HttpResponder &responder, bool chat)
     {
-        json::error_code error;
-        const json::value body = json::parse(request.body, error);
-        if (error || !body.is_object()) {
+        const std::optional<json::object> body = parseObject(request.body);
+        if (!body) {
             co_await responder.respond(problemResponse(ResultCode::MalformedRequest));
             co_return;
         }
-        const json::object &object = body.get_object();
-        const SequencePointer sequence = this->admit(object);
-        responder.whenCallerGone([sequence] {
-            sequence->gone = true;
-            sequence->news.cancel();
-        });
-        const json::value *stream = object.if_contains("stream");
-        if (stream != nullptr && stream->is_bool() && stream->get_bool()) {
-            co_await this->streamAnswer(sequence, responder, chat);
+        const std::string id = this->streamId(request);
+        const StreamPointer stream = this->startStream(id, *body, chat);
+        const json::value *wanted = body->if_contains("stream");
+        if (wanted != nullptr && wanted->is_bool() && wanted->get_bool()) {
+            co_await this->streamAnswer(stream, 0, responder);
         } else {
-            co_await this->wholeAnswer(sequence, responder, chat);
+            co_await this->wholeAnswer(stream, responder);
         }
-        sequence->gone = true;
+        if (!stream->sequence->isEnded() && !this->model.faults.keepStreams) {
+            this->model.cancel(stream->sequence);
+        }
+        this->forgetOldStreams();
+    }
+
+    std::string streamId(const HttpRequest &request)
+    {
+        const std::string_view given = fieldValue(request.fields, "Wigeonsill-Request-Id");
+        return given.empty() ? "stream-" + std::to_string(++this->lastStream) : std::string(given);
     }
 
-    SequencePointer admit(const json::object &object)
+    StreamPointer startStream(const std::string &id, const json::object &body, bool chat)
     {
-        const std::string prompt = promptOf(object);
-        auto sequence = std::make_shared<Sequence>(this->io);
-        sequence->blocks = blocksOf(prompt);
-        std::array<char, 17> hex{};
-        std::snprintf(hex.data(), hex.size(), "%08llx",
-            static_cast<unsigned long long>(stableHash(prompt) & 0xFFFFFFFFULL));
-        sequence->hash = hex.data();
-        sequence->promptTokens = std::int64_t(prompt.size() / bytesPerToken) + 1;
-        sequence->outputTokens = std::max<std::int64_t>(
-            1, std::int64_t(numberMember(object, "max_tokens", defaultOutputTokens)));
-        this->queued.push_back(sequence);
-        ++this->requests;
+        const auto tokens = std::int64_t(numberMember(body, "max_tokens", defaultOutputTokens));
+        auto stream = std::make_shared<EngineStream>(this->io);
+        stream->sequence = this->model.admit(promptOf(body), tokens);
+        stream->chat = chat;
+        std::weak_ptr<EngineStream> weak = stream;
+        stream->sequence->onProgress = [weak] {
+            if (const StreamPointer alive = weak.lock()) {
+                alive->news.cancel();
+            }
+        };
+        this->streams[id] = stream;
+        this->streamOrder.push_back(id);
         if (!this->stepping) {
             this->stepping = true;
             spawn(this->io, this->stepLoop());
         }
-        return sequence;
+        return stream;
     }
 
-    static std::string word(const Sequence &sequence, std::int64_t index)
+    /// Ended streams are held for a resume, up to a limit.
+    void forgetOldStreams()
     {
-        return sequence.hash + ":" + std::to_string(index) + " ";
+        while (this->streamOrder.size() > endedStreamLimit) {
+            const auto oldest = this->streams.find(this->streamOrder.front());
+            if (oldest != this->streams.end() && !oldest->second->sequence->isEnded()) {
+                return;
+            }
+            this->streams.erase(this->streamOrder.front());
+            this->streamOrder.pop_front();
+        }
     }
 
-    static json::object usageOf(const Sequence &sequence)
+    asio::awaitable<void> cancel(const HttpRequest &request, HttpResponder &responder)
     {
-        return {
-            { "prompt_tokens", sequence.promptTokens }, { "completion_tokens", sequence.produced },
-            { "prompt_tokens_details", json::object{ { "cached_tokens", sequence.cachedTokens } } }
-        };
+        const std::optional<json::object> body = parseObject(request.body);
+        const json::value *id = body ? body->if_contains("id") : nullptr;
+        const auto found = id != nullptr && id->is_string()
+            ? this->streams.find(std::string(id->get_string()))
+            : this->streams.end();
+        if (found == this->streams.end()) {
+            const json::object unknown{ { "error", "no such stream" } };
+            co_await responder.respond(jsonResponse(404, unknown));
+            co_return;
+        }
+        const std::shared_ptr<EngineSequence> sequence = found->second->sequence;
+        this->model.cancel(sequence);
+        const json::object answer{ { "state", enumName(sequenceStateNames, sequence->state) },
+            { "produced", sequence->produced } };
+        co_await responder.respond(jsonResponse(200, answer));
     }
 
-    asio::awaitable<bool> waitFor(const SequencePointer &sequence, std::int64_t produced)
+    asio::awaitable<void> resume(const HttpRequest &request, HttpResponder &responder)
     {
-        while (sequence->produced <= produced && !sequence->gone && !sequence->broken) {
-            sequence->news.expires_after(seconds(3600));
-            boost::system::error_code ignored;
-            co_await sequence->news.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const std::string id(pathOf(request.target).substr(streamsPath.size()));
+        const auto found = this->streams.find(id);
+        if (found == this->streams.end()) {
+            const json::object unknown{ { "error", "no such stream" } };
+            co_await responder.respond(jsonResponse(404, unknown));
+            co_return;
         }
-        co_return sequence->produced > produced;
+        const StreamPointer stream = found->second;
+        const std::int64_t offset = std::stoll("0" + queryValue(request.target, "offset"));
+        co_await this->streamAnswer(
+            stream, std::min(offset, stream->sequence->outputTokens), responder);
     }
 
+    /// Waits until more than a number of tokens are there; false when they never will be.
+    asio::awaitable<bool> waitFor(StreamPointer stream, std::int64_t produced, const bool &gone)
+    {
+        const EngineSequence &sequence = *stream->sequence;
+        while (sequence.produced <= produced && !sequence.isEnded() && !gone) {
+            co_await stream->news.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        co_return !gone && sequence.produced > produced;
+    }
+
+    static std::string eventsOf(const EngineStream &stream, std::int64_t from, std::int64_t to)
+    {
+        const EngineSequence &sequence = *stream.sequence;
+        std::string events;
+        for (std::int64_t i = from; i < to; ++i) {
+            json::object choice{ { "index", 0 } };
+            if (stream.chat) {
+                choice["delta"] = json::object{ { "content", sequence.word(i) } };
+            } else {
+                choice["text"] = sequence.word(i);
+            }
+            const json::object event{ { "choices", json::array{ choice } } };
+            events += "data: " + json::serialize(event) + "\n\n";
+        }
+        if (to == sequence.outputTokens) {
+            const json::object last{ { "choices", json::array{} }, { "usage", usageOf(sequence) } };
+            events += "data: " + json::serialize(last) + "\n\ndata: [DONE]\n\n";
+        }
+        return events;
+    }
+
+    /// \param sent Tokens that the reader already has.
     asio::awaitable<void> streamAnswer(
-        SequencePointer sequence, HttpResponder &responder, bool chat)
+        StreamPointer stream, std::int64_t sent, HttpResponder &responder)
     {
-        std::int64_t sent = 0;
-        while (sent < sequence->outputTokens) {
-            const bool more = co_await this->waitFor(sequence, sent);
+        bool gone = false;
+        responder.whenCallerGone([&gone, stream] {
+            gone = true;
+            stream->news.cancel();
+        });
+        bool begun = false;
+        do {
+            const bool more = co_await this->waitFor(
+                stream, std::min(sent, stream->sequence->outputTokens - 1), gone);
             if (!more) {
+                responder.whenCallerGone(nullptr);
                 responder.abort();
                 co_return;
             }
-            if (sent == 0) {
+            if (!begun) {
+                begun = true;
                 HttpFields fields{ { "Content-Type", "text/event-stream" } };
                 co_await responder.begin(200, std::move(fields));
             }
-            std::string events;
-            for (; sent < sequence->produced; ++sent) {
-                json::object choice{ { "index", 0 } };
-                if (chat) {
-                    choice["delta"] = json::object{ { "content", word(*sequence, sent) } };
-                } else {
-                    choice["text"] = word(*sequence, sent);
-                }
-                events += "data: "
-                    + json::serialize(json::object{ { "choices", json::array{ choice } } })
-                    + "\n\n";
-            }
-            if (sent == sequence->outputTokens) {
-                events += "data: "
-                    + json::serialize(json::object{
-                        { "choices", json::array{} }, { "usage", usageOf(*sequence) } })
-                    + "\n\ndata: [DONE]\n\n";
-            }
+            const std::int64_t produced = stream->sequence->produced;
+            const std::string events = eventsOf(*stream, sent, produced);
+            sent = produced;
             const bool written = co_await responder.write(events);
             if (!written) {
+                responder.whenCallerGone(nullptr);
                 co_return;
             }
-        }
+        } while (sent < stream->sequence->outputTokens);
+        responder.whenCallerGone(nullptr);
         co_await responder.finish();
     }
 
-    asio::awaitable<void> wholeAnswer(SequencePointer sequence, HttpResponder &responder, bool chat)
+    asio::awaitable<void> wholeAnswer(StreamPointer stream, HttpResponder &responder)
     {
-        const bool done = co_await this->waitFor(sequence, sequence->outputTokens - 1);
-        if (!done) {
+        bool gone = false;
+        responder.whenCallerGone([&gone, stream] {
+            gone = true;
+            stream->news.cancel();
+        });
+        const EngineSequence &sequence = *stream->sequence;
+        const bool whole = co_await this->waitFor(stream, sequence.outputTokens - 1, gone);
+        responder.whenCallerGone(nullptr);
+        if (!whole) {
             responder.abort();
             co_return;
         }
         std::string text;
-        for (std::int64_t i = 0; i < sequence->outputTokens; ++i) {
-            text += word(*sequence, i);
+        for (std::int64_t i = 0; i < sequence.outputTokens; ++i) {
+            text += sequence.word(i);
         }
         json::object choice{ { "index", 0 }, { "finish_reason", "length" } };
-        if (chat) {
+        if (stream->chat) {
             choice["message"] = json::object{ { "role", "assistant" }, { "content", text } };
         } else {
             choice["text"] = text;
         }
         const json::object body{ { "choices", json::array{ choice } },
-            { "usage", usageOf(*sequence) } };
+            { "usage", usageOf(sequence) } };
         co_await responder.respond(jsonResponse(200, body));
     }
 
-    /// One pass of the batch after the other, for as long as there is work.
-    asio::awaitable<void> stepLoop()
+    Duration transferTime(std::size_t blocks) const
     {
-        while (!this->running.empty() || !this->queued.empty()) {
-            this->admitToBatch();
-            const double prefill = this->prefillStep();
-            const double ms = (this->settings.stepMs
-                                  + this->settings.stepMsPerSequence * double(this->running.size()))
-                * this->slowdown;
-            const double prefillMs
-                = prefill / this->settings.prefillTokensPerSecond * 1000 * this->slowdown;
-            co_await sleepFor(this->io, Duration(std::int64_t((ms + prefillMs) * 1000)));
-            this->decodeStep();
+        const double tokens = double(blocks * blockTokens);
+        return Duration(std::int64_t(tokens / this->settings.kvTokensPerSecond * 1e6));
+    }
+
+    asio::awaitable<void> exportKv(const HttpRequest &request, HttpResponder &responder)
+    {
+        const std::optional<json::object> body = parseObject(request.body);
+        if (!body) {
+            co_await responder.respond(problemResponse(ResultCode::MalformedRequest));
+            co_return;
         }
-        this->stepping = false;
+        const std::vector<std::uint64_t> blocks
+            = this->model.exportBlocks(blocksOf(promptOf(*body)));
+        co_await sleepFor(this->io, this->transferTime(blocks.size()));
+        const std::size_t size
+            = blocks.size() * blockTokens * std::size_t(this->settings.kvBytesPerToken);
+        const json::object answer{ { "blocks", json::value_from(blocks) },
+            { "payload", std::string(size, 'k') } };
+        co_await responder.respond(jsonResponse(200, answer));
     }
 
-    void admitToBatch()
+    asio::awaitable<void> importKv(const HttpRequest &request, HttpResponder &responder)
     {
-        std::erase_if(this->queued, [](const SequencePointer &sequence) { return sequence->gone; });
-        while (!this->queued.empty()
-            && std::int64_t(this->running.size()) < this->settings.maximumBatch) {
-            const SequencePointer sequence = this->queued.front();
-            this->queued.pop_front();
-            const std::size_t hits = this->cache.match(sequence->blocks);
-            sequence->cachedTokens = std::int64_t(hits * blockTokens);
-            sequence->prefillLeft = double(sequence->promptTokens - sequence->cachedTokens);
-            this->promptCached += sequence->cachedTokens;
-            this->running.push_back(sequence);
+        const std::optional<json::object> body = parseObject(request.body);
+        const json::value *listed = body ? body->if_contains("blocks") : nullptr;
+        const auto blocks = listed != nullptr
+            ? json::try_value_to<std::vector<std::uint64_t>>(*listed)
+            : json::result<std::vector<std::uint64_t>>(json::make_error_code(json::error::syntax));
+        if (!blocks) {
+            co_await responder.respond(problemResponse(ResultCode::MalformedRequest));
+            co_return;
         }
+        co_await sleepFor(this->io, this->transferTime(blocks->size()));
+        this->model.importBlocks(currentTime(), *blocks);
+        const json::object answer{ { "blocks", blocks->size() } };
+        co_await responder.respond(jsonResponse(200, answer));
     }
 
-    double prefillStep()
+    asio::awaitable<void> showCacheEvents(const HttpRequest &request, HttpResponder &responder)
     {
-        double budget = prefillTokensPerStep;
-        for (const SequencePointer &sequence : this->running) {
-            const double part = std::min(budget, sequence->prefillLeft);
-            if (part <= 0) {
-                continue;
-            }
-            sequence->prefillLeft -= part;
-            budget -= part;
-            this->promptComputed += std::int64_t(part);
-            if (sequence->prefillLeft <= 0) {
-                this->cache.add(sequence->blocks);
-            }
+        const std::uint64_t after = std::stoull("0" + queryValue(request.target, "after"));
+        const json::object answer{ { "events", this->model.cacheEvents(currentTime(), after) } };
+        co_await responder.respond(jsonResponse(200, answer));
+    }
+
+    asio::awaitable<void> showLoad(const HttpRequest &, HttpResponder &responder)
+    {
+        co_await responder.respond(jsonResponse(200, this->model.laggingLoad(currentTime())));
+    }
+
+    asio::awaitable<void> takeOrder(const HttpRequest &request, HttpResponder &responder)
+    {
+        if (request.method == "GET") {
+            co_await responder.respond(jsonResponse(200, this->orders.toJson()));
+            co_return;
+        }
+        const Result<EngineOrder> order = readOrder(request.body);
+        if (!order) {
+            co_await responder.respond(problemResponse(order.error().code, order.error().detail));
+            co_return;
+        }
+        const bool taken = this->orders.take(order.value(), this->model.faults.checkFencing);
+        if (taken && this->model.faults.loseOrderAnswers > 0) {
+            --this->model.faults.loseOrderAnswers;
+            responder.abort();
+            co_return;
         }
-        return prefillTokensPerStep - budget;
+        co_await responder.respond(jsonResponse(taken ? 200 : 409, this->orders.toJson()));
     }
 
-    void decodeStep()
+    /// One pass of the batch after the other, for as long as there is work.
+    asio::awaitable<void> stepLoop()
     {
-        for (const SequencePointer &sequence : this->running) {
-            if (sequence->prefillLeft > 0 || sequence->gone) {
+        while (this->model.hasWork()) {
+            if (this->model.faults.stalled) {
+                co_await sleepFor(this->io, stallStep);
                 continue;
             }
-            ++sequence->produced;
-            ++this->outputTotal;
-            if (this->dieAfterTokens > 0 && sequence->produced >= this->dieAfterTokens) {
-                sequence->broken = true;
-                this->dieAfterTokens = 0;
-            }
-            sequence->news.cancel();
+            const Duration length = this->model.beginStep(currentTime());
+            co_await sleepFor(this->io, length);
+            this->model.endStep(currentTime());
         }
-        std::erase_if(this->running, [this](const SequencePointer &sequence) {
-            const bool done = sequence->produced >= sequence->outputTokens;
-            if (!done && (sequence->gone || sequence->broken)) {
-                this->promptWasted += sequence->promptTokens - sequence->cachedTokens
-                    - std::int64_t(sequence->prefillLeft);
-            }
-            return done || sequence->gone || sequence->broken;
-        });
+        this->stepping = false;
     }
 
     asio::io_context &io;
     EngineSettings settings;
-    PrefixCache cache;
-    asio::steady_timer stepTimer;
-    std::list<SequencePointer> queued;
-    std::list<SequencePointer> running;
+    EngineModel model;
+    EngineOrders orders;
+    std::map<std::string, StreamPointer> streams;
+    std::deque<std::string> streamOrder;
+    std::uint64_t lastStream = 0;
     bool stepping = false;
-    double slowdown = 1;
-    std::int64_t dieAfterTokens = 0;
-    std::int64_t promptComputed = 0;
-    std::int64_t promptWasted = 0;
-    std::int64_t promptCached = 0;
-    std::int64_t outputTotal = 0;
-    std::int64_t requests = 0;
 };
 
+const std::array<EngineStandin::Route, 11> EngineStandin::routes = { {
+    { "/v1/completions", &EngineStandin::completions },
+    { "/v1/chat/completions", &EngineStandin::chatCompletions },
+    { "/v1/cancel", &EngineStandin::cancel },
+    { "/v1/kv/export", &EngineStandin::exportKv },
+    { "/v1/kv/import", &EngineStandin::importKv },
+    { "/v1/cache-events", &EngineStandin::showCacheEvents },
+    { "/v1/load", &EngineStandin::showLoad },
+    { "/v1/orders", &EngineStandin::takeOrder },
+    { "/admin/faults", &EngineStandin::setFaults },
+    { "/admin/load", &EngineStandin::showCounters },
+    { "/admin/blocks", &EngineStandin::showBlocks },
+} };
+
 } // namespace
 
 std::unique_ptr<Standin> makeEngineStandin(asio::io_context &io, const EngineSettings &settings)
--- a/src/wigeonsill-standin/main.cpp
+++ b/src/wigeonsill-standin/main.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-enum class Role : std::uint8_t { Store, Engine, Plain };
+enum class Role : std::uint8_t { Store, Engine, Plain, Weights };
 constexpr std::array roleNames = {
     EnumName<Role>{ Role::Store, "store" },
     EnumName<Role>{ Role::Engine, "engine" },
     EnumName<Role>{ Role::Plain, "plain" },
+    EnumName<Role>{ Role::Weights, "weights" },
 };
 
 struct StandinSettings
@@ -29,6 +30,8 @@
     engine.stepMsPerSequence = reader.real("stepMsPerSequence", 0, 1000, engine.stepMsPerSequence);
     engine.maximumBatch = reader.number("maximumBatch", 1, 10'000, engine.maximumBatch);
     engine.cacheTokens = reader.number("cacheTokens", 0, 1'000'000'000, engine.cacheTokens);
+    engine.kvTokensPerSecond = reader.real("kvTokensPerSecond", 1, 1e9, engine.kvTokensPerSecond);
+    engine.kvBytesPerToken = reader.number("kvBytesPerToken", 0, 65'536, engine.kvBytesPerToken);
     reader.finish();
     return engine;
 }
@@ -65,6 +68,8 @@
             return makeEngineStandin(io, settings.engine);
         case Role::Plain:
             return makePlainStandin(io);
+        case Role::Weights:
+            return makeWeightStandin(io);
         case Role::Store:
             break;
         }
@@ -93,8 +98,9 @@
     const ProgramInfo info{
         "wigeonsill-standin",
         WIGEONSILL_VERSION,
-        "Stands in for the platform's store, a model engine or a plain service. For tests only.",
-        "Settings: role (store, engine, plain), listen, admin, log, engine.\n"
+        "Stands in for the platform's store, a model engine, a plain service or the weight store. "
+        "For tests only.",
+        "Settings: role (store, engine, plain, weights), listen, admin, log, engine.\n"
         "Faults are switched on by POST /admin/faults on the listening port.",
     };
     return runDaemon(info, readStandin, argc, argv);
--- a/src/wigeonsill-standin/standin.h
+++ b/src/wigeonsill-standin/standin.h
@@ -17,7 +17,7 @@
     virtual boost::json::object dumpState() const = 0;
 };
 
-/// What the plain stand-in service and the engine may be told about themselves.
+/// Speed and size of a stand-in engine.
 struct EngineSettings
 {
     double prefillTokensPerSecond = 8000; ///< Of the whole engine.
@@ -25,12 +25,15 @@
     double stepMsPerSequence = 0.5; ///< Added for each sequence of the batch.
     std::int64_t maximumBatch = 32; ///< Sequences that run at once; the rest queue.
     std::int64_t cacheTokens = 65'536; ///< Size of the prefix cache.
+    double kvTokensPerSecond = 100'000; ///< Export or import of KV cache.
+    std::int64_t kvBytesPerToken = 64; ///< Size of exported KV cache.
 };
 
 std::unique_ptr<Standin> makeStoreStandin(boost::asio::io_context &io);
 std::unique_ptr<Standin> makeEngineStandin(
     boost::asio::io_context &io, const EngineSettings &settings);
 std::unique_ptr<Standin> makePlainStandin(boost::asio::io_context &io);
+std::unique_ptr<Standin> makeWeightStandin(boost::asio::io_context &io);
 
 /// Path of a target without its query.
 std::string_view pathOf(std::string_view target);
