Push baselines, and counts of the messages to agents by kind

Cause: late binding was measured against nothing. Change: round robin and least reported load as placement strategies of an entry (setting limits.placement); messages and bytes by kind in an entry's state. Conclusion: product and baselines run through the same processes.

--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -265,9 +265,22 @@
 using EntryAction = std::variant<SendToAgent, ReconnectAgent, DeliverHead, DeliverBytes, DeliverEnd,
     ClaimKey, RecordClaim>;
 
+/// How a request finds its agent. All but the first exist to be measured against.
+enum class PlacementStrategy : std::uint8_t {
+    LateBinding, ///< Reserved at several agents; the first with room takes it.
+    RoundRobin, ///< Pushed at arrival to the agents in turn.
+    LeastLoad, ///< Pushed at arrival to the agent with the least reported load.
+};
+inline constexpr std::array placementStrategyNames = {
+    EnumName<PlacementStrategy>{ PlacementStrategy::LateBinding, "late-binding" },
+    EnumName<PlacementStrategy>{ PlacementStrategy::RoundRobin, "round-robin" },
+    EnumName<PlacementStrategy>{ PlacementStrategy::LeastLoad, "least-load" },
+};
+
 /// Limits and intervals of an entry.
 struct EntryLimits
 {
+    PlacementStrategy placement = PlacementStrategy::LateBinding;
     std::size_t maximumWaiting = 20'000; ///< Requests.
     std::size_t candidates = 2; ///< Agents asked at first.
     std::uint64_t acknowledgeEvery = 65'536; ///< Bytes.
--- a/src/libcore/entrycore.cpp
+++ b/src/libcore/entrycore.cpp
@@ -126,6 +126,12 @@
 void EntryCore::Private::beginWaiting(TimePoint now, EntryRequest &request)
 {
     request.phase = RequestPhase::Waiting;
+    AgentView *pushed
+        = this->pushPlacement.pick(this->limits.placement, this->agents, request.caller.profile);
+    if (pushed != nullptr) {
+        this->bind(now, request, *pushed);
+        return;
+    }
     this->placeReservations(now, request);
 }
 
--- a/src/libcore/entrystate.h
+++ b/src/libcore/entrystate.h
@@ -4,6 +4,7 @@
 
 #include "agentdirectory.h"
 #include "placement.h"
+#include "pushplacement.h"
 
 #include <set>
 #include <unordered_map>
@@ -62,6 +63,7 @@
     std::set<std::pair<TimePoint, std::uint64_t>> deadlines; ///< Of waiting and claiming requests.
     std::size_t waiting = 0;
     AgentDirectory agents;
+    PushPlacement pushPlacement;
     TimePoint lastHeartbeat;
     TimePoint lastAsk;
     std::vector<EntryAction> actions;
--- a/src/wigeonsill-entry/agentlinks.cpp
+++ b/src/wigeonsill-entry/agentlinks.cpp
@@ -85,7 +85,9 @@
 {
     const auto found = this->links.find(action.agent);
     if (found != this->links.end() && found->second->connection && found->second->incarnation) {
-        found->second->connection->send(encodeFrame(action.message));
+        std::string frame = encodeFrame(action.message);
+        this->messageCounters.countSent(action.message, frame.size());
+        found->second->connection->send(std::move(frame));
     }
 }
 
@@ -153,6 +155,7 @@
         this->reconnect(link->name);
         return;
     }
+    this->messageCounters.countReceived(message.value(), frame.size());
     const TimePoint now = currentTime();
     if (const auto *agentHello = std::get_if<AgentHello>(&message.value())) {
         if (agentHello->location.instance != link->name) {
--- a/src/wigeonsill-entry/agentlinks.h
+++ b/src/wigeonsill-entry/agentlinks.h
@@ -2,6 +2,8 @@
 /// The entry's connections to the agents.
 #pragma once
 
+#include "linkcounters.h"
+
 #include "wigeonsill/core.h"
 #include "wigeonsill/daemon.h"
 #include "wigeonsill/platform.h"
@@ -24,6 +26,8 @@
     void send(const SendToAgent &action);
     /// Replaces the connection of an agent.
     void reconnect(const std::string &agent);
+    /// Messages to and from all agents since the start.
+    const LinkCounters &counters() const { return this->messageCounters; }
 
 private:
     struct Link;
@@ -39,6 +43,7 @@
     EntryHello hello;
     std::function<void()> pump;
     std::map<std::string, LinkPointer> links;
+    LinkCounters messageCounters;
 };
 
 } // namespace wigeonsill
--- a/src/wigeonsill-entry/entrydaemon.cpp
+++ b/src/wigeonsill-entry/entrydaemon.cpp
@@ -51,6 +51,8 @@
         "maximumWaiting", 1, 1'000'000, std::int64_t(settings.limits.maximumWaiting)));
     settings.limits.candidates = static_cast<std::size_t>(
         limits.number("candidates", 1, 64, std::int64_t(settings.limits.candidates)));
+    settings.limits.placement = limits.choice<PlacementStrategy>(
+        "placement", placementStrategyNames, settings.limits.placement);
     settings.limits.silenceLimit
         = readMilliseconds(limits, "silenceLimitMs", 100, 60'000, settings.limits.silenceLimit);
     settings.limits.agentLostAfter = readMilliseconds(
@@ -117,6 +119,7 @@
 {
     json::object state = this->core->dumpState(currentTime());
     state["connections"] = this->server.connectionCount();
+    state["messages"] = this->links.counters().toJson();
     state["claimsInProgress"] = this->claimsInProgress;
     const auto &configuration = this->front.configuration();
     state["organisations"] = configuration ? configuration->organisations.size() : 0;
