--- a/scripts/measure-control.py
+++ b/scripts/measure-control.py
@@ -7,30 +7,16 @@
 """
 
 import argparse
-import os
 import pathlib
 import sys
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "testsuite"))
+sys.path.insert(0, str(ROOT / "scripts"))
 
 from harness import Cluster  # noqa: E402
-
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-
-
-def cpu_seconds(process):
-    fields = pathlib.Path("/proc/%d/stat" % process.popen.pid).read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
-def memory_mb(process):
-    for line in pathlib.Path("/proc/%d/status" % process.popen.pid).read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
+from processfigures import cpu_seconds, memory_mb  # noqa: E402
 
 def measure(process, seconds):
     """Share of one core in percent and resident memory in MB."""
