--- /dev/null
+++ b/src/libutil/resultcode_test.cpp
@@ -0,0 +1,69 @@
+/// \file resultcode_test.cpp
+/// The table of result codes, and the page that shows it.
+#include "wigeonsill/util.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <fstream>
+
+namespace wigeonsill {
+namespace {
+
+std::string pageRow(const ResultInfo &info)
+{
+    std::string row = "| " + std::to_string(static_cast<int>(info.code));
+    row += " | " + std::string(info.name);
+    row += " | " + std::to_string(info.httpStatus);
+    row += " | " + std::string(nameOf(info.outcome));
+    return row + " | " + std::string(info.text) + " |";
+}
+
+/// The page's rows that begin with a number.
+std::vector<std::string> pageRows()
+{
+    std::ifstream page(std::string(WIGEONSILL_SOURCE_DIR) + "/docs/ERRORS.md");
+    std::vector<std::string> rows;
+    for (std::string line; std::getline(page, line);) {
+        if (line.size() > 2 && line.starts_with("| ") && std::isdigit(line[2]) != 0) {
+            rows.push_back(line);
+        }
+    }
+    return rows;
+}
+
+TEST(ResultTable, pageShowsExactlyTheTable)
+{
+    std::vector<std::string> expected;
+    for (const ResultInfo &info : resultTable()) {
+        expected.push_back(pageRow(info));
+    }
+    EXPECT_EQ(pageRows(), expected);
+}
+
+TEST(ResultTable, codesAscendAndAreFound)
+{
+    const auto table = resultTable();
+    EXPECT_TRUE(std::is_sorted(
+        table.begin(), table.end(), [](const auto &a, const auto &b) { return a.code < b.code; }));
+    for (const ResultInfo &info : table) {
+        EXPECT_EQ(infoOf(info.code).name, info.name);
+    }
+}
+
+TEST(ResultTable, outcomesFitTheRangesOfCodes)
+{
+    for (const ResultInfo &info : resultTable()) {
+        const int range = static_cast<int>(info.code) / 1000;
+        if (range == 1 || range == 2) {
+            EXPECT_EQ(info.outcome, Outcome::NotRun) << info.name;
+        } else if (range == 3) {
+            EXPECT_EQ(info.outcome, Outcome::Interrupted) << info.name;
+        } else if (range == 4) {
+            EXPECT_EQ(info.outcome, Outcome::Unknown) << info.name;
+        }
+    }
+}
+
+} // namespace
+} // namespace wigeonsill
