Metrics by kind of message and of claims, gauges at each scrape, one request through all logs

Cause: operators could not see waiting requests, connected agents, control bytes or claims, and the agent's log did not name requests. Change: Daemon::updateMetrics before each scrape; TrafficCount by kind; claims and run ends counted; entry and agent log each request with its id, ends that are not whole at info level. The case faults-silence also stops a target in the middle of a booking. Conclusion: one request is followed by its id through the JSON lines of entry and agent.

--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -337,6 +337,9 @@
     std::vector<EntryAction> takeActions();
     /// Requests not yet ended.
     std::size_t requestsInProgress() const;
+    /// Requests that no agent has been given yet.
+    std::size_t requestsWaiting() const;
+    std::size_t connectedAgents() const;
     /// State for people, as JSON.
     boost::json::object dumpState(TimePoint now) const;
 
@@ -456,6 +459,9 @@
     std::vector<AgentAction> takeActions();
     /// Requests running, or ended with an answer that an entry has not taken whole.
     std::size_t requestsInProgress() const;
+    /// What the entries are told at each heartbeat.
+    AgentHeartbeat load() const;
+    std::size_t connectedEntries() const;
     boost::json::object dumpState(TimePoint now) const;
 
 private:
--- a/src/include/wigeonsill/daemon.h
+++ b/src/include/wigeonsill/daemon.h
@@ -22,6 +22,8 @@
     virtual bool isDrained() const = 0;
     /// State for people; answers /state.
     virtual boost::json::object dumpState() const = 0;
+    /// Brings gauges and buffered counts up to date; called before each answer of /metrics.
+    virtual void updateMetrics() { }
     /// Ports by name, for the line that says that the process is ready.
     virtual std::map<std::string, std::uint16_t> ports() const = 0;
 };
--- a/src/include/wigeonsill/wire.h
+++ b/src/include/wigeonsill/wire.h
@@ -31,6 +31,40 @@
 Result<EntryFrame> decodeEntryFrame(std::string_view bytes);
 Result<AgentMessage> decodeAgentFrame(std::string_view bytes);
 
+/// Names of the kinds of message, in the order of their variants.
+inline constexpr std::array<std::string_view, std::variant_size_v<EntryMessage>> entryMessageKinds
+    = { "reserve", "withdraw", "bind", "decline", "cancelRun", "resume", "acknowledge",
+          "heartbeat" };
+inline constexpr std::array<std::string_view, std::variant_size_v<AgentMessage>> agentMessageKinds
+    = { "hello", "pull", "reservationEnded", "answerHead", "answerBytes", "answerEnd", "notRun",
+          "stillRunning", "heartbeat" };
+
+/// Messages that went one way, by kind. Not thread-safe.
+class TrafficCount
+{
+public:
+    /// \param metricName Name of the counter. \param messageKinds Outlive this object.
+    TrafficCount(std::string metricName, std::span<const std::string_view> messageKinds);
+    /// \param kind Index in the list of kinds. \param frameBytes Without the frame's length.
+    void add(std::size_t kind, std::size_t frameBytes);
+    /// Adds what has come since the last call to the metrics.
+    void publish(Metrics &metrics);
+    /// Messages and bytes of each kind since the start; kinds that never came are left out.
+    boost::json::object toJson() const;
+
+private:
+    struct Total
+    {
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0;
+        std::uint64_t publishedBytes = 0;
+    };
+
+    std::string name;
+    std::span<const std::string_view> kinds;
+    std::vector<Total> totals;
+};
+
 /// A TCP connection that carries frames: four bytes of length, little endian, then the body.
 /// Not thread-safe. Handlers run on the connection's io_context, never inside a call to it.
 class FrameConnection : public std::enable_shared_from_this<FrameConnection>
--- a/src/libcore/agentcore.cpp
+++ b/src/libcore/agentcore.cpp
@@ -2,6 +2,8 @@
 /// The agent's decisions apart from its messages: pulling, the target's events, time.
 #include "agentstate.h"
 
+#include <algorithm>
+
 namespace wigeonsill {
 
 namespace json = boost::json;
@@ -291,6 +293,18 @@
     return this->d->runs.size() + this->d->pulls.size();
 }
 
+AgentHeartbeat AgentCore::load() const
+{
+    return this->d->heartbeat();
+}
+
+std::size_t AgentCore::connectedEntries() const
+{
+    const auto &entries = this->d->entries;
+    return static_cast<std::size_t>(std::count_if(
+        entries.begin(), entries.end(), [](const auto &row) { return row.second.connected; }));
+}
+
 json::object AgentCore::dumpState(TimePoint now) const
 {
     json::object state;
--- a/src/libcore/entrycore.cpp
+++ b/src/libcore/entrycore.cpp
@@ -358,6 +358,18 @@
     return this->d->requests.size();
 }
 
+std::size_t EntryCore::requestsWaiting() const
+{
+    return this->d->waiting;
+}
+
+std::size_t EntryCore::connectedAgents() const
+{
+    const auto &agents = this->d->agents.all();
+    return static_cast<std::size_t>(std::count_if(
+        agents.begin(), agents.end(), [](const auto &row) { return row.second.connected; }));
+}
+
 json::object EntryCore::dumpState(TimePoint now) const
 {
     json::object state;
--- a/src/libdaemon/rundaemon.cpp
+++ b/src/libdaemon/rundaemon.cpp
@@ -143,6 +143,8 @@
             return jsonResponse(ready ? 200 : 503, json::object{ { "ready", ready } });
         }
         if (request.target == "/metrics") {
+            this->daemon->updateMetrics();
+            this->metrics.gauge("wigeonsill_draining", {}, this->draining ? 1 : 0);
             return { 200, { { "Content-Type", "text/plain; version=0.0.4" } },
                 this->metrics.prometheusText() };
         }
--- a/src/wigeonsill-agent/agentdaemon.cpp
+++ b/src/wigeonsill-agent/agentdaemon.cpp
@@ -83,6 +83,20 @@
     return this->core->dumpState(currentTime());
 }
 
+void AgentDaemon::updateMetrics()
+{
+    const auto set = [this](std::string_view name, double value) {
+        this->context.metrics.gauge(name, {}, value);
+    };
+    const AgentHeartbeat load = this->core->load();
+    set("wigeonsill_agent_running", load.running);
+    set("wigeonsill_agent_queued", load.waiting);
+    set("wigeonsill_agent_tokens_in_flight", double(load.tokensInFlight));
+    set("wigeonsill_agent_token_limit", double(load.tokenLimit));
+    set("wigeonsill_agent_entries_connected", double(this->core->connectedEntries()));
+    this->links.publishTraffic();
+}
+
 std::map<std::string, std::uint16_t> AgentDaemon::ports() const
 {
     return { { "listen", this->links.port() } };
--- a/src/wigeonsill-agent/agentdaemon.h
+++ b/src/wigeonsill-agent/agentdaemon.h
@@ -31,6 +31,7 @@
     void drain() override;
     bool isDrained() const override;
     boost::json::object dumpState() const override;
+    void updateMetrics() override;
     std::map<std::string, std::uint16_t> ports() const override;
 
 private:
--- a/src/wigeonsill-agent/entrylinks.cpp
+++ b/src/wigeonsill-agent/entrylinks.cpp
@@ -55,10 +55,18 @@
 {
     const auto found = this->links.find(action.entry);
     if (found != this->links.end()) {
-        found->second->connection->send(encodeFrame(action.message));
+        std::string frame = encodeFrame(action.message);
+        this->sentTraffic.add(action.message.index(), frame.size());
+        found->second->connection->send(std::move(frame));
     }
 }
 
+void EntryLinks::publishTraffic()
+{
+    this->sentTraffic.publish(this->context.metrics);
+    this->receivedTraffic.publish(this->context.metrics);
+}
+
 asio::awaitable<void> EntryLinks::acceptLoop()
 {
     for (;;) {
@@ -119,8 +127,9 @@
     if (const auto *hello = std::get_if<EntryHello>(&decoded.value())) {
         this->onHello(link, *hello);
     } else if (link->hello) {
-        this->core.receive(
-            currentTime(), link->hello->incarnation, std::get<EntryMessage>(decoded.value()));
+        const auto &message = std::get<EntryMessage>(decoded.value());
+        this->receivedTraffic.add(message.index(), frame.size());
+        this->core.receive(currentTime(), link->hello->incarnation, message);
     }
     this->pump();
 }
--- a/src/wigeonsill-agent/entrylinks.h
+++ b/src/wigeonsill-agent/entrylinks.h
@@ -21,6 +21,7 @@
     void start();
     std::uint16_t port() const;
     void send(const SendToEntry &action);
+    void publishTraffic();
 
 private:
     struct Link;
@@ -40,6 +41,9 @@
     boost::asio::ip::tcp::acceptor acceptor;
     std::function<void()> pump;
     std::map<Incarnation, LinkPointer> links;
+    TrafficCount sentTraffic{ "wigeonsill_agent_entry_sent_bytes_total", agentMessageKinds };
+    TrafficCount receivedTraffic{ "wigeonsill_agent_entry_received_bytes_total",
+        entryMessageKinds };
     std::vector<LinkPointer> newcomers; ///< Connections without a hello so far.
 };
 
--- a/src/wigeonsill-agent/targetrunner.cpp
+++ b/src/wigeonsill-agent/targetrunner.cpp
@@ -13,6 +13,13 @@
 
 namespace {
 
+constexpr std::array targetEndNames = {
+    EnumName<TargetEnd>{ TargetEnd::Whole, "whole" },
+    EnumName<TargetEnd>{ TargetEnd::NeverSent, "never-sent" },
+    EnumName<TargetEnd>{ TargetEnd::BrokeOff, "broke-off" },
+    EnumName<TargetEnd>{ TargetEnd::Silent, "silent" },
+};
+
 constexpr Duration connectTimeout = seconds(1);
 constexpr Duration sendTimeout = seconds(10);
 constexpr std::size_t tailSize = 1024;
@@ -116,9 +123,13 @@
 
 asio::awaitable<void> TargetRunner::run(RunPointer run, HttpRequest request)
 {
+    LOG4CPLUS_DEBUG(logger("agent.target"), "Sending request " << toString(run->id) << ".");
     const TargetEnd end = co_await this->exchange(run, std::move(request));
     this->runs.erase(run->id);
-    this->context.metrics.count("wigeonsill_agent_runs_total");
+    const std::string_view name = run->cancelled ? "cancelled" : enumName(targetEndNames, end);
+    this->context.metrics.count("wigeonsill_agent_runs_total", "end=\"" + std::string(name) + "\"");
+    LOG4CPLUS_DEBUG(
+        logger("agent.target"), "Ended request " << toString(run->id) << ": " << name << ".");
     this->core.targetEnded(currentTime(), run->id, end, usageIn(run->tail));
     this->pump();
 }
--- a/src/wigeonsill-entry/agentlinks.cpp
+++ b/src/wigeonsill-entry/agentlinks.cpp
@@ -86,11 +86,23 @@
     const auto found = this->links.find(action.agent);
     if (found != this->links.end() && found->second->connection && found->second->incarnation) {
         std::string frame = encodeFrame(action.message);
-        this->messageCounters.countSent(action.message, frame.size());
+        this->sentTraffic.add(action.message.index(), frame.size());
         found->second->connection->send(std::move(frame));
     }
 }
 
+void AgentLinks::publishTraffic()
+{
+    this->sentTraffic.publish(this->context.metrics);
+    this->receivedTraffic.publish(this->context.metrics);
+}
+
+boost::json::object AgentLinks::dumpTraffic() const
+{
+    return { { "sent", this->sentTraffic.toJson() },
+        { "received", this->receivedTraffic.toJson() } };
+}
+
 void AgentLinks::reconnect(const std::string &agent)
 {
     const auto found = this->links.find(agent);
@@ -156,7 +168,7 @@
         this->reconnect(link->name);
         return;
     }
-    this->messageCounters.countReceived(message.value(), frame.size());
+    this->receivedTraffic.add(message.value().index(), frame.size());
     const TimePoint now = currentTime();
     if (const auto *agentHello = std::get_if<AgentHello>(&message.value())) {
         if (agentHello->location.instance != link->name) {
--- a/src/wigeonsill-entry/agentlinks.h
+++ b/src/wigeonsill-entry/agentlinks.h
@@ -2,8 +2,6 @@
 /// The entry's connections to the agents.
 #pragma once
 
-#include "linkcounters.h"
-
 #include "wigeonsill/core.h"
 #include "wigeonsill/daemon.h"
 #include "wigeonsill/platform.h"
@@ -24,10 +22,11 @@
     /// Takes the present instance list: connects to new agents, tells the core who is leaving.
     void update(const std::vector<ListedInstance> &instances);
     void send(const SendToAgent &action);
+    void publishTraffic();
     /// Replaces the connection of an agent.
     void reconnect(const std::string &agent);
     /// Messages to and from all agents since the start.
-    const LinkCounters &counters() const { return this->messageCounters; }
+    boost::json::object dumpTraffic() const;
 
 private:
     struct Link;
@@ -43,7 +42,9 @@
     EntryHello hello;
     std::function<void()> pump;
     std::map<std::string, LinkPointer> links;
-    LinkCounters messageCounters;
+    TrafficCount sentTraffic{ "wigeonsill_entry_agent_sent_bytes_total", entryMessageKinds };
+    TrafficCount receivedTraffic{ "wigeonsill_entry_agent_received_bytes_total",
+        agentMessageKinds };
 };
 
 } // namespace wigeonsill
--- a/src/wigeonsill-entry/callerfront.cpp
+++ b/src/wigeonsill-entry/callerfront.cpp
@@ -133,6 +133,7 @@
     // The core holds what the target gets; a waiting request must not be in memory twice.
     request = {};
     mailbox->id = this->core.arrive(mailbox->arrivedAt, std::move(read).value());
+    LOG4CPLUS_DEBUG(logger("entry.front"), "Took request " << toString(mailbox->id) << ".");
     this->mailboxes.emplace(mailbox->id.sequence, mailbox);
     responder.whenCallerGone([this, mailbox] {
         mailbox->callerGone = true;
@@ -247,8 +248,14 @@
     this->context.metrics.count("wigeonsill_entry_requests_total", labels);
     this->context.metrics.sample("wigeonsill_entry_request_seconds", {},
         double((currentTime() - mailbox.arrivedAt).count()) / 1e6);
-    LOG4CPLUS_DEBUG(logger("entry.front"),
-        "Ended request " << toString(mailbox.id) << ": " << info.name << ".");
+    // What succeeds is the usual case; everything else is worth a line.
+    const log4cplus::LogLevel level
+        = result == ResultCode::Ok ? log4cplus::DEBUG_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL;
+    const log4cplus::Logger log = logger("entry.front");
+    if (log.isEnabledFor(level)) {
+        log.log(
+            level, "Ended request " + toString(mailbox.id) + ": " + std::string(info.name) + ".");
+    }
 }
 
 } // namespace wigeonsill
--- a/src/wigeonsill-entry/entrydaemon.cpp
+++ b/src/wigeonsill-entry/entrydaemon.cpp
@@ -119,13 +119,26 @@
 {
     json::object state = this->core->dumpState(currentTime());
     state["connections"] = this->server.connectionCount();
-    state["messages"] = this->links.counters().toJson();
+    state["messages"] = this->links.dumpTraffic();
     state["claimsInProgress"] = this->claimsInProgress;
     const auto &configuration = this->front.configuration();
     state["organisations"] = configuration ? configuration->organisations.size() : 0;
     return state;
 }
 
+void EntryDaemon::updateMetrics()
+{
+    const auto set = [this](std::string_view name, double value) {
+        this->context.metrics.gauge(name, {}, value);
+    };
+    set("wigeonsill_entry_waiting", double(this->core->requestsWaiting()));
+    set("wigeonsill_entry_in_progress", double(this->core->requestsInProgress()));
+    set("wigeonsill_entry_agents_connected", double(this->core->connectedAgents()));
+    set("wigeonsill_entry_caller_connections", double(this->server.connectionCount()));
+    set("wigeonsill_entry_claims_in_progress", double(this->claimsInProgress));
+    this->links.publishTraffic();
+}
+
 std::map<std::string, std::uint16_t> EntryDaemon::ports() const
 {
     return { { "listen", this->server.endpoint().port() } };
@@ -189,6 +202,15 @@
     ++this->claimsInProgress;
     const ClaimDecision decision = co_await this->claims.claim(std::move(action));
     --this->claimsInProgress;
+    this->claimDecided(id, decision);
+}
+
+void EntryDaemon::claimDecided(const RequestId &id, const ClaimDecision &decision)
+{
+    const std::string_view result
+        = decision.replay ? std::string_view("Replayed") : infoOf(decision.result).name;
+    this->context.metrics.count(
+        "wigeonsill_entry_claims_total", "result=\"" + std::string(result) + "\"");
     this->core->claimDecided(currentTime(), id, decision);
     this->pump();
 }
@@ -215,6 +237,7 @@
     for (;;) {
         const Result<StoredValue> value
             = co_await this->store->watch(std::string(configurationKey), version, watchTime);
+        this->context.metrics.gauge("wigeonsill_entry_store_reachable", {}, value ? 1 : 0);
         if (!value) {
             LOG4CPLUS_WARN(logger("entry.config"),
                 "The store does not answer: " << value.error().detail << ".");
@@ -234,6 +257,8 @@
         LOG4CPLUS_INFO(
             logger("entry.config"), "Revision " << parsed.value().revision << " is in force.");
         this->core->setConfigurationRevision(parsed.value().revision);
+        this->context.metrics.gauge(
+            "wigeonsill_entry_configuration_revision", {}, double(parsed.value().revision));
         this->front.setConfiguration(
             std::make_shared<const Configuration>(std::move(parsed).value()));
     }
--- a/src/wigeonsill-entry/entrydaemon.h
+++ b/src/wigeonsill-entry/entrydaemon.h
@@ -34,6 +34,7 @@
     void drain() override;
     bool isDrained() const override;
     boost::json::object dumpState() const override;
+    void updateMetrics() override;
     std::map<std::string, std::uint16_t> ports() const override;
 
 private:
@@ -47,6 +48,7 @@
     void perform(ClaimKey &action);
     void perform(RecordClaim &action);
 
+    void claimDecided(const RequestId &id, const ClaimDecision &decision);
     boost::asio::awaitable<void> claim(ClaimKey action);
     boost::asio::awaitable<void> recordClaim(RecordClaim action);
     boost::asio::awaitable<void> tickLoop();
--- a/testsuite/faults-silence/run.py
+++ b/testsuite/faults-silence/run.py
@@ -3,8 +3,8 @@
 import signal
 import time
 
-from faults import LANGUAGE, Relay, check_whole, stream
-from harness import ROOT, Cluster, call, check, wait_until
+from faults import BOOKING, LANGUAGE, Relay, check_whole, stream
+from harness import ROOT, Cluster, book, call, check, wait_until
 
 TOKENS = 1500
 # Quicker to notice silence than by default, and in no hurry to give a paused agent up.
@@ -46,6 +46,23 @@
     check(requests_of(engine) == before + 1, "it was sent to the engine once")
 
 
+def silent_target(cluster, entry):
+    """A target that takes a booking and says nothing: unknown, and never sent again."""
+    plain = cluster.standin("plain", role="plain")
+    cluster.agent("agent-2", plain, BOOKING, targetSilenceMs=1000)
+    cluster.wait_ready(entry, agents=2)
+    plain.signal(signal.SIGSTOP)
+    answer = book(entry, "berth-1", "silent")
+    check((answer.status, answer.outcome()) == (504, "unknown"), "a silent target")
+    again = book(entry, "berth-1", "silent")
+    check((again.status, again.outcome()) == (409, "unknown"), "the key stays taken")
+    plain.signal(signal.SIGCONT)
+    runs = lambda: call(plain.address(), "GET", "/admin/runs").json()["runs"]
+    wait_until(lambda: runs().get("silent"), "the target wakes and runs it")
+    check(book(entry, "berth-2", "next").status == 200, "the next booking")
+    check(runs() == {"silent": 1, "next": 1}, "each ran once")
+
+
 with Cluster() as cluster:
     engine = cluster.standin("engine", role="engine", stepMs=3)
     agent = cluster.agent("agent-1", engine, LANGUAGE)
@@ -58,4 +75,5 @@
     paused(engine, entry, agent)
     paused(engine, entry, entry)
     check_whole(stream(entry, "afterwards", 5).result(), 5, "a request afterwards")
+    silent_target(cluster, entry)
 print("ok")
