--- /dev/null
+++ b/src/libhttp/httpanswer.cpp
@@ -0,0 +1,147 @@
+/// \file httpanswer.cpp
+/// How a connection writes answers: framing, and the minimum rate at which a caller must take them.
+#include "httpsession.h"
+
+#include <sstream>
+
+namespace wigeonsill {
+
+namespace {
+
+constexpr int firstStatusWithBody = 200;
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
+bool statusHasBody(int status)
+{
+    return status >= firstStatusWithBody && status != statusNoContent
+        && status != statusNotModified;
+}
+
+template <class Message>
+void setFields(Message &message, const HttpFields &fields)
+{
+    for (const HttpField &field : fields) {
+        message.insert(field.name, field.value);
+    }
+}
+
+std::string serializeHead(const http::response_header<> &head)
+{
+    std::ostringstream text;
+    text << head;
+    return text.str();
+}
+
+} // namespace
+
+template <class Buffers>
+asio::awaitable<bool> HttpSession::writeAll(Buffers buffers)
+{
+    beast::buffers_suffix<Buffers> left(buffers);
+    while (!this->broken && beast::buffer_bytes(left) > 0) {
+        const TimePoint start = currentTime();
+        this->stream.expires_after(this->patience);
+        auto [error, size] = co_await this->stream.async_write_some(left, useTuple);
+        if (error) {
+            this->callerIsGone();
+            co_return false;
+        }
+        left.consume(size);
+        const Duration earned(
+            static_cast<std::int64_t>(size) * 1'000'000 / this->limits.minimumWriteRate);
+        this->patience -= currentTime() - start;
+        this->patience = std::min(this->patience + earned, this->limits.writeTime);
+    }
+    if (!this->broken) {
+        this->stream.expires_never();
+    }
+    co_return !this->broken;
+}
+
+asio::awaitable<bool> HttpSession::writeText(std::string_view text)
+{
+    co_return co_await this->writeAll(asio::const_buffer(text.data(), text.size()));
+}
+
+http::response_header<> HttpSession::headOf(int status, const HttpFields &fields) const
+{
+    http::response<http::empty_body> message(static_cast<http::status>(status), http11);
+    setFields(message, fields);
+    message.keep_alive(this->keepAlive && !this->draining);
+    return std::move(message.base());
+}
+
+asio::awaitable<bool> HttpSession::respond(HttpResponse response)
+{
+    if (this->broken || this->answered) {
+        co_return false;
+    }
+    this->answered = true;
+    http::response_header<> head = this->headOf(response.status, response.fields);
+    if (!this->headOnly) {
+        head.erase(http::field::content_length);
+    }
+    if (!statusHasBody(response.status)) {
+        response.body.clear();
+    } else if (head.find(http::field::content_length) == head.end()) {
+        head.set(http::field::content_length, std::to_string(response.body.size()));
+    }
+    if (this->headOnly) {
+        response.body.clear();
+    }
+    const std::string headText = serializeHead(head);
+    const std::array<asio::const_buffer, 2> buffers
+        = { asio::buffer(headText), asio::buffer(response.body) };
+    co_return co_await this->writeAll(buffers);
+}
+
+asio::awaitable<bool> HttpSession::begin(int status, HttpFields fields)
+{
+    if (this->broken || this->answered) {
+        co_return false;
+    }
+    this->answered = true;
+    this->bodyless = this->headOnly || !statusHasBody(status);
+    const bool hasLength = !fieldValue(fields, "Content-Length").empty();
+    this->chunked = !this->bodyless && !hasLength && this->version >= http11;
+    this->closeDelimited = !this->bodyless && !hasLength && !this->chunked;
+    if (this->closeDelimited) {
+        this->keepAlive = false;
+    }
+    http::response_header<> head = this->headOf(status, fields);
+    if (this->chunked) {
+        head.set(http::field::transfer_encoding, "chunked");
+    } else {
+        head.erase(http::field::trailer);
+    }
+    const std::string headText = serializeHead(head);
+    co_return co_await this->writeText(headText);
+}
+
+asio::awaitable<bool> HttpSession::write(std::string_view bytes)
+{
+    if (bytes.empty() || this->bodyless) {
+        co_return !this->broken;
+    }
+    if (!this->chunked) {
+        co_return co_await this->writeText(bytes);
+    }
+    const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
+    co_return co_await this->writeAll(chunk);
+}
+
+asio::awaitable<bool> HttpSession::finish(HttpFields trailers)
+{
+    if (!this->chunked) {
+        co_return !this->broken;
+    }
+    std::string lastChunk = "0\r\n";
+    for (const HttpField &field : trailers) {
+        lastChunk += field.name + ": " + field.value + "\r\n";
+    }
+    lastChunk += "\r\n";
+    co_return co_await this->writeText(lastChunk);
+}
+
+} // namespace wigeonsill
