--- a/src/wigeonsill-load/loadreport.cpp
+++ b/src/wigeonsill-load/loadreport.cpp
@@ -96,11 +96,15 @@
         [](const TierFigures &tier) { return tier.ends[std::size_t(CallEnd::Wrong)] > 0; });
 }
 
-/// Useful answers per second over the length of the phases.
+/// Useful answers per second, counted while the phases last.
 double LoadReport::goodput(const TierFigures &figures) const
 {
-    const double lengthSeconds = double(this->length.count()) / 1e6;
-    return double(figures.ends[std::size_t(CallEnd::InTime)]) / lengthSeconds;
+    const auto wholeSeconds = std::size_t(std::max<std::int64_t>(1, this->length / seconds(1)));
+    const std::size_t counted = std::min(wholeSeconds, figures.inTimeBySecond.size());
+    const auto begin = figures.inTimeBySecond.begin();
+    const std::int64_t useful
+        = std::accumulate(begin, begin + std::ptrdiff_t(counted), std::int64_t(0));
+    return double(useful) / double(wholeSeconds);
 }
 
 void LoadReport::printTable(std::ostream &out) const
