HTTP client: one buffer for all pieces of an answer

Cause: each read of an answer cleared 64 KB, also for a token of 60 bytes. Change: a buffer of the exchange that is not cleared takes the bytes; only what came is copied.

--- a/src/libhttp/httpexchange.cpp
+++ b/src/libhttp/httpexchange.cpp
@@ -40,6 +40,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
+    /// Where pieces of the body land; not cleared, since a piece is mostly a few hundred bytes.
+    std::unique_ptr<char[]> piece = std::make_unique_for_overwrite<char[]>(pieceSize);
 };
 
 HttpExchange::HttpExchange(asio::io_context &context)
@@ -105,20 +107,19 @@
 
 asio::awaitable<Result<std::string>> HttpExchange::readSome(Duration timeout)
 {
-    std::string piece;
-    while (piece.empty() && !this->d->parser.is_done()) {
-        piece.resize(pieceSize);
-        this->d->parser.get().body().data = piece.data();
-        this->d->parser.get().body().size = piece.size();
+    std::size_t size = 0;
+    while (size == 0 && !this->d->parser.is_done()) {
+        this->d->parser.get().body().data = this->d->piece.get();
+        this->d->parser.get().body().size = pieceSize;
         this->d->stream.expires_after(timeout);
-        auto [error, size] = co_await http::async_read_some(
+        auto [error, consumed] = co_await http::async_read_some(
             this->d->stream, this->d->buffer, this->d->parser, useTuple);
-        piece.resize(piece.size() - this->d->parser.get().body().size);
+        size = pieceSize - this->d->parser.get().body().size;
         if (error && error != http::error::need_buffer) {
             co_return closedError(error);
         }
     }
-    co_return piece;
+    co_return std::string(this->d->piece.get(), size);
 }
 
 void HttpExchange::close()
