measure.py keeps the plots; lint of the load tool

Cause: plots went with their temporary folder; a vector grew without a reserve. Change: plots are copied to the output folder.

--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -234,14 +234,16 @@
         return {"messages": messages, "bytes": size}
 
 
-def side_by_side(phases, during=None):
-    """Runs the same arrivals through all strategies at once."""
+def side_by_side(name, phases, out, during=None):
+    """Runs the same arrivals through all strategies at once; plots go to the folder out."""
     results = {}
 
     def one(strategy):
         fleet = Fleet(strategy)
         try:
             results[strategy] = fleet.run(phases, request_kinds(), during)
+            plot = (fleet.cluster.folder / "goodput.svg").read_text()
+            (out / ("%s-%s.svg" % (name, strategy))).write_text(plot)
         finally:
             fleet.close()
 
@@ -433,6 +435,8 @@
     parser.add_argument("--out", default=str(ROOT / "build/measure"), help="folder for JSON")
     options = parser.parse_args()
     wanted = set(filter(None, options.only.split(",")))
+    folder = pathlib.Path(options.out)
+    folder.mkdir(parents=True, exist_ok=True)
     commit = subprocess.run(
         ["git", "describe", "--always", "--dirty"], cwd=ROOT, capture_output=True, text=True
     ).stdout.strip()
@@ -461,15 +465,13 @@
             during = (seconds / 2, slow_one)
         else:
             phases = [phase("steady", seconds, float(name.split("-")[1]) * capacity)]
-        results[name] = side_by_side(phases, during)
+        results[name] = side_by_side(name, phases, folder, during)
         print_comparison(name, results[name])
 
     parts = {"latency": measure_latency, "throughput": measure_throughput, "memory": measure_memory}
     for name, part in parts.items():
         if not wanted or name in wanted:
             results[name] = part()
-    folder = pathlib.Path(options.out)
-    folder.mkdir(parents=True, exist_ok=True)
     (folder / "measure.json").write_text(json.dumps(results, indent=1))
     print("\nfigures in %s" % (folder / "measure.json"))
 
--- a/src/wigeonsill-load/workload.cpp
+++ b/src/wigeonsill-load/workload.cpp
@@ -2,6 +2,7 @@
 /// Arrivals and the check of answers.
 #include "workload.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 
@@ -15,6 +16,7 @@
 std::vector<double> sharesOf(const Scenario &scenario)
 {
     std::vector<double> shares;
+    shares.reserve(scenario.kinds.size());
     for (const RequestKind &kind : scenario.kinds) {
         shares.push_back(kind.share);
     }
