--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -21,6 +21,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "testsuite"))
 
 from harness import BIN, ROOT, Cluster, call  # noqa: E402
+from processfigures import cpu_seconds, memory_mb  # noqa: E402
 
 STRATEGIES = ["late-binding", "least-load", "round-robin"]
 # Relative speed of each engine; they differ fourfold.
@@ -36,7 +37,6 @@
 CALIBRATION_SECONDS = 9
 CALIBRATION_SKIPPED_SECONDS = 3
 STRAGGLER_SLOWDOWN = 8
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 SERVICES = {
     "question": {
@@ -133,18 +133,6 @@
     return result
 
 
-def cpu_seconds(process):
-    fields = pathlib.Path("/proc/%d/stat" % process.popen.pid).read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
-def resident_bytes(process):
-    for line in pathlib.Path("/proc/%d/status" % process.popen.pid).read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) * 1024
-    return 0
-
-
 class Fleet:
     """Engines, their agents, and two entries of one strategy."""
 
@@ -406,21 +394,21 @@
     path = SmallPath(tokenLimit=1000000, maximumRunning=1)
     try:
         path.cluster.fault(path.engine, stalled=True)
-        before = resident_bytes(path.entry)
+        before = memory_mb(path.entry)
         runner = threading.Thread(
             target=path.run, args=[path.entry.address(), waiting / 1500, 1500, 2000]
         )
         runner.start()
         time.sleep(waiting / 1500 + 0.3)
         held = path.entry.state()["waiting"]
-        after = resident_bytes(path.entry)
+        after = memory_mb(path.entry)
         runner.join()
     finally:
         path.close()
-    each = (after - before) / max(1, held)
+    each_kb = (after - before) * 1024 / max(1, held)
     print("\n== memory: %d waiting requests, %.1f KB each (RSS %.1f MB before, %.1f MB after)"
-          % (held, each / 1024, before / 1048576, after / 1048576))
-    return {"waiting": held, "bytesEach": each}
+          % (held, each_kb, before, after))
+    return {"waiting": held, "kilobytesEach": each_kb}
 
 
 def slow_one(fleet):
