--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -37,6 +37,7 @@
     RequestId id;
     Tier tier = Tier::Normal;
     std::string organisation;
+    std::string service;
     std::string pool;
     std::uint32_t weight = 1; ///< Share of the organisation within its tier.
     std::uint32_t promptTokens = 0; ///< Estimate.
@@ -45,6 +46,7 @@
     Duration timeLeft{}; ///< Until the latest useful start, from when this was sent.
     bool nonIdempotent = false;
     Preemption preemption = Preemption::Never;
+    Weighting weighting = Weighting::Goodput;
 
     /// Estimated cost in tokens. Always at least 1.
     std::uint64_t tokens() const
@@ -118,6 +120,7 @@
 {
     std::uint64_t configurationRevision = 0;
     std::vector<PoolFloor> floors;
+    std::uint64_t floorSequence = 0; ///< Number of this statement of floors; 0 means none.
 };
 
 using EntryMessage = std::variant<Reserve, Withdraw, Bind, Decline, CancelRun, Resume, Acknowledge,
@@ -143,6 +146,7 @@
 {
     RequestId id;
     ResultCode reason = ResultCode::Ok;
+    std::vector<PoolFloor> floors; ///< Those of the agent, when a floor is the reason.
 };
 struct AnswerHead
 {
@@ -187,6 +191,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::vector<PoolFloor> floors;
+    std::uint64_t floorSequence = 0; ///< Latest of the receiving entry that is in force here.
+    double tokensPerSecond = 0; ///< Estimated tokens served a second; 0 until measured.
+    std::array<Duration, tierCount> expectedWait{}; ///< Of a new reservation, by tier.
 };
 
 using AgentMessage = std::variant<AgentHello, Pull, ReservationEnded, AnswerHead, AnswerBytes,
--- a/src/libcore/agentcore.cpp
+++ b/src/libcore/agentcore.cpp
@@ -6,6 +6,12 @@
 
 namespace json = boost::json;
 
+namespace {
+
+constexpr double longestExpectedWait = 3600; ///< Seconds.
+
+} // namespace
+
 AgentCoreBuilder &AgentCoreBuilder::incarnation(const Incarnation &value)
 {
     this->ownIncarnation = value;
@@ -61,7 +67,7 @@
         return false;
     }
     // One request always fits, however large, so that it cannot wait for ever.
-    return this->tokensInFlight == 0 || this->tokensInFlight + tokens <= this->limits.tokenLimit;
+    return this->tokensInFlight == 0 || this->tokensInFlight + tokens <= this->admission.tokens();
 }
 
 void AgentCore::Private::pullNext(TimePoint now)
@@ -72,12 +78,14 @@
     const ReservationQueue::Entry *next = this->queue.front();
     while (next != nullptr && this->hasRoomFor(next->profile.tokens())) {
         const ReservationQueue::Entry taken = this->queue.takeFront();
+        this->drained.add(double(taken.profile.tokens()));
         const RequestId id = taken.profile.id;
         this->tokensInFlight += taken.profile.tokens();
         this->pulls[id] = PendingPull{ taken.profile.tokens(), now };
         this->send(id.entry, Pull{ id });
         next = this->queue.front();
     }
+    this->admission.onLoad(this->tokensInFlight, next != nullptr);
 }
 
 void AgentCore::Private::releasePull(const RequestId &id)
@@ -127,16 +135,18 @@
     run.haveHead = true;
     run.status = status;
     run.headers = std::move(headers);
+    this->d->admission.onHead(run.timing, run.headers);
     this->d->send(id.entry, AnswerHead{ id, run.status, run.headers });
 }
 
-void AgentCore::targetBytes(TimePoint, const RequestId &id, std::string_view bytes)
+void AgentCore::targetBytes(TimePoint now, const RequestId &id, std::string_view bytes)
 {
     const auto found = this->d->runs.find(id);
     if (found == this->d->runs.end()) {
         return;
     }
     AgentRun &run = found->second;
+    this->d->admission.onBytes(now, run.timing, run.paused);
     run.answer.append(bytes);
     this->d->flush(run);
     if (!run.paused && run.answer.size() >= this->d->limits.maximumBuffered) {
@@ -178,6 +188,10 @@
 {
     this->tokensInFlight -= run.profile.tokens();
     --this->running;
+    if (result == ResultCode::Ok) {
+        this->served.add(double(run.profile.tokens()));
+        this->admission.onEnd(now, run.timing, run.usage.output);
+    }
     run.ended = true;
     run.endedAt = now;
     run.result = result;
@@ -200,7 +214,7 @@
     }
     this->d->draining = true;
     for (const RequestId &id : this->d->queue.removeAll()) {
-        this->d->send(id.entry, ReservationEnded{ id, ResultCode::Draining });
+        this->d->send(id.entry, ReservationEnded{ id, ResultCode::Draining, {} });
     }
     this->d->sendHeartbeats(now);
 }
@@ -211,12 +225,45 @@
     beat.configurationRevision = this->configurationRevision;
     beat.draining = this->draining;
     beat.tokensInFlight = this->tokensInFlight;
-    beat.tokenLimit = this->limits.tokenLimit;
+    beat.tokenLimit = this->admission.tokens();
     beat.running = this->running;
     beat.waiting = static_cast<std::uint32_t>(this->queue.size());
+    beat.tokensPerSecond = this->served.perSecond();
+    beat.expectedWait = this->expectedWait();
     return beat;
 }
 
+std::array<Duration, tierCount> AgentCore::Private::expectedWait() const
+{
+    std::array<Duration, tierCount> waits{};
+    const double rate = this->drained.perSecond();
+    if (rate <= 0) {
+        return waits;
+    }
+    double ahead = 0;
+    for (std::size_t i = 0; i < tierCount; ++i) {
+        ahead += double(this->queue.tokensOf(static_cast<Tier>(i)));
+        const double wait = std::min(ahead / rate, longestExpectedWait);
+        waits[i] = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+    }
+    return waits;
+}
+
+void AgentCore::Private::removeServed(const RequestId &id)
+{
+    const ReservationQueue::Entry *queued = this->queue.find(id);
+    if (queued != nullptr) {
+        this->drained.add(double(queued->profile.tokens()));
+        this->queue.remove(id);
+    }
+}
+
+void AgentCore::Private::measureRates(TimePoint now)
+{
+    this->served.advance(now, this->running > 0);
+    this->drained.advance(now, this->queue.size() > 0);
+}
+
 void AgentCore::Private::sendHeartbeats(TimePoint now)
 {
     this->lastHeartbeat = now;
@@ -260,8 +307,10 @@
 
 void AgentCore::tick(TimePoint now)
 {
+    this->d->admission.tick(now);
+    this->d->measureRates(now);
     for (const RequestId &id : this->d->queue.removeExpired(now)) {
-        this->d->send(id.entry, ReservationEnded{ id, ResultCode::RequestExpired });
+        this->d->send(id.entry, ReservationEnded{ id, ResultCode::RequestExpired, {} });
     }
     std::vector<RequestId> unanswered;
     for (const auto &[id, pull] : this->d->pulls) {
@@ -271,7 +320,7 @@
     }
     for (const RequestId &id : unanswered) {
         this->d->releasePull(id);
-        this->d->send(id.entry, ReservationEnded{ id, ResultCode::RequestExpired });
+        this->d->send(id.entry, ReservationEnded{ id, ResultCode::RequestExpired, {} });
     }
     this->d->forgetOldAnswers(now);
     this->d->watchEntries(now);
@@ -300,7 +349,8 @@
     state["draining"] = this->d->draining;
     state["configurationRevision"] = this->d->configurationRevision;
     state["tokensInFlight"] = this->d->tokensInFlight;
-    state["tokenLimit"] = this->d->limits.tokenLimit;
+    state["tokenLimit"] = this->d->admission.tokens();
+    state["tokensPerSecond"] = this->d->served.perSecond();
     state["running"] = this->d->running;
     state["queued"] = this->d->queue.size();
     state["tombstones"] = this->d->tombstones.size();
@@ -315,7 +365,8 @@
         runs.push_back(
             { { "request", toString(id) }, { "tier", enumName(tierNames, run.profile.tier) },
                 { "organisation", run.profile.organisation }, { "ended", run.ended },
-                { "bytes", run.answer.end() }, { "runningForUs", (now - run.startedAt).count() } });
+                { "bytes", run.answer.end() },
+                { "runningForUs", (now - run.timing.startedAt).count() } });
     }
     state["runs"] = std::move(runs);
     return state;
--- a/src/libcore/agentmessages.cpp
+++ b/src/libcore/agentmessages.cpp
@@ -16,7 +16,7 @@
         reason = ResultCode::RequestExpired;
     }
     if (reason != ResultCode::Ok) {
-        this->send(profile.id.entry, ReservationEnded{ profile.id, reason });
+        this->send(profile.id.entry, ReservationEnded{ profile.id, reason, {} });
         return;
     }
     if (this->pulls.contains(profile.id)) {
@@ -28,7 +28,7 @@
 
 void AgentCore::Private::onMessage(TimePoint now, const Incarnation &, const Withdraw &message)
 {
-    this->queue.remove(message.id);
+    this->removeServed(message.id);
     this->releasePull(message.id);
     this->pullNext(now);
 }
@@ -55,7 +55,8 @@
     this->tombstones.markStarted(id);
     AgentRun &run = this->runs[id];
     run.profile = message.profile;
-    run.startedAt = now;
+    run.timing.startedAt = now;
+    run.timing.startedAlone = this->running == 0;
     this->tokensInFlight += run.profile.tokens();
     ++this->running;
     this->actions.emplace_back(StartAtTarget{ id, message.request });
--- a/src/libcore/agentstate.h
+++ b/src/libcore/agentstate.h
@@ -2,7 +2,9 @@
 /// State of an agent core and the steps that its parts share.
 #pragma once
 
+#include "admissionlimit.h"
 #include "answerbuffer.h"
+#include "ratemeter.h"
 #include "reservationqueue.h"
 #include "tombstones.h"
 
@@ -26,7 +28,7 @@
     bool endSent = false;
     ResultCode result = ResultCode::Ok;
     TokenUsage usage;
-    TimePoint startedAt;
+    AnswerTiming timing;
     TimePoint endedAt;
 };
 
@@ -51,9 +53,21 @@
         : limits(agentLimits)
         , incarnation(agentIncarnation)
         , tombstones(agentLimits.tombstonesPerEntry)
+        , admission(admissionOptions(agentLimits))
+        , served(rateTimeConstant)
+        , drained(rateTimeConstant)
     {
     }
 
+    static AdmissionLimit::Options admissionOptions(const AgentLimits &limits)
+    {
+        AdmissionLimit::Options options;
+        options.initial = limits.tokenLimit;
+        return options;
+    }
+
+    static constexpr Duration rateTimeConstant = seconds(5);
+
     AgentLimits limits;
     Incarnation incarnation;
     Location location;
@@ -63,6 +77,9 @@
 
     ReservationQueue queue;
     Tombstones tombstones;
+    AdmissionLimit admission;
+    RateMeter served; ///< Estimated tokens of ended runs.
+    RateMeter drained; ///< Estimated tokens that left the queue to be run, here or elsewhere.
     std::unordered_map<RequestId, PendingPull, RequestIdHash> pulls;
     std::unordered_map<RequestId, AgentRun, RequestIdHash> runs;
     std::map<Incarnation, EntryLink> entries;
@@ -79,6 +96,11 @@
     void releasePull(const RequestId &id);
     void sendHeartbeats(TimePoint now);
     AgentHeartbeat heartbeat() const;
+    /// Wait of a new reservation, by tier; zero until the rate is known.
+    std::array<Duration, tierCount> expectedWait() const;
+    /// Takes a reservation out of the queue because its request runs here or elsewhere.
+    void removeServed(const RequestId &id);
+    void measureRates(TimePoint now);
 
     void onMessage(TimePoint now, const Incarnation &entry, const Reserve &message);
     void onMessage(TimePoint now, const Incarnation &entry, const Withdraw &message);
--- a/src/libcore/reservationqueue.cpp
+++ b/src/libcore/reservationqueue.cpp
@@ -21,6 +21,7 @@
     share.waiting.push_back(profile.id);
     ++share.live;
     ++queue.live;
+    queue.tokens += profile.tokens();
     return true;
 }
 
@@ -36,6 +37,7 @@
     Share &share = queue.shares[profile.organisation];
     --share.live;
     --queue.live;
+    queue.tokens -= profile.tokens();
     if (share.live == 0) {
         this->forget(queue, profile.organisation);
     } else {
@@ -132,4 +134,15 @@
     return this->tiers[static_cast<std::size_t>(tier)].live;
 }
 
+std::uint64_t ReservationQueue::tokensOf(Tier tier) const
+{
+    return this->tiers[static_cast<std::size_t>(tier)].tokens;
+}
+
+const ReservationQueue::Entry *ReservationQueue::find(const RequestId &id) const
+{
+    const auto found = this->byId.find(id);
+    return found == this->byId.end() ? nullptr : &found->second;
+}
+
 } // namespace wigeonsill
--- a/src/libcore/reservationqueue.h
+++ b/src/libcore/reservationqueue.h
@@ -37,6 +37,9 @@
 
     std::size_t size() const { return this->byId.size(); }
     std::size_t sizeOf(Tier tier) const;
+    /// Estimated tokens that wait in a tier.
+    std::uint64_t tokensOf(Tier tier) const;
+    const Entry *find(const RequestId &id) const;
 
 private:
     struct Share
@@ -52,6 +55,7 @@
             order; ///< By virtual time; live shares only.
         double virtualTime = 0;
         std::size_t live = 0;
+        std::uint64_t tokens = 0;
     };
 
     void skipRemoved(Share &share);
--- a/src/libwire/codec.cpp
+++ b/src/libwire/codec.cpp
@@ -69,6 +69,8 @@
     out.setTimeLeftUs(value.timeLeft.count());
     out.setNonIdempotent(value.nonIdempotent);
     out.setPreemption(static_cast<std::uint8_t>(value.preemption));
+    out.setService(value.service);
+    out.setWeighting(static_cast<std::uint8_t>(value.weighting));
 }
 
 void write(schema::ForwardedRequest::Builder out, const ForwardedRequest &value)
@@ -119,6 +121,7 @@
         auto heartbeat = this->out.initHeartbeat();
         heartbeat.setConfigurationRevision(message.configurationRevision);
         write(heartbeat.initFloors(static_cast<unsigned>(message.floors.size())), message.floors);
+        heartbeat.setFloorSequence(message.floorSequence);
     }
 };
 
@@ -143,6 +146,7 @@
         auto ended = this->out.initReservationEnded();
         write(ended.initId(), message.id);
         ended.setReason(static_cast<std::uint16_t>(message.reason));
+        write(ended.initFloors(static_cast<unsigned>(message.floors.size())), message.floors);
     }
     void operator()(const AnswerHead &message)
     {
@@ -188,6 +192,12 @@
         heartbeat.setRunning(message.running);
         heartbeat.setWaiting(message.waiting);
         write(heartbeat.initFloors(static_cast<unsigned>(message.floors.size())), message.floors);
+        heartbeat.setFloorSequence(message.floorSequence);
+        heartbeat.setTokensPerSecond(message.tokensPerSecond);
+        auto waits = heartbeat.initExpectedWaitUs(tierCount);
+        for (unsigned i = 0; i < tierCount; ++i) {
+            waits.set(i, message.expectedWait[i].count());
+        }
     }
 };
 
@@ -268,6 +278,8 @@
     profile.timeLeft = Duration(in.getTimeLeftUs());
     profile.nonIdempotent = in.getNonIdempotent();
     profile.preemption = enumOf(in.getPreemption(), Preemption::IdempotentOnly);
+    profile.service = textOf(in.getService());
+    profile.weighting = enumOf(in.getWeighting(), Weighting::Prefill);
     return profile;
 }
 
@@ -306,7 +318,7 @@
             in.getAcknowledge().getFinal() };
     case schema::EntryFrame::HEARTBEAT:
         return EntryHeartbeat{ in.getHeartbeat().getConfigurationRevision(),
-            read(in.getHeartbeat().getFloors()) };
+            read(in.getHeartbeat().getFloors()), in.getHeartbeat().getFloorSequence() };
     }
     KJ_FAIL_REQUIRE("unknown frame");
 }
@@ -330,6 +342,12 @@
     heartbeat.running = in.getRunning();
     heartbeat.waiting = in.getWaiting();
     heartbeat.floors = read(in.getFloors());
+    heartbeat.floorSequence = in.getFloorSequence();
+    heartbeat.tokensPerSecond = in.getTokensPerSecond();
+    const auto waits = in.getExpectedWaitUs();
+    for (unsigned i = 0; i < std::min<unsigned>(waits.size(), tierCount); ++i) {
+        heartbeat.expectedWait[i] = Duration(waits[i]);
+    }
     return heartbeat;
 }
 
@@ -348,7 +366,8 @@
         return Pull{ read(in.getPull()) };
     case schema::AgentFrame::RESERVATION_ENDED:
         return ReservationEnded{ read(in.getReservationEnded().getId()),
-            codeOf(in.getReservationEnded().getReason()) };
+            codeOf(in.getReservationEnded().getReason()),
+            read(in.getReservationEnded().getFloors()) };
     case schema::AgentFrame::ANSWER_HEAD:
         return AnswerHead{ read(in.getAnswerHead().getId()), in.getAnswerHead().getStatus(),
             read(in.getAnswerHead().getHeaders()) };
--- a/src/libwire/codec_test.cpp
+++ b/src/libwire/codec_test.cpp
@@ -22,6 +22,8 @@
     profile.timeLeft = milliseconds(23);
     profile.nonIdempotent = true;
     profile.preemption = Preemption::IdempotentOnly;
+    profile.service = "service";
+    profile.weighting = Weighting::Prefill;
     return profile;
 }
 
@@ -38,10 +40,30 @@
     EXPECT_EQ(copy.profile.timeLeft, bind.profile.timeLeft);
     EXPECT_TRUE(copy.profile.nonIdempotent);
     EXPECT_EQ(copy.profile.preemption, Preemption::IdempotentOnly);
+    EXPECT_EQ(copy.profile.service, "service");
+    EXPECT_EQ(copy.profile.weighting, Weighting::Prefill);
     EXPECT_EQ(copy.request.body, bind.request.body);
     EXPECT_EQ(copy.request.headers.front().value, "b");
 }
 
+TEST(Codec, heartbeatsKeepFloorsAndWaits)
+{
+    AgentHeartbeat beat;
+    beat.floors = { { "pool", Tier::High, milliseconds(7) } };
+    beat.floorSequence = 9;
+    beat.tokensPerSecond = 2.5;
+    beat.expectedWait[3] = milliseconds(11);
+    const auto decoded = decodeAgentFrame(encodeFrame(AgentMessage(beat)));
+    ASSERT_TRUE(decoded);
+    const auto copy = std::get<AgentHeartbeat>(decoded.value());
+    ASSERT_EQ(copy.floors.size(), 1U);
+    EXPECT_EQ(copy.floors.front().lowestServed, Tier::High);
+    EXPECT_EQ(copy.floors.front().remaining, milliseconds(7));
+    EXPECT_EQ(copy.floorSequence, 9U);
+    EXPECT_EQ(copy.tokensPerSecond, 2.5);
+    EXPECT_EQ(copy.expectedWait[3], milliseconds(11));
+}
+
 TEST(Codec, arbitraryBytesAreRefusedOrDecoded)
 {
     const bool held = rc::check("no bytes crash the decoder", [](const std::string &bytes) {
--- a/src/libwire/wigeonsill.capnp
+++ b/src/libwire/wigeonsill.capnp
@@ -37,6 +37,8 @@
   timeLeftUs @8 :Int64;
   nonIdempotent @9 :Bool;
   preemption @10 :UInt8;
+  service @11 :Text;
+  weighting @12 :UInt8;
 }
 
 struct ForwardedRequest {
@@ -77,6 +79,7 @@
 struct EntryHeartbeat {
   configurationRevision @0 :UInt64;
   floors @1 :List(PoolFloor);
+  floorSequence @2 :UInt64;
 }
 
 struct AgentHello {
@@ -91,6 +94,12 @@
   reason @1 :UInt16;
 }
 
+struct ReservationEnded {
+  id @0 :RequestId;
+  reason @1 :UInt16;
+  floors @2 :List(PoolFloor);
+}
+
 struct AnswerHead {
   id @0 :RequestId;
   status @1 :Int32;
@@ -120,6 +129,9 @@
   running @4 :UInt32;
   waiting @5 :UInt32;
   floors @6 :List(PoolFloor);
+  floorSequence @7 :UInt64;
+  tokensPerSecond @8 :Float64;
+  expectedWaitUs @9 :List(Int64);
 }
 
 struct EntryFrame {
@@ -140,7 +152,7 @@
   union {
     hello @0 :AgentHello;
     pull @1 :RequestId;
-    reservationEnded @2 :IdWithReason;
+    reservationEnded @2 :ReservationEnded;
     answerHead @3 :AnswerHead;
     answerBytes @4 :AnswerBytes;
     answerEnd @5 :AnswerEnd;
--- a/src/libwire/wigeonsill.capnp.h
+++ b/src/libwire/wigeonsill.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#    error                                                                                         \
-        "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -30,6 +30,7 @@
 CAPNP_DECLARE_SCHEMA(b8c5b35eb8ee138e);
 CAPNP_DECLARE_SCHEMA(e8e0a18ffa52bf33);
 CAPNP_DECLARE_SCHEMA(eb8eab10bafced08);
+CAPNP_DECLARE_SCHEMA(d83a61ea8028eb28);
 CAPNP_DECLARE_SCHEMA(873a4c64b0b791eb);
 CAPNP_DECLARE_SCHEMA(8cce2e0944a12eec);
 CAPNP_DECLARE_SCHEMA(da819cb54d96f37e);
@@ -37,5900 +38,5448 @@
 CAPNP_DECLARE_SCHEMA(ad88ac996a686a2c);
 CAPNP_DECLARE_SCHEMA(b0d3f68b3ca746a6);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
 namespace wigeonsill {
 namespace schema {
 
-struct Incarnation
-{
-    Incarnation() = delete;
+struct Incarnation {
+  Incarnation() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(c4ba1c434b9b4313, 2, 0)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c4ba1c434b9b4313, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct RequestId
-{
-    RequestId() = delete;
+struct RequestId {
+  RequestId() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(b715216478194fd6, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b715216478194fd6, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct Location
-{
-    Location() = delete;
+struct Location {
+  Location() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(fb6de2c5dfaa2f2b, 0, 3)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fb6de2c5dfaa2f2b, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct Header
-{
-    Header() = delete;
+struct Header {
+  Header() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(8dd53de05aee69e8, 0, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8dd53de05aee69e8, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct RequestProfile
-{
-    RequestProfile() = delete;
+struct RequestProfile {
+  RequestProfile() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(f066626b94973220, 3, 4)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f066626b94973220, 3, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct ForwardedRequest
-{
-    ForwardedRequest() = delete;
+struct ForwardedRequest {
+  ForwardedRequest() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(c2a13f7c200f6137, 0, 4)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c2a13f7c200f6137, 0, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct PoolFloor
-{
-    PoolFloor() = delete;
+struct PoolFloor {
+  PoolFloor() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(814f12417df8c3e6, 2, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(814f12417df8c3e6, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct EntryHello
-{
-    EntryHello() = delete;
+struct EntryHello {
+  EntryHello() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(81e0f58e1f293af4, 0, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(81e0f58e1f293af4, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct Bind
-{
-    Bind() = delete;
+struct Bind {
+  Bind() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(d5f2adcef869e70a, 0, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5f2adcef869e70a, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct Resume
-{
-    Resume() = delete;
+struct Resume {
+  Resume() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(bcb4c640db165018, 2, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bcb4c640db165018, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct Acknowledge
-{
-    Acknowledge() = delete;
+struct Acknowledge {
+  Acknowledge() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(ed7220fb0dd8e0c0, 2, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ed7220fb0dd8e0c0, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct EntryHeartbeat
-{
-    EntryHeartbeat() = delete;
+struct EntryHeartbeat {
+  EntryHeartbeat() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(b8c5b35eb8ee138e, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8c5b35eb8ee138e, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct AgentHello
-{
-    AgentHello() = delete;
+struct AgentHello {
+  AgentHello() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(e8e0a18ffa52bf33, 1, 3)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8e0a18ffa52bf33, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct IdWithReason
-{
-    IdWithReason() = delete;
+struct IdWithReason {
+  IdWithReason() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(eb8eab10bafced08, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eb8eab10bafced08, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct AnswerHead
-{
-    AnswerHead() = delete;
+struct ReservationEnded {
+  ReservationEnded() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(873a4c64b0b791eb, 1, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d83a61ea8028eb28, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct AnswerBytes
-{
-    AnswerBytes() = delete;
+struct AnswerHead {
+  AnswerHead() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(8cce2e0944a12eec, 1, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(873a4c64b0b791eb, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct AnswerEnd
-{
-    AnswerEnd() = delete;
+struct AnswerBytes {
+  AnswerBytes() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(da819cb54d96f37e, 3, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8cce2e0944a12eec, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct AgentHeartbeat
-{
-    AgentHeartbeat() = delete;
+struct AnswerEnd {
+  AnswerEnd() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(dfcec2d0897ad1b4, 5, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(da819cb54d96f37e, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct EntryFrame
-{
-    EntryFrame() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-    enum Which : uint16_t {
-        HELLO,
-        RESERVE,
-        WITHDRAW,
-        BIND,
-        DECLINE,
-        CANCEL_RUN,
-        RESUME,
-        ACKNOWLEDGE,
-        HEARTBEAT,
-    };
-
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(ad88ac996a686a2c, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+struct AgentHeartbeat {
+  AgentHeartbeat() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dfcec2d0897ad1b4, 7, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct AgentFrame
-{
-    AgentFrame() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-    enum Which : uint16_t {
-        HELLO,
-        PULL,
-        RESERVATION_ENDED,
-        ANSWER_HEAD,
-        ANSWER_BYTES,
-        ANSWER_END,
-        NOT_RUN,
-        STILL_RUNNING,
-        HEARTBEAT,
-    };
-
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(b0d3f68b3ca746a6, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+struct EntryFrame {
+  EntryFrame() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    HELLO,
+    RESERVE,
+    WITHDRAW,
+    BIND,
+    DECLINE,
+    CANCEL_RUN,
+    RESUME,
+    ACKNOWLEDGE,
+    HEARTBEAT,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad88ac996a686a2c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AgentFrame {
+  AgentFrame() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    HELLO,
+    PULL,
+    RESERVATION_ENDED,
+    ANSWER_HEAD,
+    ANSWER_BYTES,
+    ANSWER_END,
+    NOT_RUN,
+    STILL_RUNNING,
+    HEARTBEAT,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b0d3f68b3ca746a6, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 // =======================================================================================
 
-class Incarnation::Reader
-{
+class Incarnation::Reader {
 public:
-    typedef Incarnation Reads;
+  typedef Incarnation Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getHigh() const;
+  inline  ::uint64_t getHigh() const;
 
-    inline ::uint64_t getLow() const;
+  inline  ::uint64_t getLow() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Incarnation::Builder
-{
+class Incarnation::Builder {
 public:
-    typedef Incarnation Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef Incarnation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getHigh();
-    inline void setHigh(::uint64_t value);
+  inline  ::uint64_t getHigh();
+  inline void setHigh( ::uint64_t value);
 
-    inline ::uint64_t getLow();
-    inline void setLow(::uint64_t value);
+  inline  ::uint64_t getLow();
+  inline void setLow( ::uint64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Incarnation::Pipeline
-{
+class Incarnation::Pipeline {
 public:
-    typedef Incarnation Pipelines;
+  typedef Incarnation Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class RequestId::Reader
-{
+class RequestId::Reader {
 public:
-    typedef RequestId Reads;
+  typedef RequestId Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasEntry() const;
-    inline ::wigeonsill::schema::Incarnation::Reader getEntry() const;
+  inline bool hasEntry() const;
+  inline  ::wigeonsill::schema::Incarnation::Reader getEntry() const;
 
-    inline ::uint64_t getSequence() const;
+  inline  ::uint64_t getSequence() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class RequestId::Builder
-{
+class RequestId::Builder {
 public:
-    typedef RequestId Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef RequestId Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasEntry();
-    inline ::wigeonsill::schema::Incarnation::Builder getEntry();
-    inline void setEntry(::wigeonsill::schema::Incarnation::Reader value);
-    inline ::wigeonsill::schema::Incarnation::Builder initEntry();
-    inline void adoptEntry(::capnp::Orphan<::wigeonsill::schema::Incarnation> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::Incarnation> disownEntry();
+  inline bool hasEntry();
+  inline  ::wigeonsill::schema::Incarnation::Builder getEntry();
+  inline void setEntry( ::wigeonsill::schema::Incarnation::Reader value);
+  inline  ::wigeonsill::schema::Incarnation::Builder initEntry();
+  inline void adoptEntry(::capnp::Orphan< ::wigeonsill::schema::Incarnation>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::Incarnation> disownEntry();
 
-    inline ::uint64_t getSequence();
-    inline void setSequence(::uint64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class RequestId::Pipeline
-{
+class RequestId::Pipeline {
 public:
-    typedef RequestId Pipelines;
+  typedef RequestId Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
-
-    inline ::wigeonsill::schema::Incarnation::Pipeline getEntry();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wigeonsill::schema::Incarnation::Pipeline getEntry();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Location::Reader
-{
+class Location::Reader {
 public:
-    typedef Location Reads;
+  typedef Location Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasInstance() const;
-    inline ::capnp::Text::Reader getInstance() const;
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
 
-    inline bool hasRegion() const;
-    inline ::capnp::Text::Reader getRegion() const;
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
-    inline bool hasFailureDomain() const;
-    inline ::capnp::Text::Reader getFailureDomain() const;
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Location::Builder
-{
+class Location::Builder {
 public:
-    typedef Location Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef Location Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasInstance();
-    inline ::capnp::Text::Builder getInstance();
-    inline void setInstance(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initInstance(unsigned int size);
-    inline void adoptInstance(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownInstance();
-
-    inline bool hasRegion();
-    inline ::capnp::Text::Builder getRegion();
-    inline void setRegion(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initRegion(unsigned int size);
-    inline void adoptRegion(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownRegion();
-
-    inline bool hasFailureDomain();
-    inline ::capnp::Text::Builder getFailureDomain();
-    inline void setFailureDomain(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
-    inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Location::Pipeline
-{
+class Location::Pipeline {
 public:
-    typedef Location Pipelines;
+  typedef Location Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Header::Reader
-{
+class Header::Reader {
 public:
-    typedef Header Reads;
+  typedef Header Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasName() const;
-    inline ::capnp::Text::Reader getName() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-    inline bool hasValue() const;
-    inline ::capnp::Text::Reader getValue() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Header::Builder
-{
+class Header::Builder {
 public:
-    typedef Header Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef Header Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasName();
-    inline ::capnp::Text::Builder getName();
-    inline void setName(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initName(unsigned int size);
-    inline void adoptName(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownName();
-
-    inline bool hasValue();
-    inline ::capnp::Text::Builder getValue();
-    inline void setValue(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initValue(unsigned int size);
-    inline void adoptValue(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownValue();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Header::Pipeline
-{
+class Header::Pipeline {
 public:
-    typedef Header Pipelines;
+  typedef Header Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class RequestProfile::Reader
-{
+class RequestProfile::Reader {
 public:
-    typedef RequestProfile Reads;
+  typedef RequestProfile Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getId() const;
 
-    inline bool hasId() const;
-    inline ::wigeonsill::schema::RequestId::Reader getId() const;
+  inline  ::uint8_t getTier() const;
 
-    inline ::uint8_t getTier() const;
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
 
-    inline bool hasOrganisation() const;
-    inline ::capnp::Text::Reader getOrganisation() const;
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
 
-    inline bool hasPool() const;
-    inline ::capnp::Text::Reader getPool() const;
+  inline  ::uint32_t getWeight() const;
 
-    inline ::uint32_t getWeight() const;
+  inline  ::uint32_t getPromptTokens() const;
 
-    inline ::uint32_t getPromptTokens() const;
+  inline  ::uint32_t getOutputTokens() const;
 
-    inline ::uint32_t getOutputTokens() const;
+  inline bool hasPrefixHashes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPrefixHashes() const;
 
-    inline bool hasPrefixHashes() const;
-    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getPrefixHashes() const;
+  inline  ::int64_t getTimeLeftUs() const;
 
-    inline ::int64_t getTimeLeftUs() const;
+  inline bool getNonIdempotent() const;
 
-    inline bool getNonIdempotent() const;
+  inline  ::uint8_t getPreemption() const;
 
-    inline ::uint8_t getPreemption() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint8_t getWeighting() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class RequestProfile::Builder
-{
+class RequestProfile::Builder {
 public:
-    typedef RequestProfile Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef RequestProfile Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasId();
-    inline ::wigeonsill::schema::RequestId::Builder getId();
-    inline void setId(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initId();
-    inline void adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownId();
-
-    inline ::uint8_t getTier();
-    inline void setTier(::uint8_t value);
-
-    inline bool hasOrganisation();
-    inline ::capnp::Text::Builder getOrganisation();
-    inline void setOrganisation(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initOrganisation(unsigned int size);
-    inline void adoptOrganisation(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownOrganisation();
-
-    inline bool hasPool();
-    inline ::capnp::Text::Builder getPool();
-    inline void setPool(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initPool(unsigned int size);
-    inline void adoptPool(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownPool();
-
-    inline ::uint32_t getWeight();
-    inline void setWeight(::uint32_t value);
-
-    inline ::uint32_t getPromptTokens();
-    inline void setPromptTokens(::uint32_t value);
-
-    inline ::uint32_t getOutputTokens();
-    inline void setOutputTokens(::uint32_t value);
-
-    inline bool hasPrefixHashes();
-    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getPrefixHashes();
-    inline void setPrefixHashes(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
-    inline void setPrefixHashes(::kj::ArrayPtr<const ::uint64_t> value);
-    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder initPrefixHashes(
-        unsigned int size);
-    inline void adoptPrefixHashes(
-        ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
-    disownPrefixHashes();
-
-    inline ::int64_t getTimeLeftUs();
-    inline void setTimeLeftUs(::int64_t value);
-
-    inline bool getNonIdempotent();
-    inline void setNonIdempotent(bool value);
-
-    inline ::uint8_t getPreemption();
-    inline void setPreemption(::uint8_t value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::wigeonsill::schema::RequestId::Builder getId();
+  inline void setId( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownId();
+
+  inline  ::uint8_t getTier();
+  inline void setTier( ::uint8_t value);
+
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+
+  inline  ::uint32_t getWeight();
+  inline void setWeight( ::uint32_t value);
+
+  inline  ::uint32_t getPromptTokens();
+  inline void setPromptTokens( ::uint32_t value);
+
+  inline  ::uint32_t getOutputTokens();
+  inline void setOutputTokens( ::uint32_t value);
+
+  inline bool hasPrefixHashes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getPrefixHashes();
+  inline void setPrefixHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPrefixHashes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initPrefixHashes(unsigned int size);
+  inline void adoptPrefixHashes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPrefixHashes();
+
+  inline  ::int64_t getTimeLeftUs();
+  inline void setTimeLeftUs( ::int64_t value);
+
+  inline bool getNonIdempotent();
+  inline void setNonIdempotent(bool value);
+
+  inline  ::uint8_t getPreemption();
+  inline void setPreemption( ::uint8_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint8_t getWeighting();
+  inline void setWeighting( ::uint8_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class RequestProfile::Pipeline
-{
+class RequestProfile::Pipeline {
 public:
-    typedef RequestProfile Pipelines;
+  typedef RequestProfile Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
-
-    inline ::wigeonsill::schema::RequestId::Pipeline getId();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wigeonsill::schema::RequestId::Pipeline getId();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class ForwardedRequest::Reader
-{
+class ForwardedRequest::Reader {
 public:
-    typedef ForwardedRequest Reads;
+  typedef ForwardedRequest Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasMethod() const;
-    inline ::capnp::Text::Reader getMethod() const;
+  inline bool hasMethod() const;
+  inline  ::capnp::Text::Reader getMethod() const;
 
-    inline bool hasPath() const;
-    inline ::capnp::Text::Reader getPath() const;
+  inline bool hasPath() const;
+  inline  ::capnp::Text::Reader getPath() const;
 
-    inline bool hasHeaders() const;
-    inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Reader
-    getHeaders() const;
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
-    inline bool hasBody() const;
-    inline ::capnp::Data::Reader getBody() const;
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class ForwardedRequest::Builder
-{
+class ForwardedRequest::Builder {
 public:
-    typedef ForwardedRequest Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef ForwardedRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasMethod();
-    inline ::capnp::Text::Builder getMethod();
-    inline void setMethod(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initMethod(unsigned int size);
-    inline void adoptMethod(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownMethod();
-
-    inline bool hasPath();
-    inline ::capnp::Text::Builder getPath();
-    inline void setPath(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initPath(unsigned int size);
-    inline void adoptPath(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownPath();
-
-    inline bool hasHeaders();
-    inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
-    inline void setHeaders(
-        ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
-        unsigned int size);
-    inline void adoptHeaders(
-        ::capnp::Orphan<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>
-            &&value);
-    inline ::capnp::Orphan<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>
-    disownHeaders();
-
-    inline bool hasBody();
-    inline ::capnp::Data::Builder getBody();
-    inline void setBody(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initBody(unsigned int size);
-    inline void adoptBody(::capnp::Orphan<::capnp::Data> &&value);
-    inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMethod();
+  inline  ::capnp::Text::Builder getMethod();
+  inline void setMethod( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+
+  inline bool hasPath();
+  inline  ::capnp::Text::Builder getPath();
+  inline void setPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPath();
+
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ForwardedRequest::Pipeline
-{
+class ForwardedRequest::Pipeline {
 public:
-    typedef ForwardedRequest Pipelines;
+  typedef ForwardedRequest Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class PoolFloor::Reader
-{
+class PoolFloor::Reader {
 public:
-    typedef PoolFloor Reads;
+  typedef PoolFloor Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasPool() const;
-    inline ::capnp::Text::Reader getPool() const;
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
 
-    inline ::uint8_t getLowestServed() const;
+  inline  ::uint8_t getLowestServed() const;
 
-    inline ::int64_t getRemainingUs() const;
+  inline  ::int64_t getRemainingUs() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class PoolFloor::Builder
-{
+class PoolFloor::Builder {
 public:
-    typedef PoolFloor Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef PoolFloor Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasPool();
-    inline ::capnp::Text::Builder getPool();
-    inline void setPool(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initPool(unsigned int size);
-    inline void adoptPool(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownPool();
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
 
-    inline ::uint8_t getLowestServed();
-    inline void setLowestServed(::uint8_t value);
+  inline  ::uint8_t getLowestServed();
+  inline void setLowestServed( ::uint8_t value);
 
-    inline ::int64_t getRemainingUs();
-    inline void setRemainingUs(::int64_t value);
+  inline  ::int64_t getRemainingUs();
+  inline void setRemainingUs( ::int64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PoolFloor::Pipeline
-{
+class PoolFloor::Pipeline {
 public:
-    typedef PoolFloor Pipelines;
+  typedef PoolFloor Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class EntryHello::Reader
-{
+class EntryHello::Reader {
 public:
-    typedef EntryHello Reads;
+  typedef EntryHello Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasIncarnation() const;
-    inline ::wigeonsill::schema::Incarnation::Reader getIncarnation() const;
+  inline bool hasIncarnation() const;
+  inline  ::wigeonsill::schema::Incarnation::Reader getIncarnation() const;
 
-    inline bool hasLocation() const;
-    inline ::wigeonsill::schema::Location::Reader getLocation() const;
+  inline bool hasLocation() const;
+  inline  ::wigeonsill::schema::Location::Reader getLocation() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class EntryHello::Builder
-{
+class EntryHello::Builder {
 public:
-    typedef EntryHello Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef EntryHello Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasIncarnation();
-    inline ::wigeonsill::schema::Incarnation::Builder getIncarnation();
-    inline void setIncarnation(::wigeonsill::schema::Incarnation::Reader value);
-    inline ::wigeonsill::schema::Incarnation::Builder initIncarnation();
-    inline void adoptIncarnation(::capnp::Orphan<::wigeonsill::schema::Incarnation> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::Incarnation> disownIncarnation();
-
-    inline bool hasLocation();
-    inline ::wigeonsill::schema::Location::Builder getLocation();
-    inline void setLocation(::wigeonsill::schema::Location::Reader value);
-    inline ::wigeonsill::schema::Location::Builder initLocation();
-    inline void adoptLocation(::capnp::Orphan<::wigeonsill::schema::Location> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::Location> disownLocation();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIncarnation();
+  inline  ::wigeonsill::schema::Incarnation::Builder getIncarnation();
+  inline void setIncarnation( ::wigeonsill::schema::Incarnation::Reader value);
+  inline  ::wigeonsill::schema::Incarnation::Builder initIncarnation();
+  inline void adoptIncarnation(::capnp::Orphan< ::wigeonsill::schema::Incarnation>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::Incarnation> disownIncarnation();
+
+  inline bool hasLocation();
+  inline  ::wigeonsill::schema::Location::Builder getLocation();
+  inline void setLocation( ::wigeonsill::schema::Location::Reader value);
+  inline  ::wigeonsill::schema::Location::Builder initLocation();
+  inline void adoptLocation(::capnp::Orphan< ::wigeonsill::schema::Location>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::Location> disownLocation();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class EntryHello::Pipeline
-{
+class EntryHello::Pipeline {
 public:
-    typedef EntryHello Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef EntryHello Pipelines;
 
-    inline ::wigeonsill::schema::Incarnation::Pipeline getIncarnation();
-    inline ::wigeonsill::schema::Location::Pipeline getLocation();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wigeonsill::schema::Incarnation::Pipeline getIncarnation();
+  inline  ::wigeonsill::schema::Location::Pipeline getLocation();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Bind::Reader
-{
+class Bind::Reader {
 public:
-    typedef Bind Reads;
+  typedef Bind Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasProfile() const;
-    inline ::wigeonsill::schema::RequestProfile::Reader getProfile() const;
+  inline bool hasProfile() const;
+  inline  ::wigeonsill::schema::RequestProfile::Reader getProfile() const;
 
-    inline bool hasRequest() const;
-    inline ::wigeonsill::schema::ForwardedRequest::Reader getRequest() const;
+  inline bool hasRequest() const;
+  inline  ::wigeonsill::schema::ForwardedRequest::Reader getRequest() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Bind::Builder
-{
+class Bind::Builder {
 public:
-    typedef Bind Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef Bind Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasProfile();
-    inline ::wigeonsill::schema::RequestProfile::Builder getProfile();
-    inline void setProfile(::wigeonsill::schema::RequestProfile::Reader value);
-    inline ::wigeonsill::schema::RequestProfile::Builder initProfile();
-    inline void adoptProfile(::capnp::Orphan<::wigeonsill::schema::RequestProfile> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestProfile> disownProfile();
-
-    inline bool hasRequest();
-    inline ::wigeonsill::schema::ForwardedRequest::Builder getRequest();
-    inline void setRequest(::wigeonsill::schema::ForwardedRequest::Reader value);
-    inline ::wigeonsill::schema::ForwardedRequest::Builder initRequest();
-    inline void adoptRequest(::capnp::Orphan<::wigeonsill::schema::ForwardedRequest> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::ForwardedRequest> disownRequest();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProfile();
+  inline  ::wigeonsill::schema::RequestProfile::Builder getProfile();
+  inline void setProfile( ::wigeonsill::schema::RequestProfile::Reader value);
+  inline  ::wigeonsill::schema::RequestProfile::Builder initProfile();
+  inline void adoptProfile(::capnp::Orphan< ::wigeonsill::schema::RequestProfile>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestProfile> disownProfile();
+
+  inline bool hasRequest();
+  inline  ::wigeonsill::schema::ForwardedRequest::Builder getRequest();
+  inline void setRequest( ::wigeonsill::schema::ForwardedRequest::Reader value);
+  inline  ::wigeonsill::schema::ForwardedRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::wigeonsill::schema::ForwardedRequest>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::ForwardedRequest> disownRequest();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Bind::Pipeline
-{
+class Bind::Pipeline {
 public:
-    typedef Bind Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef Bind Pipelines;
 
-    inline ::wigeonsill::schema::RequestProfile::Pipeline getProfile();
-    inline ::wigeonsill::schema::ForwardedRequest::Pipeline getRequest();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wigeonsill::schema::RequestProfile::Pipeline getProfile();
+  inline  ::wigeonsill::schema::ForwardedRequest::Pipeline getRequest();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Resume::Reader
-{
+class Resume::Reader {
 public:
-    typedef Resume Reads;
+  typedef Resume Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasId() const;
-    inline ::wigeonsill::schema::RequestId::Reader getId() const;
+  inline bool hasId() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getId() const;
 
-    inline ::uint64_t getOffset() const;
+  inline  ::uint64_t getOffset() const;
 
-    inline bool getNeedHead() const;
+  inline bool getNeedHead() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Resume::Builder
-{
+class Resume::Builder {
 public:
-    typedef Resume Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef Resume Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasId();
-    inline ::wigeonsill::schema::RequestId::Builder getId();
-    inline void setId(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initId();
-    inline void adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownId();
+  inline bool hasId();
+  inline  ::wigeonsill::schema::RequestId::Builder getId();
+  inline void setId( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownId();
 
-    inline ::uint64_t getOffset();
-    inline void setOffset(::uint64_t value);
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
 
-    inline bool getNeedHead();
-    inline void setNeedHead(bool value);
+  inline bool getNeedHead();
+  inline void setNeedHead(bool value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Resume::Pipeline
-{
+class Resume::Pipeline {
 public:
-    typedef Resume Pipelines;
+  typedef Resume Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
-
-    inline ::wigeonsill::schema::RequestId::Pipeline getId();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wigeonsill::schema::RequestId::Pipeline getId();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Acknowledge::Reader
-{
+class Acknowledge::Reader {
 public:
-    typedef Acknowledge Reads;
+  typedef Acknowledge Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasId() const;
-    inline ::wigeonsill::schema::RequestId::Reader getId() const;
+  inline bool hasId() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getId() const;
 
-    inline ::uint64_t getOffset() const;
+  inline  ::uint64_t getOffset() const;
 
-    inline bool getFinal() const;
+  inline bool getFinal() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Acknowledge::Builder
-{
+class Acknowledge::Builder {
 public:
-    typedef Acknowledge Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef Acknowledge Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasId();
-    inline ::wigeonsill::schema::RequestId::Builder getId();
-    inline void setId(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initId();
-    inline void adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownId();
+  inline bool hasId();
+  inline  ::wigeonsill::schema::RequestId::Builder getId();
+  inline void setId( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownId();
 
-    inline ::uint64_t getOffset();
-    inline void setOffset(::uint64_t value);
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
 
-    inline bool getFinal();
-    inline void setFinal(bool value);
+  inline bool getFinal();
+  inline void setFinal(bool value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Acknowledge::Pipeline
-{
+class Acknowledge::Pipeline {
 public:
-    typedef Acknowledge Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef Acknowledge Pipelines;
 
-    inline ::wigeonsill::schema::RequestId::Pipeline getId();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wigeonsill::schema::RequestId::Pipeline getId();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class EntryHeartbeat::Reader
-{
+class EntryHeartbeat::Reader {
 public:
-    typedef EntryHeartbeat Reads;
+  typedef EntryHeartbeat Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getConfigurationRevision() const;
 
-    inline ::uint64_t getConfigurationRevision() const;
+  inline bool hasFloors() const;
+  inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader getFloors() const;
 
-    inline bool hasFloors() const;
-    inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Reader
-    getFloors() const;
+  inline  ::uint64_t getFloorSequence() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class EntryHeartbeat::Builder
-{
+class EntryHeartbeat::Builder {
 public:
-    typedef EntryHeartbeat Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef EntryHeartbeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline ::uint64_t getConfigurationRevision();
-    inline void setConfigurationRevision(::uint64_t value);
-
-    inline bool hasFloors();
-    inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Builder
-    getFloors();
-    inline void setFloors(
-        ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Builder
-    initFloors(unsigned int size);
-    inline void adoptFloors(
-        ::capnp::Orphan<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>
-            &&value);
-    inline ::capnp::Orphan<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>
-    disownFloors();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getConfigurationRevision();
+  inline void setConfigurationRevision( ::uint64_t value);
+
+  inline bool hasFloors();
+  inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder getFloors();
+  inline void setFloors( ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder initFloors(unsigned int size);
+  inline void adoptFloors(::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>> disownFloors();
+
+  inline  ::uint64_t getFloorSequence();
+  inline void setFloorSequence( ::uint64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class EntryHeartbeat::Pipeline
-{
+class EntryHeartbeat::Pipeline {
 public:
-    typedef EntryHeartbeat Pipelines;
+  typedef EntryHeartbeat Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class AgentHello::Reader
-{
+class AgentHello::Reader {
 public:
-    typedef AgentHello Reads;
+  typedef AgentHello Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasIncarnation() const;
-    inline ::wigeonsill::schema::Incarnation::Reader getIncarnation() const;
+  inline bool hasIncarnation() const;
+  inline  ::wigeonsill::schema::Incarnation::Reader getIncarnation() const;
 
-    inline bool hasLocation() const;
-    inline ::wigeonsill::schema::Location::Reader getLocation() const;
+  inline bool hasLocation() const;
+  inline  ::wigeonsill::schema::Location::Reader getLocation() const;
 
-    inline bool hasPools() const;
-    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getPools() const;
+  inline bool hasPools() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPools() const;
 
-    inline bool getDraining() const;
+  inline bool getDraining() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class AgentHello::Builder
-{
+class AgentHello::Builder {
 public:
-    typedef AgentHello Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef AgentHello Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasIncarnation();
-    inline ::wigeonsill::schema::Incarnation::Builder getIncarnation();
-    inline void setIncarnation(::wigeonsill::schema::Incarnation::Reader value);
-    inline ::wigeonsill::schema::Incarnation::Builder initIncarnation();
-    inline void adoptIncarnation(::capnp::Orphan<::wigeonsill::schema::Incarnation> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::Incarnation> disownIncarnation();
-
-    inline bool hasLocation();
-    inline ::wigeonsill::schema::Location::Builder getLocation();
-    inline void setLocation(::wigeonsill::schema::Location::Reader value);
-    inline ::wigeonsill::schema::Location::Builder initLocation();
-    inline void adoptLocation(::capnp::Orphan<::wigeonsill::schema::Location> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::Location> disownLocation();
-
-    inline bool hasPools();
-    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getPools();
-    inline void setPools(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-    inline void setPools(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initPools(unsigned int size);
-    inline void adoptPools(
-        ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownPools();
-
-    inline bool getDraining();
-    inline void setDraining(bool value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIncarnation();
+  inline  ::wigeonsill::schema::Incarnation::Builder getIncarnation();
+  inline void setIncarnation( ::wigeonsill::schema::Incarnation::Reader value);
+  inline  ::wigeonsill::schema::Incarnation::Builder initIncarnation();
+  inline void adoptIncarnation(::capnp::Orphan< ::wigeonsill::schema::Incarnation>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::Incarnation> disownIncarnation();
+
+  inline bool hasLocation();
+  inline  ::wigeonsill::schema::Location::Builder getLocation();
+  inline void setLocation( ::wigeonsill::schema::Location::Reader value);
+  inline  ::wigeonsill::schema::Location::Builder initLocation();
+  inline void adoptLocation(::capnp::Orphan< ::wigeonsill::schema::Location>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::Location> disownLocation();
+
+  inline bool hasPools();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPools();
+  inline void setPools( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setPools(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPools(unsigned int size);
+  inline void adoptPools(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPools();
+
+  inline bool getDraining();
+  inline void setDraining(bool value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class AgentHello::Pipeline
-{
+class AgentHello::Pipeline {
 public:
-    typedef AgentHello Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef AgentHello Pipelines;
 
-    inline ::wigeonsill::schema::Incarnation::Pipeline getIncarnation();
-    inline ::wigeonsill::schema::Location::Pipeline getLocation();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wigeonsill::schema::Incarnation::Pipeline getIncarnation();
+  inline  ::wigeonsill::schema::Location::Pipeline getLocation();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class IdWithReason::Reader
-{
+class IdWithReason::Reader {
 public:
-    typedef IdWithReason Reads;
+  typedef IdWithReason Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasId() const;
-    inline ::wigeonsill::schema::RequestId::Reader getId() const;
+  inline bool hasId() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getId() const;
 
-    inline ::uint16_t getReason() const;
+  inline  ::uint16_t getReason() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class IdWithReason::Builder
-{
+class IdWithReason::Builder {
 public:
-    typedef IdWithReason Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef IdWithReason Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasId();
-    inline ::wigeonsill::schema::RequestId::Builder getId();
-    inline void setId(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initId();
-    inline void adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownId();
+  inline bool hasId();
+  inline  ::wigeonsill::schema::RequestId::Builder getId();
+  inline void setId( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownId();
 
-    inline ::uint16_t getReason();
-    inline void setReason(::uint16_t value);
+  inline  ::uint16_t getReason();
+  inline void setReason( ::uint16_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class IdWithReason::Pipeline
-{
+class IdWithReason::Pipeline {
 public:
-    typedef IdWithReason Pipelines;
+  typedef IdWithReason Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
-
-    inline ::wigeonsill::schema::RequestId::Pipeline getId();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wigeonsill::schema::RequestId::Pipeline getId();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class AnswerHead::Reader
-{
+class ReservationEnded::Reader {
 public:
-    typedef AnswerHead Reads;
+  typedef ReservationEnded Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasId() const;
-    inline ::wigeonsill::schema::RequestId::Reader getId() const;
+  inline bool hasId() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getId() const;
 
-    inline ::int32_t getStatus() const;
+  inline  ::uint16_t getReason() const;
 
-    inline bool hasHeaders() const;
-    inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Reader
-    getHeaders() const;
+  inline bool hasFloors() const;
+  inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader getFloors() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class AnswerHead::Builder
-{
+class ReservationEnded::Builder {
 public:
-    typedef AnswerHead Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef ReservationEnded Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasId();
-    inline ::wigeonsill::schema::RequestId::Builder getId();
-    inline void setId(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initId();
-    inline void adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownId();
-
-    inline ::int32_t getStatus();
-    inline void setStatus(::int32_t value);
-
-    inline bool hasHeaders();
-    inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
-    inline void setHeaders(
-        ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
-        unsigned int size);
-    inline void adoptHeaders(
-        ::capnp::Orphan<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>
-            &&value);
-    inline ::capnp::Orphan<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>
-    disownHeaders();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::wigeonsill::schema::RequestId::Builder getId();
+  inline void setId( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownId();
+
+  inline  ::uint16_t getReason();
+  inline void setReason( ::uint16_t value);
+
+  inline bool hasFloors();
+  inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder getFloors();
+  inline void setFloors( ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder initFloors(unsigned int size);
+  inline void adoptFloors(::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>> disownFloors();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class AnswerHead::Pipeline
-{
+class ReservationEnded::Pipeline {
 public:
-    typedef AnswerHead Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef ReservationEnded Pipelines;
 
-    inline ::wigeonsill::schema::RequestId::Pipeline getId();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wigeonsill::schema::RequestId::Pipeline getId();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class AnswerBytes::Reader
-{
+class AnswerHead::Reader {
 public:
-    typedef AnswerBytes Reads;
+  typedef AnswerHead Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasId() const;
-    inline ::wigeonsill::schema::RequestId::Reader getId() const;
+  inline bool hasId() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getId() const;
 
-    inline ::uint64_t getOffset() const;
+  inline  ::int32_t getStatus() const;
 
-    inline bool hasBytes() const;
-    inline ::capnp::Data::Reader getBytes() const;
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class AnswerBytes::Builder
-{
+class AnswerHead::Builder {
 public:
-    typedef AnswerBytes Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef AnswerHead Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasId();
-    inline ::wigeonsill::schema::RequestId::Builder getId();
-    inline void setId(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initId();
-    inline void adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownId();
-
-    inline ::uint64_t getOffset();
-    inline void setOffset(::uint64_t value);
-
-    inline bool hasBytes();
-    inline ::capnp::Data::Builder getBytes();
-    inline void setBytes(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initBytes(unsigned int size);
-    inline void adoptBytes(::capnp::Orphan<::capnp::Data> &&value);
-    inline ::capnp::Orphan<::capnp::Data> disownBytes();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::wigeonsill::schema::RequestId::Builder getId();
+  inline void setId( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownId();
+
+  inline  ::int32_t getStatus();
+  inline void setStatus( ::int32_t value);
+
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class AnswerBytes::Pipeline
-{
+class AnswerHead::Pipeline {
 public:
-    typedef AnswerBytes Pipelines;
+  typedef AnswerHead Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::wigeonsill::schema::RequestId::Pipeline getId();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AnswerBytes::Reader {
+public:
+  typedef AnswerBytes Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-    inline ::wigeonsill::schema::RequestId::Pipeline getId();
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getId() const;
+
+  inline  ::uint64_t getOffset() const;
+
+  inline bool hasBytes() const;
+  inline  ::capnp::Data::Reader getBytes() const;
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
-#endif // !CAPNP_LITE
 
-class AnswerEnd::Reader
-{
+class AnswerBytes::Builder {
 public:
-    typedef AnswerEnd Reads;
+  typedef AnswerBytes Builds;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::wigeonsill::schema::RequestId::Builder getId();
+  inline void setId( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownId();
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline bool hasBytes();
+  inline  ::capnp::Data::Builder getBytes();
+  inline void setBytes( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBytes(unsigned int size);
+  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+class AnswerBytes::Pipeline {
+public:
+  typedef AnswerBytes Pipelines;
 
-    inline bool hasId() const;
-    inline ::wigeonsill::schema::RequestId::Reader getId() const;
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-    inline ::uint16_t getResult() const;
+  inline  ::wigeonsill::schema::RequestId::Pipeline getId();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AnswerEnd::Reader {
+public:
+  typedef AnswerEnd Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getId() const;
 
-    inline ::uint64_t getTotalBytes() const;
+  inline  ::uint16_t getResult() const;
 
-    inline ::uint32_t getPromptTokens() const;
+  inline  ::uint64_t getTotalBytes() const;
 
-    inline ::uint32_t getCachedTokens() const;
+  inline  ::uint32_t getPromptTokens() const;
 
-    inline ::uint32_t getOutputTokens() const;
+  inline  ::uint32_t getCachedTokens() const;
+
+  inline  ::uint32_t getOutputTokens() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class AnswerEnd::Builder
-{
+class AnswerEnd::Builder {
 public:
-    typedef AnswerEnd Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef AnswerEnd Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasId();
-    inline ::wigeonsill::schema::RequestId::Builder getId();
-    inline void setId(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initId();
-    inline void adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownId();
+  inline bool hasId();
+  inline  ::wigeonsill::schema::RequestId::Builder getId();
+  inline void setId( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownId();
 
-    inline ::uint16_t getResult();
-    inline void setResult(::uint16_t value);
+  inline  ::uint16_t getResult();
+  inline void setResult( ::uint16_t value);
 
-    inline ::uint64_t getTotalBytes();
-    inline void setTotalBytes(::uint64_t value);
+  inline  ::uint64_t getTotalBytes();
+  inline void setTotalBytes( ::uint64_t value);
 
-    inline ::uint32_t getPromptTokens();
-    inline void setPromptTokens(::uint32_t value);
+  inline  ::uint32_t getPromptTokens();
+  inline void setPromptTokens( ::uint32_t value);
 
-    inline ::uint32_t getCachedTokens();
-    inline void setCachedTokens(::uint32_t value);
+  inline  ::uint32_t getCachedTokens();
+  inline void setCachedTokens( ::uint32_t value);
 
-    inline ::uint32_t getOutputTokens();
-    inline void setOutputTokens(::uint32_t value);
+  inline  ::uint32_t getOutputTokens();
+  inline void setOutputTokens( ::uint32_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class AnswerEnd::Pipeline
-{
+class AnswerEnd::Pipeline {
 public:
-    typedef AnswerEnd Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef AnswerEnd Pipelines;
 
-    inline ::wigeonsill::schema::RequestId::Pipeline getId();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wigeonsill::schema::RequestId::Pipeline getId();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class AgentHeartbeat::Reader
-{
+class AgentHeartbeat::Reader {
 public:
-    typedef AgentHeartbeat Reads;
+  typedef AgentHeartbeat Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getConfigurationRevision() const;
+  inline  ::uint64_t getConfigurationRevision() const;
 
-    inline bool getDraining() const;
+  inline bool getDraining() const;
 
-    inline ::uint64_t getTokensInFlight() const;
+  inline  ::uint64_t getTokensInFlight() const;
 
-    inline ::uint64_t getTokenLimit() const;
+  inline  ::uint64_t getTokenLimit() const;
 
-    inline ::uint32_t getRunning() const;
+  inline  ::uint32_t getRunning() const;
 
-    inline ::uint32_t getWaiting() const;
+  inline  ::uint32_t getWaiting() const;
 
-    inline bool hasFloors() const;
-    inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Reader
-    getFloors() const;
+  inline bool hasFloors() const;
+  inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader getFloors() const;
+
+  inline  ::uint64_t getFloorSequence() const;
+
+  inline double getTokensPerSecond() const;
+
+  inline bool hasExpectedWaitUs() const;
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader getExpectedWaitUs() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class AgentHeartbeat::Builder
-{
+class AgentHeartbeat::Builder {
 public:
-    typedef AgentHeartbeat Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef AgentHeartbeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getConfigurationRevision();
+  inline void setConfigurationRevision( ::uint64_t value);
+
+  inline bool getDraining();
+  inline void setDraining(bool value);
 
-    inline ::uint64_t getConfigurationRevision();
-    inline void setConfigurationRevision(::uint64_t value);
+  inline  ::uint64_t getTokensInFlight();
+  inline void setTokensInFlight( ::uint64_t value);
 
-    inline bool getDraining();
-    inline void setDraining(bool value);
+  inline  ::uint64_t getTokenLimit();
+  inline void setTokenLimit( ::uint64_t value);
 
-    inline ::uint64_t getTokensInFlight();
-    inline void setTokensInFlight(::uint64_t value);
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
 
-    inline ::uint64_t getTokenLimit();
-    inline void setTokenLimit(::uint64_t value);
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
 
-    inline ::uint32_t getRunning();
-    inline void setRunning(::uint32_t value);
+  inline bool hasFloors();
+  inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder getFloors();
+  inline void setFloors( ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder initFloors(unsigned int size);
+  inline void adoptFloors(::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>> disownFloors();
 
-    inline ::uint32_t getWaiting();
-    inline void setWaiting(::uint32_t value);
+  inline  ::uint64_t getFloorSequence();
+  inline void setFloorSequence( ::uint64_t value);
 
-    inline bool hasFloors();
-    inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Builder
-    getFloors();
-    inline void setFloors(
-        ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Builder
-    initFloors(unsigned int size);
-    inline void adoptFloors(
-        ::capnp::Orphan<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>
-            &&value);
-    inline ::capnp::Orphan<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>
-    disownFloors();
+  inline double getTokensPerSecond();
+  inline void setTokensPerSecond(double value);
+
+  inline bool hasExpectedWaitUs();
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder getExpectedWaitUs();
+  inline void setExpectedWaitUs( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setExpectedWaitUs(::kj::ArrayPtr<const  ::int64_t> value);
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder initExpectedWaitUs(unsigned int size);
+  inline void adoptExpectedWaitUs(::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> disownExpectedWaitUs();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class AgentHeartbeat::Pipeline
-{
+class AgentHeartbeat::Pipeline {
 public:
-    typedef AgentHeartbeat Pipelines;
+  typedef AgentHeartbeat Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class EntryFrame::Reader
-{
+class EntryFrame::Reader {
 public:
-    typedef EntryFrame Reads;
+  typedef EntryFrame Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline Which which() const;
-    inline bool isHello() const;
-    inline bool hasHello() const;
-    inline ::wigeonsill::schema::EntryHello::Reader getHello() const;
+  inline Which which() const;
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::wigeonsill::schema::EntryHello::Reader getHello() const;
 
-    inline bool isReserve() const;
-    inline bool hasReserve() const;
-    inline ::wigeonsill::schema::RequestProfile::Reader getReserve() const;
+  inline bool isReserve() const;
+  inline bool hasReserve() const;
+  inline  ::wigeonsill::schema::RequestProfile::Reader getReserve() const;
 
-    inline bool isWithdraw() const;
-    inline bool hasWithdraw() const;
-    inline ::wigeonsill::schema::RequestId::Reader getWithdraw() const;
+  inline bool isWithdraw() const;
+  inline bool hasWithdraw() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getWithdraw() const;
 
-    inline bool isBind() const;
-    inline bool hasBind() const;
-    inline ::wigeonsill::schema::Bind::Reader getBind() const;
+  inline bool isBind() const;
+  inline bool hasBind() const;
+  inline  ::wigeonsill::schema::Bind::Reader getBind() const;
 
-    inline bool isDecline() const;
-    inline bool hasDecline() const;
-    inline ::wigeonsill::schema::RequestId::Reader getDecline() const;
+  inline bool isDecline() const;
+  inline bool hasDecline() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getDecline() const;
 
-    inline bool isCancelRun() const;
-    inline bool hasCancelRun() const;
-    inline ::wigeonsill::schema::RequestId::Reader getCancelRun() const;
+  inline bool isCancelRun() const;
+  inline bool hasCancelRun() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getCancelRun() const;
 
-    inline bool isResume() const;
-    inline bool hasResume() const;
-    inline ::wigeonsill::schema::Resume::Reader getResume() const;
+  inline bool isResume() const;
+  inline bool hasResume() const;
+  inline  ::wigeonsill::schema::Resume::Reader getResume() const;
 
-    inline bool isAcknowledge() const;
-    inline bool hasAcknowledge() const;
-    inline ::wigeonsill::schema::Acknowledge::Reader getAcknowledge() const;
+  inline bool isAcknowledge() const;
+  inline bool hasAcknowledge() const;
+  inline  ::wigeonsill::schema::Acknowledge::Reader getAcknowledge() const;
 
-    inline bool isHeartbeat() const;
-    inline bool hasHeartbeat() const;
-    inline ::wigeonsill::schema::EntryHeartbeat::Reader getHeartbeat() const;
+  inline bool isHeartbeat() const;
+  inline bool hasHeartbeat() const;
+  inline  ::wigeonsill::schema::EntryHeartbeat::Reader getHeartbeat() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class EntryFrame::Builder
-{
+class EntryFrame::Builder {
 public:
-    typedef EntryFrame Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef EntryFrame Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline Which which();
-    inline bool isHello();
-    inline bool hasHello();
-    inline ::wigeonsill::schema::EntryHello::Builder getHello();
-    inline void setHello(::wigeonsill::schema::EntryHello::Reader value);
-    inline ::wigeonsill::schema::EntryHello::Builder initHello();
-    inline void adoptHello(::capnp::Orphan<::wigeonsill::schema::EntryHello> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::EntryHello> disownHello();
-
-    inline bool isReserve();
-    inline bool hasReserve();
-    inline ::wigeonsill::schema::RequestProfile::Builder getReserve();
-    inline void setReserve(::wigeonsill::schema::RequestProfile::Reader value);
-    inline ::wigeonsill::schema::RequestProfile::Builder initReserve();
-    inline void adoptReserve(::capnp::Orphan<::wigeonsill::schema::RequestProfile> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestProfile> disownReserve();
-
-    inline bool isWithdraw();
-    inline bool hasWithdraw();
-    inline ::wigeonsill::schema::RequestId::Builder getWithdraw();
-    inline void setWithdraw(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initWithdraw();
-    inline void adoptWithdraw(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownWithdraw();
-
-    inline bool isBind();
-    inline bool hasBind();
-    inline ::wigeonsill::schema::Bind::Builder getBind();
-    inline void setBind(::wigeonsill::schema::Bind::Reader value);
-    inline ::wigeonsill::schema::Bind::Builder initBind();
-    inline void adoptBind(::capnp::Orphan<::wigeonsill::schema::Bind> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::Bind> disownBind();
-
-    inline bool isDecline();
-    inline bool hasDecline();
-    inline ::wigeonsill::schema::RequestId::Builder getDecline();
-    inline void setDecline(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initDecline();
-    inline void adoptDecline(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownDecline();
-
-    inline bool isCancelRun();
-    inline bool hasCancelRun();
-    inline ::wigeonsill::schema::RequestId::Builder getCancelRun();
-    inline void setCancelRun(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initCancelRun();
-    inline void adoptCancelRun(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownCancelRun();
-
-    inline bool isResume();
-    inline bool hasResume();
-    inline ::wigeonsill::schema::Resume::Builder getResume();
-    inline void setResume(::wigeonsill::schema::Resume::Reader value);
-    inline ::wigeonsill::schema::Resume::Builder initResume();
-    inline void adoptResume(::capnp::Orphan<::wigeonsill::schema::Resume> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::Resume> disownResume();
-
-    inline bool isAcknowledge();
-    inline bool hasAcknowledge();
-    inline ::wigeonsill::schema::Acknowledge::Builder getAcknowledge();
-    inline void setAcknowledge(::wigeonsill::schema::Acknowledge::Reader value);
-    inline ::wigeonsill::schema::Acknowledge::Builder initAcknowledge();
-    inline void adoptAcknowledge(::capnp::Orphan<::wigeonsill::schema::Acknowledge> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::Acknowledge> disownAcknowledge();
-
-    inline bool isHeartbeat();
-    inline bool hasHeartbeat();
-    inline ::wigeonsill::schema::EntryHeartbeat::Builder getHeartbeat();
-    inline void setHeartbeat(::wigeonsill::schema::EntryHeartbeat::Reader value);
-    inline ::wigeonsill::schema::EntryHeartbeat::Builder initHeartbeat();
-    inline void adoptHeartbeat(::capnp::Orphan<::wigeonsill::schema::EntryHeartbeat> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::EntryHeartbeat> disownHeartbeat();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::wigeonsill::schema::EntryHello::Builder getHello();
+  inline void setHello( ::wigeonsill::schema::EntryHello::Reader value);
+  inline  ::wigeonsill::schema::EntryHello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::wigeonsill::schema::EntryHello>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::EntryHello> disownHello();
+
+  inline bool isReserve();
+  inline bool hasReserve();
+  inline  ::wigeonsill::schema::RequestProfile::Builder getReserve();
+  inline void setReserve( ::wigeonsill::schema::RequestProfile::Reader value);
+  inline  ::wigeonsill::schema::RequestProfile::Builder initReserve();
+  inline void adoptReserve(::capnp::Orphan< ::wigeonsill::schema::RequestProfile>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestProfile> disownReserve();
+
+  inline bool isWithdraw();
+  inline bool hasWithdraw();
+  inline  ::wigeonsill::schema::RequestId::Builder getWithdraw();
+  inline void setWithdraw( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initWithdraw();
+  inline void adoptWithdraw(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownWithdraw();
+
+  inline bool isBind();
+  inline bool hasBind();
+  inline  ::wigeonsill::schema::Bind::Builder getBind();
+  inline void setBind( ::wigeonsill::schema::Bind::Reader value);
+  inline  ::wigeonsill::schema::Bind::Builder initBind();
+  inline void adoptBind(::capnp::Orphan< ::wigeonsill::schema::Bind>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::Bind> disownBind();
+
+  inline bool isDecline();
+  inline bool hasDecline();
+  inline  ::wigeonsill::schema::RequestId::Builder getDecline();
+  inline void setDecline( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initDecline();
+  inline void adoptDecline(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownDecline();
+
+  inline bool isCancelRun();
+  inline bool hasCancelRun();
+  inline  ::wigeonsill::schema::RequestId::Builder getCancelRun();
+  inline void setCancelRun( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initCancelRun();
+  inline void adoptCancelRun(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownCancelRun();
+
+  inline bool isResume();
+  inline bool hasResume();
+  inline  ::wigeonsill::schema::Resume::Builder getResume();
+  inline void setResume( ::wigeonsill::schema::Resume::Reader value);
+  inline  ::wigeonsill::schema::Resume::Builder initResume();
+  inline void adoptResume(::capnp::Orphan< ::wigeonsill::schema::Resume>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::Resume> disownResume();
+
+  inline bool isAcknowledge();
+  inline bool hasAcknowledge();
+  inline  ::wigeonsill::schema::Acknowledge::Builder getAcknowledge();
+  inline void setAcknowledge( ::wigeonsill::schema::Acknowledge::Reader value);
+  inline  ::wigeonsill::schema::Acknowledge::Builder initAcknowledge();
+  inline void adoptAcknowledge(::capnp::Orphan< ::wigeonsill::schema::Acknowledge>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::Acknowledge> disownAcknowledge();
+
+  inline bool isHeartbeat();
+  inline bool hasHeartbeat();
+  inline  ::wigeonsill::schema::EntryHeartbeat::Builder getHeartbeat();
+  inline void setHeartbeat( ::wigeonsill::schema::EntryHeartbeat::Reader value);
+  inline  ::wigeonsill::schema::EntryHeartbeat::Builder initHeartbeat();
+  inline void adoptHeartbeat(::capnp::Orphan< ::wigeonsill::schema::EntryHeartbeat>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::EntryHeartbeat> disownHeartbeat();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class EntryFrame::Pipeline
-{
+class EntryFrame::Pipeline {
 public:
-    typedef EntryFrame Pipelines;
+  typedef EntryFrame Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class AgentFrame::Reader
-{
+class AgentFrame::Reader {
 public:
-    typedef AgentFrame Reads;
+  typedef AgentFrame Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline Which which() const;
-    inline bool isHello() const;
-    inline bool hasHello() const;
-    inline ::wigeonsill::schema::AgentHello::Reader getHello() const;
+  inline Which which() const;
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::wigeonsill::schema::AgentHello::Reader getHello() const;
 
-    inline bool isPull() const;
-    inline bool hasPull() const;
-    inline ::wigeonsill::schema::RequestId::Reader getPull() const;
+  inline bool isPull() const;
+  inline bool hasPull() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getPull() const;
 
-    inline bool isReservationEnded() const;
-    inline bool hasReservationEnded() const;
-    inline ::wigeonsill::schema::IdWithReason::Reader getReservationEnded() const;
+  inline bool isReservationEnded() const;
+  inline bool hasReservationEnded() const;
+  inline  ::wigeonsill::schema::ReservationEnded::Reader getReservationEnded() const;
 
-    inline bool isAnswerHead() const;
-    inline bool hasAnswerHead() const;
-    inline ::wigeonsill::schema::AnswerHead::Reader getAnswerHead() const;
+  inline bool isAnswerHead() const;
+  inline bool hasAnswerHead() const;
+  inline  ::wigeonsill::schema::AnswerHead::Reader getAnswerHead() const;
 
-    inline bool isAnswerBytes() const;
-    inline bool hasAnswerBytes() const;
-    inline ::wigeonsill::schema::AnswerBytes::Reader getAnswerBytes() const;
+  inline bool isAnswerBytes() const;
+  inline bool hasAnswerBytes() const;
+  inline  ::wigeonsill::schema::AnswerBytes::Reader getAnswerBytes() const;
 
-    inline bool isAnswerEnd() const;
-    inline bool hasAnswerEnd() const;
-    inline ::wigeonsill::schema::AnswerEnd::Reader getAnswerEnd() const;
+  inline bool isAnswerEnd() const;
+  inline bool hasAnswerEnd() const;
+  inline  ::wigeonsill::schema::AnswerEnd::Reader getAnswerEnd() const;
 
-    inline bool isNotRun() const;
-    inline bool hasNotRun() const;
-    inline ::wigeonsill::schema::IdWithReason::Reader getNotRun() const;
+  inline bool isNotRun() const;
+  inline bool hasNotRun() const;
+  inline  ::wigeonsill::schema::IdWithReason::Reader getNotRun() const;
 
-    inline bool isStillRunning() const;
-    inline bool hasStillRunning() const;
-    inline ::wigeonsill::schema::RequestId::Reader getStillRunning() const;
+  inline bool isStillRunning() const;
+  inline bool hasStillRunning() const;
+  inline  ::wigeonsill::schema::RequestId::Reader getStillRunning() const;
 
-    inline bool isHeartbeat() const;
-    inline bool hasHeartbeat() const;
-    inline ::wigeonsill::schema::AgentHeartbeat::Reader getHeartbeat() const;
+  inline bool isHeartbeat() const;
+  inline bool hasHeartbeat() const;
+  inline  ::wigeonsill::schema::AgentHeartbeat::Reader getHeartbeat() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class AgentFrame::Builder
-{
+class AgentFrame::Builder {
 public:
-    typedef AgentFrame Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef AgentFrame Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline Which which();
-    inline bool isHello();
-    inline bool hasHello();
-    inline ::wigeonsill::schema::AgentHello::Builder getHello();
-    inline void setHello(::wigeonsill::schema::AgentHello::Reader value);
-    inline ::wigeonsill::schema::AgentHello::Builder initHello();
-    inline void adoptHello(::capnp::Orphan<::wigeonsill::schema::AgentHello> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::AgentHello> disownHello();
-
-    inline bool isPull();
-    inline bool hasPull();
-    inline ::wigeonsill::schema::RequestId::Builder getPull();
-    inline void setPull(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initPull();
-    inline void adoptPull(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownPull();
-
-    inline bool isReservationEnded();
-    inline bool hasReservationEnded();
-    inline ::wigeonsill::schema::IdWithReason::Builder getReservationEnded();
-    inline void setReservationEnded(::wigeonsill::schema::IdWithReason::Reader value);
-    inline ::wigeonsill::schema::IdWithReason::Builder initReservationEnded();
-    inline void adoptReservationEnded(::capnp::Orphan<::wigeonsill::schema::IdWithReason> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::IdWithReason> disownReservationEnded();
-
-    inline bool isAnswerHead();
-    inline bool hasAnswerHead();
-    inline ::wigeonsill::schema::AnswerHead::Builder getAnswerHead();
-    inline void setAnswerHead(::wigeonsill::schema::AnswerHead::Reader value);
-    inline ::wigeonsill::schema::AnswerHead::Builder initAnswerHead();
-    inline void adoptAnswerHead(::capnp::Orphan<::wigeonsill::schema::AnswerHead> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::AnswerHead> disownAnswerHead();
-
-    inline bool isAnswerBytes();
-    inline bool hasAnswerBytes();
-    inline ::wigeonsill::schema::AnswerBytes::Builder getAnswerBytes();
-    inline void setAnswerBytes(::wigeonsill::schema::AnswerBytes::Reader value);
-    inline ::wigeonsill::schema::AnswerBytes::Builder initAnswerBytes();
-    inline void adoptAnswerBytes(::capnp::Orphan<::wigeonsill::schema::AnswerBytes> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::AnswerBytes> disownAnswerBytes();
-
-    inline bool isAnswerEnd();
-    inline bool hasAnswerEnd();
-    inline ::wigeonsill::schema::AnswerEnd::Builder getAnswerEnd();
-    inline void setAnswerEnd(::wigeonsill::schema::AnswerEnd::Reader value);
-    inline ::wigeonsill::schema::AnswerEnd::Builder initAnswerEnd();
-    inline void adoptAnswerEnd(::capnp::Orphan<::wigeonsill::schema::AnswerEnd> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::AnswerEnd> disownAnswerEnd();
-
-    inline bool isNotRun();
-    inline bool hasNotRun();
-    inline ::wigeonsill::schema::IdWithReason::Builder getNotRun();
-    inline void setNotRun(::wigeonsill::schema::IdWithReason::Reader value);
-    inline ::wigeonsill::schema::IdWithReason::Builder initNotRun();
-    inline void adoptNotRun(::capnp::Orphan<::wigeonsill::schema::IdWithReason> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::IdWithReason> disownNotRun();
-
-    inline bool isStillRunning();
-    inline bool hasStillRunning();
-    inline ::wigeonsill::schema::RequestId::Builder getStillRunning();
-    inline void setStillRunning(::wigeonsill::schema::RequestId::Reader value);
-    inline ::wigeonsill::schema::RequestId::Builder initStillRunning();
-    inline void adoptStillRunning(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::RequestId> disownStillRunning();
-
-    inline bool isHeartbeat();
-    inline bool hasHeartbeat();
-    inline ::wigeonsill::schema::AgentHeartbeat::Builder getHeartbeat();
-    inline void setHeartbeat(::wigeonsill::schema::AgentHeartbeat::Reader value);
-    inline ::wigeonsill::schema::AgentHeartbeat::Builder initHeartbeat();
-    inline void adoptHeartbeat(::capnp::Orphan<::wigeonsill::schema::AgentHeartbeat> &&value);
-    inline ::capnp::Orphan<::wigeonsill::schema::AgentHeartbeat> disownHeartbeat();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::wigeonsill::schema::AgentHello::Builder getHello();
+  inline void setHello( ::wigeonsill::schema::AgentHello::Reader value);
+  inline  ::wigeonsill::schema::AgentHello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::wigeonsill::schema::AgentHello>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::AgentHello> disownHello();
+
+  inline bool isPull();
+  inline bool hasPull();
+  inline  ::wigeonsill::schema::RequestId::Builder getPull();
+  inline void setPull( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initPull();
+  inline void adoptPull(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownPull();
+
+  inline bool isReservationEnded();
+  inline bool hasReservationEnded();
+  inline  ::wigeonsill::schema::ReservationEnded::Builder getReservationEnded();
+  inline void setReservationEnded( ::wigeonsill::schema::ReservationEnded::Reader value);
+  inline  ::wigeonsill::schema::ReservationEnded::Builder initReservationEnded();
+  inline void adoptReservationEnded(::capnp::Orphan< ::wigeonsill::schema::ReservationEnded>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::ReservationEnded> disownReservationEnded();
+
+  inline bool isAnswerHead();
+  inline bool hasAnswerHead();
+  inline  ::wigeonsill::schema::AnswerHead::Builder getAnswerHead();
+  inline void setAnswerHead( ::wigeonsill::schema::AnswerHead::Reader value);
+  inline  ::wigeonsill::schema::AnswerHead::Builder initAnswerHead();
+  inline void adoptAnswerHead(::capnp::Orphan< ::wigeonsill::schema::AnswerHead>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::AnswerHead> disownAnswerHead();
+
+  inline bool isAnswerBytes();
+  inline bool hasAnswerBytes();
+  inline  ::wigeonsill::schema::AnswerBytes::Builder getAnswerBytes();
+  inline void setAnswerBytes( ::wigeonsill::schema::AnswerBytes::Reader value);
+  inline  ::wigeonsill::schema::AnswerBytes::Builder initAnswerBytes();
+  inline void adoptAnswerBytes(::capnp::Orphan< ::wigeonsill::schema::AnswerBytes>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::AnswerBytes> disownAnswerBytes();
+
+  inline bool isAnswerEnd();
+  inline bool hasAnswerEnd();
+  inline  ::wigeonsill::schema::AnswerEnd::Builder getAnswerEnd();
+  inline void setAnswerEnd( ::wigeonsill::schema::AnswerEnd::Reader value);
+  inline  ::wigeonsill::schema::AnswerEnd::Builder initAnswerEnd();
+  inline void adoptAnswerEnd(::capnp::Orphan< ::wigeonsill::schema::AnswerEnd>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::AnswerEnd> disownAnswerEnd();
+
+  inline bool isNotRun();
+  inline bool hasNotRun();
+  inline  ::wigeonsill::schema::IdWithReason::Builder getNotRun();
+  inline void setNotRun( ::wigeonsill::schema::IdWithReason::Reader value);
+  inline  ::wigeonsill::schema::IdWithReason::Builder initNotRun();
+  inline void adoptNotRun(::capnp::Orphan< ::wigeonsill::schema::IdWithReason>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::IdWithReason> disownNotRun();
+
+  inline bool isStillRunning();
+  inline bool hasStillRunning();
+  inline  ::wigeonsill::schema::RequestId::Builder getStillRunning();
+  inline void setStillRunning( ::wigeonsill::schema::RequestId::Reader value);
+  inline  ::wigeonsill::schema::RequestId::Builder initStillRunning();
+  inline void adoptStillRunning(::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> disownStillRunning();
+
+  inline bool isHeartbeat();
+  inline bool hasHeartbeat();
+  inline  ::wigeonsill::schema::AgentHeartbeat::Builder getHeartbeat();
+  inline void setHeartbeat( ::wigeonsill::schema::AgentHeartbeat::Reader value);
+  inline  ::wigeonsill::schema::AgentHeartbeat::Builder initHeartbeat();
+  inline void adoptHeartbeat(::capnp::Orphan< ::wigeonsill::schema::AgentHeartbeat>&& value);
+  inline ::capnp::Orphan< ::wigeonsill::schema::AgentHeartbeat> disownHeartbeat();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class AgentFrame::Pipeline
-{
+class AgentFrame::Pipeline {
 public:
-    typedef AgentFrame Pipelines;
+  typedef AgentFrame Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
-inline ::uint64_t Incarnation::Reader::getHigh() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Incarnation::Reader::getHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Incarnation::Builder::getHigh()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Incarnation::Builder::getHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Incarnation::Builder::setHigh(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Incarnation::Builder::setHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Incarnation::Reader::getLow() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Incarnation::Reader::getLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Incarnation::Builder::getLow()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Incarnation::Builder::getLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Incarnation::Builder::setLow(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Incarnation::Builder::setLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RequestId::Reader::hasEntry() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool RequestId::Reader::hasEntry() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RequestId::Builder::hasEntry()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool RequestId::Builder::hasEntry() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::Incarnation::Reader RequestId::Reader::getEntry() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Incarnation::Reader RequestId::Reader::getEntry() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::Incarnation::Builder RequestId::Builder::getEntry()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Incarnation::Builder RequestId::Builder::getEntry() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::Incarnation::Pipeline RequestId::Pipeline::getEntry()
-{
-    return ::wigeonsill::schema::Incarnation::Pipeline(_typeless.getPointerField(0));
+inline  ::wigeonsill::schema::Incarnation::Pipeline RequestId::Pipeline::getEntry() {
+  return  ::wigeonsill::schema::Incarnation::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void RequestId::Builder::setEntry(::wigeonsill::schema::Incarnation::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void RequestId::Builder::setEntry( ::wigeonsill::schema::Incarnation::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::Incarnation::Builder RequestId::Builder::initEntry()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Incarnation::Builder RequestId::Builder::initEntry() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void RequestId::Builder::adoptEntry(
-    ::capnp::Orphan<::wigeonsill::schema::Incarnation> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wigeonsill::schema::Incarnation>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::Incarnation> RequestId::Builder::disownEntry() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::Incarnation> RequestId::Builder::disownEntry()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::disown(
