-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RequestId::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RequestId::Reader::getSequence() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RequestId::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RequestId::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t RequestId::Builder::getSequence()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void RequestId::Builder::setSequence(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Location::Reader::hasInstance() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Location::Builder::hasInstance()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader Location::Reader::getInstance() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Location::Builder::getInstance()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool Location::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Location::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Location::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Location::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Location::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Location::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Location::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Location::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Location::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Location::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Location::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Location::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Location::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Location::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Location::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Location::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Location::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Location::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Location::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Location::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Location::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Location::Builder::setInstance(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Location::Builder::initInstance(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Location::Builder::adoptInstance(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Location::Builder::disownInstance()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Location::Reader::hasRegion() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Location::Builder::hasRegion()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader Location::Reader::getRegion() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Location::Builder::getRegion()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Location::Builder::setRegion(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Location::Builder::initRegion(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Location::Builder::adoptRegion(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Location::Builder::disownRegion()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Location::Reader::hasFailureDomain() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Location::Builder::hasFailureDomain()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader Location::Reader::getFailureDomain() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Location::Builder::getFailureDomain()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Location::Builder::setFailureDomain(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Location::Builder::initFailureDomain(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Location::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Location::Builder::disownFailureDomain()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool Header::Reader::hasName() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Header::Builder::hasName()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader Header::Reader::getName() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Header::Builder::getName()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Header::Builder::setName(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Header::Builder::initName(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Header::Builder::adoptName(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownName()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Header::Reader::hasValue() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Header::Builder::hasValue()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader Header::Reader::getValue() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Header::Builder::getValue()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Header::Builder::setValue(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Header::Builder::initValue(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Header::Builder::adoptValue(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownValue()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool RequestProfile::Reader::hasId() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RequestProfile::Builder::hasId()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::RequestId::Reader RequestProfile::Reader::getId() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::RequestId::Builder RequestProfile::Builder::getId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RequestProfile::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestProfile::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::RequestId::Reader RequestProfile::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::RequestId::Builder RequestProfile::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::RequestId::Pipeline RequestProfile::Pipeline::getId()
-{
-    return ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
+inline  ::wigeonsill::schema::RequestId::Pipeline RequestProfile::Pipeline::getId() {
+  return  ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void RequestProfile::Builder::setId(::wigeonsill::schema::RequestId::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void RequestProfile::Builder::setId( ::wigeonsill::schema::RequestId::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::RequestId::Builder RequestProfile::Builder::initId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder RequestProfile::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void RequestProfile::Builder::adoptId(
-    ::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> RequestProfile::Builder::disownId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> RequestProfile::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t RequestProfile::Reader::getTier() const
-{
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t RequestProfile::Reader::getTier() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t RequestProfile::Builder::getTier()
-{
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t RequestProfile::Builder::getTier() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RequestProfile::Builder::setTier(::uint8_t value)
-{
-    _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RequestProfile::Builder::setTier( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RequestProfile::Reader::hasOrganisation() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool RequestProfile::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RequestProfile::Builder::hasOrganisation()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool RequestProfile::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RequestProfile::Reader::getOrganisation() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RequestProfile::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RequestProfile::Builder::getOrganisation()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RequestProfile::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RequestProfile::Builder::setOrganisation(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void RequestProfile::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder RequestProfile::Builder::initOrganisation(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder RequestProfile::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RequestProfile::Builder::adoptOrganisation(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void RequestProfile::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> RequestProfile::Builder::disownOrganisation()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RequestProfile::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool RequestProfile::Reader::hasPool() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool RequestProfile::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RequestProfile::Builder::hasPool()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool RequestProfile::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RequestProfile::Reader::getPool() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RequestProfile::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RequestProfile::Builder::getPool()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RequestProfile::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RequestProfile::Builder::setPool(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void RequestProfile::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder RequestProfile::Builder::initPool(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder RequestProfile::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RequestProfile::Builder::adoptPool(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void RequestProfile::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> RequestProfile::Builder::disownPool()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RequestProfile::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t RequestProfile::Reader::getWeight() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RequestProfile::Reader::getWeight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t RequestProfile::Builder::getWeight()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RequestProfile::Builder::getWeight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RequestProfile::Builder::setWeight(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RequestProfile::Builder::setWeight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t RequestProfile::Reader::getPromptTokens() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RequestProfile::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t RequestProfile::Builder::getPromptTokens()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RequestProfile::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RequestProfile::Builder::setPromptTokens(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void RequestProfile::Builder::setPromptTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t RequestProfile::Reader::getOutputTokens() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RequestProfile::Reader::getOutputTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t RequestProfile::Builder::getOutputTokens()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RequestProfile::Builder::getOutputTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RequestProfile::Builder::setOutputTokens(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void RequestProfile::Builder::setOutputTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RequestProfile::Reader::hasPrefixHashes() const
-{
-    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool RequestProfile::Reader::hasPrefixHashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool RequestProfile::Builder::hasPrefixHashes()
-{
-    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool RequestProfile::Builder::hasPrefixHashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
-RequestProfile::Reader::getPrefixHashes() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
-        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader RequestProfile::Reader::getPrefixHashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-RequestProfile::Builder::getPrefixHashes()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RequestProfile::Builder::getPrefixHashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void RequestProfile::Builder::setPrefixHashes(
-    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void RequestProfile::Builder::setPrefixHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void RequestProfile::Builder::setPrefixHashes(::kj::ArrayPtr<const ::uint64_t> value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void RequestProfile::Builder::setPrefixHashes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-RequestProfile::Builder::initPrefixHashes(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RequestProfile::Builder::initPrefixHashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void RequestProfile::Builder::adoptPrefixHashes(
-    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
-RequestProfile::Builder::disownPrefixHashes()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> RequestProfile::Builder::disownPrefixHashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t RequestProfile::Reader::getTimeLeftUs() const
-{
-    return _reader.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t RequestProfile::Reader::getTimeLeftUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t RequestProfile::Builder::getTimeLeftUs()
-{
-    return _builder.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t RequestProfile::Builder::getTimeLeftUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RequestProfile::Builder::setTimeLeftUs(::int64_t value)
-{
-    _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void RequestProfile::Builder::setTimeLeftUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RequestProfile::Reader::getNonIdempotent() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool RequestProfile::Reader::getNonIdempotent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline bool RequestProfile::Builder::getNonIdempotent()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool RequestProfile::Builder::getNonIdempotent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RequestProfile::Builder::setNonIdempotent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t RequestProfile::Reader::getPreemption() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RequestProfile::Builder::getPreemption() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RequestProfile::Builder::setPreemption( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RequestProfile::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestProfile::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RequestProfile::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RequestProfile::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void RequestProfile::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void RequestProfile::Builder::setNonIdempotent(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder RequestProfile::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void RequestProfile::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RequestProfile::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t RequestProfile::Reader::getPreemption() const
-{
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t RequestProfile::Reader::getWeighting() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t RequestProfile::Builder::getPreemption()
-{
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t RequestProfile::Builder::getWeighting() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RequestProfile::Builder::setPreemption(::uint8_t value)
-{
-    _builder.setDataField<::uint8_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void RequestProfile::Builder::setWeighting( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ForwardedRequest::Reader::hasMethod() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ForwardedRequest::Reader::hasMethod() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardedRequest::Builder::hasMethod()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ForwardedRequest::Builder::hasMethod() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ForwardedRequest::Reader::getMethod() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ForwardedRequest::Builder::getMethod()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ForwardedRequest::Builder::setMethod(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ForwardedRequest::Builder::setMethod( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ForwardedRequest::Builder::initMethod(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ForwardedRequest::Builder::adoptMethod(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardedRequest::Builder::adoptMethod(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ForwardedRequest::Builder::disownMethod()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardedRequest::Reader::hasPath() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool ForwardedRequest::Reader::hasPath() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasPath() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline bool ForwardedRequest::Builder::hasPath()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline void ForwardedRequest::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Reader ForwardedRequest::Reader::getPath() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Builder ForwardedRequest::Builder::getPath()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool ForwardedRequest::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void ForwardedRequest::Builder::setPath(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Reader ForwardedRequest::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ForwardedRequest::Builder::initPath(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Builder ForwardedRequest::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ForwardedRequest::Builder::adoptPath(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardedRequest::Builder::setHeaders( ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan<::capnp::Text> ForwardedRequest::Builder::disownPath()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool ForwardedRequest::Reader::hasHeaders() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool ForwardedRequest::Builder::hasHeaders()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Reader
-ForwardedRequest::Reader::getHeaders() const
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::get(
-            _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Builder
-ForwardedRequest::Builder::getHeaders()
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::get(
-            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void ForwardedRequest::Builder::setHeaders(
-    ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::
-        set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Builder
-ForwardedRequest::Builder::initHeaders(unsigned int size)
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::init(
-            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Builder ForwardedRequest::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void ForwardedRequest::Builder::adoptHeaders(
-    ::capnp::Orphan<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::
-        adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>
-ForwardedRequest::Builder::disownHeaders()
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::disown(
-            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>> ForwardedRequest::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardedRequest::Reader::hasBody() const
-{
-    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool ForwardedRequest::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardedRequest::Builder::hasBody()
-{
-    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool ForwardedRequest::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader ForwardedRequest::Reader::getBody() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader ForwardedRequest::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder ForwardedRequest::Builder::getBody()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder ForwardedRequest::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ForwardedRequest::Builder::setBody(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void ForwardedRequest::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder ForwardedRequest::Builder::initBody(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder ForwardedRequest::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void ForwardedRequest::Builder::adoptBody(::capnp::Orphan<::capnp::Data> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardedRequest::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> ForwardedRequest::Builder::disownBody()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> ForwardedRequest::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool PoolFloor::Reader::hasPool() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PoolFloor::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PoolFloor::Builder::hasPool()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PoolFloor::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader PoolFloor::Reader::getPool() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader PoolFloor::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder PoolFloor::Builder::getPool()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder PoolFloor::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PoolFloor::Builder::setPool(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PoolFloor::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder PoolFloor::Builder::initPool(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder PoolFloor::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PoolFloor::Builder::adoptPool(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void PoolFloor::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> PoolFloor::Builder::disownPool()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> PoolFloor::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t PoolFloor::Reader::getLowestServed() const
-{
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t PoolFloor::Reader::getLowestServed() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t PoolFloor::Builder::getLowestServed()
-{
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t PoolFloor::Builder::getLowestServed() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PoolFloor::Builder::setLowestServed(::uint8_t value)
-{
-    _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PoolFloor::Builder::setLowestServed( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t PoolFloor::Reader::getRemainingUs() const
-{
-    return _reader.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t PoolFloor::Reader::getRemainingUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t PoolFloor::Builder::getRemainingUs()
-{
-    return _builder.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t PoolFloor::Builder::getRemainingUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PoolFloor::Builder::setRemainingUs(::int64_t value)
-{
-    _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void PoolFloor::Builder::setRemainingUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EntryHello::Reader::hasIncarnation() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool EntryHello::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryHello::Builder::hasIncarnation()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool EntryHello::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::Incarnation::Reader EntryHello::Reader::getIncarnation() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Incarnation::Reader EntryHello::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::Incarnation::Builder EntryHello::Builder::getIncarnation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Incarnation::Builder EntryHello::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::Incarnation::Pipeline EntryHello::Pipeline::getIncarnation()
-{
-    return ::wigeonsill::schema::Incarnation::Pipeline(_typeless.getPointerField(0));
+inline  ::wigeonsill::schema::Incarnation::Pipeline EntryHello::Pipeline::getIncarnation() {
+  return  ::wigeonsill::schema::Incarnation::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void EntryHello::Builder::setIncarnation(::wigeonsill::schema::Incarnation::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void EntryHello::Builder::setIncarnation( ::wigeonsill::schema::Incarnation::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::Incarnation::Builder EntryHello::Builder::initIncarnation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Incarnation::Builder EntryHello::Builder::initIncarnation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryHello::Builder::adoptIncarnation(
-    ::capnp::Orphan<::wigeonsill::schema::Incarnation> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wigeonsill::schema::Incarnation>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::Incarnation> EntryHello::Builder::disownIncarnation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::Incarnation> EntryHello::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool EntryHello::Reader::hasLocation() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool EntryHello::Reader::hasLocation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryHello::Builder::hasLocation()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool EntryHello::Builder::hasLocation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::Location::Reader EntryHello::Reader::getLocation() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Location::Reader EntryHello::Reader::getLocation() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::Location::Builder EntryHello::Builder::getLocation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Location::Builder EntryHello::Builder::getLocation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::Location::Pipeline EntryHello::Pipeline::getLocation()
-{
-    return ::wigeonsill::schema::Location::Pipeline(_typeless.getPointerField(1));
+inline  ::wigeonsill::schema::Location::Pipeline EntryHello::Pipeline::getLocation() {
+  return  ::wigeonsill::schema::Location::Pipeline(_typeless.getPointerField(1));
 }
-#endif // !CAPNP_LITE
-inline void EntryHello::Builder::setLocation(::wigeonsill::schema::Location::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void EntryHello::Builder::setLocation( ::wigeonsill::schema::Location::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::Location::Builder EntryHello::Builder::initLocation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Location::Builder EntryHello::Builder::initLocation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void EntryHello::Builder::adoptLocation(
-    ::capnp::Orphan<::wigeonsill::schema::Location> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wigeonsill::schema::Location>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::Location> EntryHello::Builder::disownLocation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::Location> EntryHello::Builder::disownLocation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Bind::Reader::hasProfile() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Bind::Reader::hasProfile() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Bind::Builder::hasProfile()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Bind::Builder::hasProfile() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::RequestProfile::Reader Bind::Reader::getProfile() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestProfile::Reader Bind::Reader::getProfile() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::RequestProfile::Builder Bind::Builder::getProfile()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestProfile::Builder Bind::Builder::getProfile() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::RequestProfile::Pipeline Bind::Pipeline::getProfile()
-{
-    return ::wigeonsill::schema::RequestProfile::Pipeline(_typeless.getPointerField(0));
+inline  ::wigeonsill::schema::RequestProfile::Pipeline Bind::Pipeline::getProfile() {
+  return  ::wigeonsill::schema::RequestProfile::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void Bind::Builder::setProfile(::wigeonsill::schema::RequestProfile::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void Bind::Builder::setProfile( ::wigeonsill::schema::RequestProfile::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::RequestProfile::Builder Bind::Builder::initProfile()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestProfile::Builder Bind::Builder::initProfile() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Bind::Builder::adoptProfile(
-    ::capnp::Orphan<::wigeonsill::schema::RequestProfile> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wigeonsill::schema::RequestProfile>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::RequestProfile> Bind::Builder::disownProfile()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestProfile> Bind::Builder::disownProfile() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Bind::Reader::hasRequest() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Bind::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Bind::Builder::hasRequest()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Bind::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::ForwardedRequest::Reader Bind::Reader::getRequest() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::ForwardedRequest>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::ForwardedRequest::Reader Bind::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::ForwardedRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::ForwardedRequest::Builder Bind::Builder::getRequest()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::ForwardedRequest>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::ForwardedRequest::Builder Bind::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::ForwardedRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::ForwardedRequest::Pipeline Bind::Pipeline::getRequest()
-{
-    return ::wigeonsill::schema::ForwardedRequest::Pipeline(_typeless.getPointerField(1));
+inline  ::wigeonsill::schema::ForwardedRequest::Pipeline Bind::Pipeline::getRequest() {
+  return  ::wigeonsill::schema::ForwardedRequest::Pipeline(_typeless.getPointerField(1));
 }
-#endif // !CAPNP_LITE
-inline void Bind::Builder::setRequest(::wigeonsill::schema::ForwardedRequest::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::ForwardedRequest>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void Bind::Builder::setRequest( ::wigeonsill::schema::ForwardedRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::ForwardedRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::ForwardedRequest::Builder Bind::Builder::initRequest()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::ForwardedRequest>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::ForwardedRequest::Builder Bind::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::ForwardedRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Bind::Builder::adoptRequest(
-    ::capnp::Orphan<::wigeonsill::schema::ForwardedRequest> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::ForwardedRequest>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wigeonsill::schema::ForwardedRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::ForwardedRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::ForwardedRequest> Bind::Builder::disownRequest()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::ForwardedRequest>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::ForwardedRequest> Bind::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::ForwardedRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Resume::Reader::hasId() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Resume::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Resume::Builder::hasId()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Resume::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::RequestId::Reader Resume::Reader::getId() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Reader Resume::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::RequestId::Builder Resume::Builder::getId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder Resume::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::RequestId::Pipeline Resume::Pipeline::getId()
-{
-    return ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
+inline  ::wigeonsill::schema::RequestId::Pipeline Resume::Pipeline::getId() {
+  return  ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void Resume::Builder::setId(::wigeonsill::schema::RequestId::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void Resume::Builder::setId( ::wigeonsill::schema::RequestId::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::RequestId::Builder Resume::Builder::initId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder Resume::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Resume::Builder::adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Resume::Builder::adoptId(
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> Resume::Builder::disownId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> Resume::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Resume::Reader::getOffset() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Resume::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Resume::Builder::getOffset()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Resume::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Resume::Builder::setOffset(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Resume::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Resume::Reader::getNeedHead() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Resume::Reader::getNeedHead() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool Resume::Builder::getNeedHead()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Resume::Builder::getNeedHead() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void Resume::Builder::setNeedHead(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void Resume::Builder::setNeedHead(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Acknowledge::Reader::hasId() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Acknowledge::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Acknowledge::Builder::hasId()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Acknowledge::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::RequestId::Reader Acknowledge::Reader::getId() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Reader Acknowledge::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::RequestId::Builder Acknowledge::Builder::getId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder Acknowledge::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::RequestId::Pipeline Acknowledge::Pipeline::getId()
-{
-    return ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
+inline  ::wigeonsill::schema::RequestId::Pipeline Acknowledge::Pipeline::getId() {
+  return  ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void Acknowledge::Builder::setId(::wigeonsill::schema::RequestId::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void Acknowledge::Builder::setId( ::wigeonsill::schema::RequestId::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::RequestId::Builder Acknowledge::Builder::initId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder Acknowledge::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Acknowledge::Builder::adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Acknowledge::Builder::adoptId(
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> Acknowledge::Builder::disownId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> Acknowledge::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Acknowledge::Reader::getOffset() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Acknowledge::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Acknowledge::Builder::getOffset()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Acknowledge::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Acknowledge::Builder::setOffset(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Acknowledge::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Acknowledge::Reader::getFinal() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Acknowledge::Reader::getFinal() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool Acknowledge::Builder::getFinal()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Acknowledge::Builder::getFinal() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void Acknowledge::Builder::setFinal(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void Acknowledge::Builder::setFinal(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t EntryHeartbeat::Reader::getConfigurationRevision() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t EntryHeartbeat::Reader::getConfigurationRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t EntryHeartbeat::Builder::getConfigurationRevision()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t EntryHeartbeat::Builder::getConfigurationRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EntryHeartbeat::Builder::setConfigurationRevision(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void EntryHeartbeat::Builder::setConfigurationRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EntryHeartbeat::Reader::hasFloors() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool EntryHeartbeat::Reader::hasFloors() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryHeartbeat::Builder::hasFloors()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool EntryHeartbeat::Builder::hasFloors() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Reader
-EntryHeartbeat::Reader::getFloors() const
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>::get(
-            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader EntryHeartbeat::Reader::getFloors() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Builder
-EntryHeartbeat::Builder::getFloors()
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>::get(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder EntryHeartbeat::Builder::getFloors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryHeartbeat::Builder::setFloors(
-    ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>::set(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void EntryHeartbeat::Builder::setFloors( ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Builder
-EntryHeartbeat::Builder::initFloors(unsigned int size)
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>::init(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder EntryHeartbeat::Builder::initFloors(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void EntryHeartbeat::Builder::adoptFloors(
-    ::capnp::Orphan<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor,
-        ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(::capnp::bounded<0>()
-                                           * ::capnp::POINTERS),
-        kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>
-EntryHeartbeat::Builder::disownFloors()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor,
-        ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(::capnp::bounded<0>()
-        * ::capnp::POINTERS));
-}
-
-inline bool AgentHello::Reader::hasIncarnation() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentHello::Builder::hasIncarnation()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::Incarnation::Reader AgentHello::Reader::getIncarnation() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::Incarnation::Builder AgentHello::Builder::getIncarnation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>> EntryHeartbeat::Builder::disownFloors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EntryHeartbeat::Reader::getFloorSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryHeartbeat::Builder::getFloorSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EntryHeartbeat::Builder::setFloorSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentHello::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentHello::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::Incarnation::Reader AgentHello::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::Incarnation::Builder AgentHello::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::Incarnation::Pipeline AgentHello::Pipeline::getIncarnation()
-{
-    return ::wigeonsill::schema::Incarnation::Pipeline(_typeless.getPointerField(0));
+inline  ::wigeonsill::schema::Incarnation::Pipeline AgentHello::Pipeline::getIncarnation() {
+  return  ::wigeonsill::schema::Incarnation::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void AgentHello::Builder::setIncarnation(::wigeonsill::schema::Incarnation::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void AgentHello::Builder::setIncarnation( ::wigeonsill::schema::Incarnation::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::Incarnation::Builder AgentHello::Builder::initIncarnation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Incarnation::Builder AgentHello::Builder::initIncarnation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentHello::Builder::adoptIncarnation(
-    ::capnp::Orphan<::wigeonsill::schema::Incarnation> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wigeonsill::schema::Incarnation>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::Incarnation> AgentHello::Builder::disownIncarnation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Incarnation>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::Incarnation> AgentHello::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Incarnation>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AgentHello::Reader::hasLocation() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool AgentHello::Reader::hasLocation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentHello::Builder::hasLocation()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool AgentHello::Builder::hasLocation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::Location::Reader AgentHello::Reader::getLocation() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Location::Reader AgentHello::Reader::getLocation() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::Location::Builder AgentHello::Builder::getLocation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Location::Builder AgentHello::Builder::getLocation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::Location::Pipeline AgentHello::Pipeline::getLocation()
-{
-    return ::wigeonsill::schema::Location::Pipeline(_typeless.getPointerField(1));
+inline  ::wigeonsill::schema::Location::Pipeline AgentHello::Pipeline::getLocation() {
+  return  ::wigeonsill::schema::Location::Pipeline(_typeless.getPointerField(1));
 }
-#endif // !CAPNP_LITE
-inline void AgentHello::Builder::setLocation(::wigeonsill::schema::Location::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void AgentHello::Builder::setLocation( ::wigeonsill::schema::Location::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::Location::Builder AgentHello::Builder::initLocation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::Location::Builder AgentHello::Builder::initLocation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void AgentHello::Builder::adoptLocation(
-    ::capnp::Orphan<::wigeonsill::schema::Location> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::Location> AgentHello::Builder::disownLocation()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Location>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool AgentHello::Reader::hasPools() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentHello::Builder::hasPools()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-AgentHello::Reader::getPools() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder AgentHello::Builder::getPools()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void AgentHello::Builder::setPools(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void AgentHello::Builder::setPools(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder AgentHello::Builder::initPools(
-    unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::wigeonsill::schema::Location>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::Location> AgentHello::Builder::disownLocation() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Location>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool AgentHello::Reader::hasPools() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentHello::Builder::hasPools() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader AgentHello::Reader::getPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentHello::Builder::getPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AgentHello::Builder::setPools( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void AgentHello::Builder::setPools(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentHello::Builder::initPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void AgentHello::Builder::adoptPools(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-AgentHello::Builder::disownPools()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> AgentHello::Builder::disownPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool AgentHello::Reader::getDraining() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool AgentHello::Reader::getDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool AgentHello::Builder::getDraining()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool AgentHello::Builder::getDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentHello::Builder::setDraining(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AgentHello::Builder::setDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool IdWithReason::Reader::hasId() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool IdWithReason::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool IdWithReason::Builder::hasId()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool IdWithReason::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::RequestId::Reader IdWithReason::Reader::getId() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Reader IdWithReason::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::RequestId::Builder IdWithReason::Builder::getId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder IdWithReason::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::RequestId::Pipeline IdWithReason::Pipeline::getId()
-{
-    return ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
+inline  ::wigeonsill::schema::RequestId::Pipeline IdWithReason::Pipeline::getId() {
+  return  ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void IdWithReason::Builder::setId(::wigeonsill::schema::RequestId::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void IdWithReason::Builder::setId( ::wigeonsill::schema::RequestId::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::RequestId::Builder IdWithReason::Builder::initId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder IdWithReason::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void IdWithReason::Builder::adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void IdWithReason::Builder::adoptId(
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> IdWithReason::Builder::disownId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> IdWithReason::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t IdWithReason::Reader::getReason() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t IdWithReason::Reader::getReason() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t IdWithReason::Builder::getReason()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t IdWithReason::Builder::getReason() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void IdWithReason::Builder::setReason(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void IdWithReason::Builder::setReason( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AnswerHead::Reader::hasId() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ReservationEnded::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AnswerHead::Builder::hasId()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ReservationEnded::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::RequestId::Reader AnswerHead::Reader::getId() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Reader ReservationEnded::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::RequestId::Builder AnswerHead::Builder::getId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder ReservationEnded::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::RequestId::Pipeline AnswerHead::Pipeline::getId()
-{
-    return ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void AnswerHead::Builder::setId(::wigeonsill::schema::RequestId::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::RequestId::Builder AnswerHead::Builder::initId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AnswerHead::Builder::adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> AnswerHead::Builder::disownId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline ::int32_t AnswerHead::Reader::getStatus() const
-{
-    return _reader.getDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline ::int32_t AnswerHead::Builder::getStatus()
-{
-    return _builder.getDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AnswerHead::Builder::setStatus(::int32_t value)
-{
-    _builder.setDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AnswerHead::Reader::hasHeaders() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool AnswerHead::Builder::hasHeaders()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Reader
-AnswerHead::Reader::getHeaders() const
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::get(
-            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Builder
-AnswerHead::Builder::getHeaders()
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::get(
-            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void AnswerHead::Builder::setHeaders(
-    ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::
-        set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>::Builder
-AnswerHead::Builder::initHeaders(unsigned int size)
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::init(
-            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::wigeonsill::schema::RequestId::Pipeline ReservationEnded::Pipeline::getId() {
+  return  ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ReservationEnded::Builder::setId( ::wigeonsill::schema::RequestId::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::RequestId::Builder ReservationEnded::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ReservationEnded::Builder::adoptId(
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> ReservationEnded::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t ReservationEnded::Reader::getReason() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ReservationEnded::Builder::getReason() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ReservationEnded::Builder::setReason( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReservationEnded::Reader::hasFloors() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReservationEnded::Builder::hasFloors() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader ReservationEnded::Reader::getFloors() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder ReservationEnded::Builder::getFloors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ReservationEnded::Builder::setFloors( ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder ReservationEnded::Builder::initFloors(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ReservationEnded::Builder::adoptFloors(
+    ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>> ReservationEnded::Builder::disownFloors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool AnswerHead::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AnswerHead::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::RequestId::Reader AnswerHead::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::RequestId::Builder AnswerHead::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::wigeonsill::schema::RequestId::Pipeline AnswerHead::Pipeline::getId() {
+  return  ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void AnswerHead::Builder::setId( ::wigeonsill::schema::RequestId::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::RequestId::Builder AnswerHead::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AnswerHead::Builder::adoptId(
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> AnswerHead::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t AnswerHead::Reader::getStatus() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t AnswerHead::Builder::getStatus() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AnswerHead::Builder::setStatus( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AnswerHead::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AnswerHead::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Reader AnswerHead::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Builder AnswerHead::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AnswerHead::Builder::setHeaders( ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>::Builder AnswerHead::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void AnswerHead::Builder::adoptHeaders(
-    ::capnp::Orphan<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::
-        adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>
-AnswerHead::Builder::disownHeaders()
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::Header, ::capnp::Kind::STRUCT>>::disown(
-            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>> AnswerHead::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AnswerBytes::Reader::hasId() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool AnswerBytes::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AnswerBytes::Builder::hasId()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool AnswerBytes::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::RequestId::Reader AnswerBytes::Reader::getId() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Reader AnswerBytes::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::RequestId::Builder AnswerBytes::Builder::getId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder AnswerBytes::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::RequestId::Pipeline AnswerBytes::Pipeline::getId()
-{
-    return ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
+inline  ::wigeonsill::schema::RequestId::Pipeline AnswerBytes::Pipeline::getId() {
+  return  ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void AnswerBytes::Builder::setId(::wigeonsill::schema::RequestId::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void AnswerBytes::Builder::setId( ::wigeonsill::schema::RequestId::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::RequestId::Builder AnswerBytes::Builder::initId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder AnswerBytes::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AnswerBytes::Builder::adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void AnswerBytes::Builder::adoptId(
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> AnswerBytes::Builder::disownId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> AnswerBytes::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t AnswerBytes::Reader::getOffset() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerBytes::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AnswerBytes::Builder::getOffset()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerBytes::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AnswerBytes::Builder::setOffset(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AnswerBytes::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AnswerBytes::Reader::hasBytes() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool AnswerBytes::Reader::hasBytes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AnswerBytes::Builder::hasBytes()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool AnswerBytes::Builder::hasBytes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader AnswerBytes::Reader::getBytes() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader AnswerBytes::Reader::getBytes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder AnswerBytes::Builder::getBytes()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder AnswerBytes::Builder::getBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AnswerBytes::Builder::setBytes(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void AnswerBytes::Builder::setBytes( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder AnswerBytes::Builder::initBytes(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder AnswerBytes::Builder::initBytes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AnswerBytes::Builder::adoptBytes(::capnp::Orphan<::capnp::Data> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void AnswerBytes::Builder::adoptBytes(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> AnswerBytes::Builder::disownBytes()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> AnswerBytes::Builder::disownBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AnswerEnd::Reader::hasId() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool AnswerEnd::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AnswerEnd::Builder::hasId()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool AnswerEnd::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::wigeonsill::schema::RequestId::Reader AnswerEnd::Reader::getId() const
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Reader AnswerEnd::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::wigeonsill::schema::RequestId::Builder AnswerEnd::Builder::getId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder AnswerEnd::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::wigeonsill::schema::RequestId::Pipeline AnswerEnd::Pipeline::getId()
-{
-    return ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
+inline  ::wigeonsill::schema::RequestId::Pipeline AnswerEnd::Pipeline::getId() {
+  return  ::wigeonsill::schema::RequestId::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void AnswerEnd::Builder::setId(::wigeonsill::schema::RequestId::Reader value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void AnswerEnd::Builder::setId( ::wigeonsill::schema::RequestId::Reader value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::wigeonsill::schema::RequestId::Builder AnswerEnd::Builder::initId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::wigeonsill::schema::RequestId::Builder AnswerEnd::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AnswerEnd::Builder::adoptId(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void AnswerEnd::Builder::adoptId(
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> AnswerEnd::Builder::disownId()
-{
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> AnswerEnd::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t AnswerEnd::Reader::getResult() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t AnswerEnd::Reader::getResult() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t AnswerEnd::Builder::getResult()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t AnswerEnd::Builder::getResult() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AnswerEnd::Builder::setResult(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AnswerEnd::Builder::setResult( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AnswerEnd::Reader::getTotalBytes() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerEnd::Reader::getTotalBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AnswerEnd::Builder::getTotalBytes()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerEnd::Builder::getTotalBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AnswerEnd::Builder::setTotalBytes(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void AnswerEnd::Builder::setTotalBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t AnswerEnd::Reader::getPromptTokens() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AnswerEnd::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t AnswerEnd::Builder::getPromptTokens()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AnswerEnd::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AnswerEnd::Builder::setPromptTokens(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void AnswerEnd::Builder::setPromptTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t AnswerEnd::Reader::getCachedTokens() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AnswerEnd::Reader::getCachedTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t AnswerEnd::Builder::getCachedTokens()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AnswerEnd::Builder::getCachedTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void AnswerEnd::Builder::setCachedTokens(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void AnswerEnd::Builder::setCachedTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t AnswerEnd::Reader::getOutputTokens() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AnswerEnd::Reader::getOutputTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t AnswerEnd::Builder::getOutputTokens()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AnswerEnd::Builder::getOutputTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void AnswerEnd::Builder::setOutputTokens(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void AnswerEnd::Builder::setOutputTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AgentHeartbeat::Reader::getConfigurationRevision() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHeartbeat::Reader::getConfigurationRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AgentHeartbeat::Builder::getConfigurationRevision()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHeartbeat::Builder::getConfigurationRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentHeartbeat::Builder::setConfigurationRevision(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AgentHeartbeat::Builder::setConfigurationRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AgentHeartbeat::Reader::getDraining() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool AgentHeartbeat::Reader::getDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool AgentHeartbeat::Builder::getDraining()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool AgentHeartbeat::Builder::getDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void AgentHeartbeat::Builder::setDraining(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void AgentHeartbeat::Builder::setDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AgentHeartbeat::Reader::getTokensInFlight() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHeartbeat::Reader::getTokensInFlight() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AgentHeartbeat::Builder::getTokensInFlight()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHeartbeat::Builder::getTokensInFlight() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void AgentHeartbeat::Builder::setTokensInFlight(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void AgentHeartbeat::Builder::setTokensInFlight( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AgentHeartbeat::Reader::getTokenLimit() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHeartbeat::Reader::getTokenLimit() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AgentHeartbeat::Builder::getTokenLimit()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHeartbeat::Builder::getTokenLimit() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void AgentHeartbeat::Builder::setTokenLimit(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void AgentHeartbeat::Builder::setTokenLimit( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t AgentHeartbeat::Reader::getRunning() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AgentHeartbeat::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t AgentHeartbeat::Builder::getRunning()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AgentHeartbeat::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void AgentHeartbeat::Builder::setRunning(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void AgentHeartbeat::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t AgentHeartbeat::Reader::getWaiting() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AgentHeartbeat::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t AgentHeartbeat::Builder::getWaiting()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AgentHeartbeat::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void AgentHeartbeat::Builder::setWaiting(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void AgentHeartbeat::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AgentHeartbeat::Reader::hasFloors() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool AgentHeartbeat::Reader::hasFloors() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentHeartbeat::Builder::hasFloors()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool AgentHeartbeat::Builder::hasFloors() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Reader
-AgentHeartbeat::Reader::getFloors() const
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>::get(
-            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader AgentHeartbeat::Reader::getFloors() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Builder
-AgentHeartbeat::Builder::getFloors()
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>::get(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder AgentHeartbeat::Builder::getFloors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AgentHeartbeat::Builder::setFloors(
-    ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>::set(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AgentHeartbeat::Builder::setFloors( ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>::Builder
-AgentHeartbeat::Builder::initFloors(unsigned int size)
-{
-    return ::capnp::_::
-        PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>::init(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>::Builder AgentHeartbeat::Builder::initFloors(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AgentHeartbeat::Builder::adoptFloors(
-    ::capnp::Orphan<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor,
-        ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(::capnp::bounded<0>()
-                                           * ::capnp::POINTERS),
-        kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::wigeonsill::schema::PoolFloor, ::capnp::Kind::STRUCT>>
-AgentHeartbeat::Builder::disownFloors()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::wigeonsill::schema::PoolFloor,
-        ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(::capnp::bounded<0>()
-        * ::capnp::POINTERS));
-}
-
-inline ::wigeonsill::schema::EntryFrame::Which EntryFrame::Reader::which() const
-{
-    return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline ::wigeonsill::schema::EntryFrame::Which EntryFrame::Builder::which()
-{
-    return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool EntryFrame::Reader::isHello() const
-{
-    return which() == EntryFrame::HELLO;
-}
-inline bool EntryFrame::Builder::isHello()
-{
-    return which() == EntryFrame::HELLO;
-}
-inline bool EntryFrame::Reader::hasHello() const
-{
-    if (which() != EntryFrame::HELLO)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryFrame::Builder::hasHello()
-{
-    if (which() != EntryFrame::HELLO)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::EntryHello::Reader EntryFrame::Reader::getHello() const
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::HELLO), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHello>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::EntryHello::Builder EntryFrame::Builder::getHello()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::HELLO), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHello>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::setHello(::wigeonsill::schema::EntryHello::Reader value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HELLO);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHello>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::EntryHello::Builder EntryFrame::Builder::initHello()
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HELLO);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHello>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>> AgentHeartbeat::Builder::disownFloors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::PoolFloor,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AgentHeartbeat::Reader::getFloorSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentHeartbeat::Builder::getFloorSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void AgentHeartbeat::Builder::setFloorSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline double AgentHeartbeat::Reader::getTokensPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline double AgentHeartbeat::Builder::getTokensPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void AgentHeartbeat::Builder::setTokensPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentHeartbeat::Reader::hasExpectedWaitUs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentHeartbeat::Builder::hasExpectedWaitUs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader AgentHeartbeat::Reader::getExpectedWaitUs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder AgentHeartbeat::Builder::getExpectedWaitUs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AgentHeartbeat::Builder::setExpectedWaitUs( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void AgentHeartbeat::Builder::setExpectedWaitUs(::kj::ArrayPtr<const  ::int64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder AgentHeartbeat::Builder::initExpectedWaitUs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AgentHeartbeat::Builder::adoptExpectedWaitUs(
+    ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> AgentHeartbeat::Builder::disownExpectedWaitUs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::wigeonsill::schema::EntryFrame::Which EntryFrame::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::wigeonsill::schema::EntryFrame::Which EntryFrame::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool EntryFrame::Reader::isHello() const {
+  return which() == EntryFrame::HELLO;
+}
+inline bool EntryFrame::Builder::isHello() {
+  return which() == EntryFrame::HELLO;
+}
+inline bool EntryFrame::Reader::hasHello() const {
+  if (which() != EntryFrame::HELLO) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryFrame::Builder::hasHello() {
+  if (which() != EntryFrame::HELLO) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::EntryHello::Reader EntryFrame::Reader::getHello() const {
+  KJ_IREQUIRE((which() == EntryFrame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHello>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::EntryHello::Builder EntryFrame::Builder::getHello() {
+  KJ_IREQUIRE((which() == EntryFrame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHello>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryFrame::Builder::setHello( ::wigeonsill::schema::EntryHello::Reader value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HELLO);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHello>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::EntryHello::Builder EntryFrame::Builder::initHello() {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HELLO);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHello>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryFrame::Builder::adoptHello(
-    ::capnp::Orphan<::wigeonsill::schema::EntryHello> &&value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HELLO);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHello>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::EntryHello> EntryFrame::Builder::disownHello()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::HELLO), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHello>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool EntryFrame::Reader::isReserve() const
-{
-    return which() == EntryFrame::RESERVE;
-}
-inline bool EntryFrame::Builder::isReserve()
-{
-    return which() == EntryFrame::RESERVE;
-}
-inline bool EntryFrame::Reader::hasReserve() const
-{
-    if (which() != EntryFrame::RESERVE)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryFrame::Builder::hasReserve()
-{
-    if (which() != EntryFrame::RESERVE)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::RequestProfile::Reader EntryFrame::Reader::getReserve() const
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::RESERVE), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::RequestProfile::Builder EntryFrame::Builder::getReserve()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::RESERVE), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::setReserve(::wigeonsill::schema::RequestProfile::Reader value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESERVE);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::RequestProfile::Builder EntryFrame::Builder::initReserve()
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESERVE);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::EntryHello>&& value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HELLO);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::EntryHello> EntryFrame::Builder::disownHello() {
+  KJ_IREQUIRE((which() == EntryFrame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHello>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryFrame::Reader::isReserve() const {
+  return which() == EntryFrame::RESERVE;
+}
+inline bool EntryFrame::Builder::isReserve() {
+  return which() == EntryFrame::RESERVE;
+}
+inline bool EntryFrame::Reader::hasReserve() const {
+  if (which() != EntryFrame::RESERVE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryFrame::Builder::hasReserve() {
+  if (which() != EntryFrame::RESERVE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::RequestProfile::Reader EntryFrame::Reader::getReserve() const {
+  KJ_IREQUIRE((which() == EntryFrame::RESERVE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::RequestProfile::Builder EntryFrame::Builder::getReserve() {
+  KJ_IREQUIRE((which() == EntryFrame::RESERVE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryFrame::Builder::setReserve( ::wigeonsill::schema::RequestProfile::Reader value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESERVE);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::RequestProfile::Builder EntryFrame::Builder::initReserve() {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESERVE);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryFrame::Builder::adoptReserve(
-    ::capnp::Orphan<::wigeonsill::schema::RequestProfile> &&value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESERVE);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::RequestProfile> EntryFrame::Builder::disownReserve()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::RESERVE), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestProfile>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool EntryFrame::Reader::isWithdraw() const
-{
-    return which() == EntryFrame::WITHDRAW;
-}
-inline bool EntryFrame::Builder::isWithdraw()
-{
-    return which() == EntryFrame::WITHDRAW;
-}
-inline bool EntryFrame::Reader::hasWithdraw() const
-{
-    if (which() != EntryFrame::WITHDRAW)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryFrame::Builder::hasWithdraw()
-{
-    if (which() != EntryFrame::WITHDRAW)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::RequestId::Reader EntryFrame::Reader::getWithdraw() const
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::WITHDRAW), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::getWithdraw()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::WITHDRAW), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::setWithdraw(::wigeonsill::schema::RequestId::Reader value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::WITHDRAW);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::initWithdraw()
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::WITHDRAW);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::RequestProfile>&& value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESERVE);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestProfile> EntryFrame::Builder::disownReserve() {
+  KJ_IREQUIRE((which() == EntryFrame::RESERVE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestProfile>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryFrame::Reader::isWithdraw() const {
+  return which() == EntryFrame::WITHDRAW;
+}
+inline bool EntryFrame::Builder::isWithdraw() {
+  return which() == EntryFrame::WITHDRAW;
+}
+inline bool EntryFrame::Reader::hasWithdraw() const {
+  if (which() != EntryFrame::WITHDRAW) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryFrame::Builder::hasWithdraw() {
+  if (which() != EntryFrame::WITHDRAW) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::RequestId::Reader EntryFrame::Reader::getWithdraw() const {
+  KJ_IREQUIRE((which() == EntryFrame::WITHDRAW),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::getWithdraw() {
+  KJ_IREQUIRE((which() == EntryFrame::WITHDRAW),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryFrame::Builder::setWithdraw( ::wigeonsill::schema::RequestId::Reader value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::WITHDRAW);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::initWithdraw() {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::WITHDRAW);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryFrame::Builder::adoptWithdraw(
-    ::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::WITHDRAW);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> EntryFrame::Builder::disownWithdraw()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::WITHDRAW), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool EntryFrame::Reader::isBind() const
-{
-    return which() == EntryFrame::BIND;
-}
-inline bool EntryFrame::Builder::isBind()
-{
-    return which() == EntryFrame::BIND;
-}
-inline bool EntryFrame::Reader::hasBind() const
-{
-    if (which() != EntryFrame::BIND)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryFrame::Builder::hasBind()
-{
-    if (which() != EntryFrame::BIND)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::Bind::Reader EntryFrame::Reader::getBind() const
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::BIND), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Bind>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::Bind::Builder EntryFrame::Builder::getBind()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::BIND), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Bind>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::setBind(::wigeonsill::schema::Bind::Reader value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::BIND);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Bind>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::Bind::Builder EntryFrame::Builder::initBind()
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::BIND);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Bind>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::adoptBind(::capnp::Orphan<::wigeonsill::schema::Bind> &&value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::BIND);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Bind>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::Bind> EntryFrame::Builder::disownBind()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::BIND), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Bind>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool EntryFrame::Reader::isDecline() const
-{
-    return which() == EntryFrame::DECLINE;
-}
-inline bool EntryFrame::Builder::isDecline()
-{
-    return which() == EntryFrame::DECLINE;
-}
-inline bool EntryFrame::Reader::hasDecline() const
-{
-    if (which() != EntryFrame::DECLINE)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryFrame::Builder::hasDecline()
-{
-    if (which() != EntryFrame::DECLINE)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::RequestId::Reader EntryFrame::Reader::getDecline() const
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::DECLINE), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::getDecline()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::DECLINE), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::setDecline(::wigeonsill::schema::RequestId::Reader value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::DECLINE);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::initDecline()
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::DECLINE);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::WITHDRAW);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> EntryFrame::Builder::disownWithdraw() {
+  KJ_IREQUIRE((which() == EntryFrame::WITHDRAW),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryFrame::Reader::isBind() const {
+  return which() == EntryFrame::BIND;
+}
+inline bool EntryFrame::Builder::isBind() {
+  return which() == EntryFrame::BIND;
+}
+inline bool EntryFrame::Reader::hasBind() const {
+  if (which() != EntryFrame::BIND) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryFrame::Builder::hasBind() {
+  if (which() != EntryFrame::BIND) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::Bind::Reader EntryFrame::Reader::getBind() const {
+  KJ_IREQUIRE((which() == EntryFrame::BIND),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Bind>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::Bind::Builder EntryFrame::Builder::getBind() {
+  KJ_IREQUIRE((which() == EntryFrame::BIND),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Bind>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryFrame::Builder::setBind( ::wigeonsill::schema::Bind::Reader value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::BIND);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Bind>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::Bind::Builder EntryFrame::Builder::initBind() {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::BIND);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Bind>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryFrame::Builder::adoptBind(
+    ::capnp::Orphan< ::wigeonsill::schema::Bind>&& value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::BIND);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Bind>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::Bind> EntryFrame::Builder::disownBind() {
+  KJ_IREQUIRE((which() == EntryFrame::BIND),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Bind>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryFrame::Reader::isDecline() const {
+  return which() == EntryFrame::DECLINE;
+}
+inline bool EntryFrame::Builder::isDecline() {
+  return which() == EntryFrame::DECLINE;
+}
+inline bool EntryFrame::Reader::hasDecline() const {
+  if (which() != EntryFrame::DECLINE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryFrame::Builder::hasDecline() {
+  if (which() != EntryFrame::DECLINE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::RequestId::Reader EntryFrame::Reader::getDecline() const {
+  KJ_IREQUIRE((which() == EntryFrame::DECLINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::getDecline() {
+  KJ_IREQUIRE((which() == EntryFrame::DECLINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryFrame::Builder::setDecline( ::wigeonsill::schema::RequestId::Reader value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::DECLINE);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::initDecline() {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::DECLINE);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryFrame::Builder::adoptDecline(
-    ::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::DECLINE);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> EntryFrame::Builder::disownDecline()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::DECLINE), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool EntryFrame::Reader::isCancelRun() const
-{
-    return which() == EntryFrame::CANCEL_RUN;
-}
-inline bool EntryFrame::Builder::isCancelRun()
-{
-    return which() == EntryFrame::CANCEL_RUN;
-}
-inline bool EntryFrame::Reader::hasCancelRun() const
-{
-    if (which() != EntryFrame::CANCEL_RUN)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryFrame::Builder::hasCancelRun()
-{
-    if (which() != EntryFrame::CANCEL_RUN)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::RequestId::Reader EntryFrame::Reader::getCancelRun() const
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::CANCEL_RUN), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::getCancelRun()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::CANCEL_RUN), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::setCancelRun(::wigeonsill::schema::RequestId::Reader value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::CANCEL_RUN);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::initCancelRun()
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::CANCEL_RUN);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::DECLINE);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> EntryFrame::Builder::disownDecline() {
+  KJ_IREQUIRE((which() == EntryFrame::DECLINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryFrame::Reader::isCancelRun() const {
+  return which() == EntryFrame::CANCEL_RUN;
+}
+inline bool EntryFrame::Builder::isCancelRun() {
+  return which() == EntryFrame::CANCEL_RUN;
+}
+inline bool EntryFrame::Reader::hasCancelRun() const {
+  if (which() != EntryFrame::CANCEL_RUN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryFrame::Builder::hasCancelRun() {
+  if (which() != EntryFrame::CANCEL_RUN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::RequestId::Reader EntryFrame::Reader::getCancelRun() const {
+  KJ_IREQUIRE((which() == EntryFrame::CANCEL_RUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::getCancelRun() {
+  KJ_IREQUIRE((which() == EntryFrame::CANCEL_RUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryFrame::Builder::setCancelRun( ::wigeonsill::schema::RequestId::Reader value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::CANCEL_RUN);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::RequestId::Builder EntryFrame::Builder::initCancelRun() {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::CANCEL_RUN);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryFrame::Builder::adoptCancelRun(
-    ::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::CANCEL_RUN);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> EntryFrame::Builder::disownCancelRun()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::CANCEL_RUN), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool EntryFrame::Reader::isResume() const
-{
-    return which() == EntryFrame::RESUME;
-}
-inline bool EntryFrame::Builder::isResume()
-{
-    return which() == EntryFrame::RESUME;
-}
-inline bool EntryFrame::Reader::hasResume() const
-{
-    if (which() != EntryFrame::RESUME)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryFrame::Builder::hasResume()
-{
-    if (which() != EntryFrame::RESUME)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::Resume::Reader EntryFrame::Reader::getResume() const
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::RESUME), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Resume>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::Resume::Builder EntryFrame::Builder::getResume()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::RESUME), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Resume>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::setResume(::wigeonsill::schema::Resume::Reader value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESUME);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Resume>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::Resume::Builder EntryFrame::Builder::initResume()
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESUME);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Resume>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::adoptResume(::capnp::Orphan<::wigeonsill::schema::Resume> &&value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESUME);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Resume>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::Resume> EntryFrame::Builder::disownResume()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::RESUME), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Resume>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool EntryFrame::Reader::isAcknowledge() const
-{
-    return which() == EntryFrame::ACKNOWLEDGE;
-}
-inline bool EntryFrame::Builder::isAcknowledge()
-{
-    return which() == EntryFrame::ACKNOWLEDGE;
-}
-inline bool EntryFrame::Reader::hasAcknowledge() const
-{
-    if (which() != EntryFrame::ACKNOWLEDGE)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryFrame::Builder::hasAcknowledge()
-{
-    if (which() != EntryFrame::ACKNOWLEDGE)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::Acknowledge::Reader EntryFrame::Reader::getAcknowledge() const
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::ACKNOWLEDGE), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Acknowledge>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::Acknowledge::Builder EntryFrame::Builder::getAcknowledge()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::ACKNOWLEDGE), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Acknowledge>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::setAcknowledge(::wigeonsill::schema::Acknowledge::Reader value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::ACKNOWLEDGE);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Acknowledge>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::Acknowledge::Builder EntryFrame::Builder::initAcknowledge()
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::ACKNOWLEDGE);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Acknowledge>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::CANCEL_RUN);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> EntryFrame::Builder::disownCancelRun() {
+  KJ_IREQUIRE((which() == EntryFrame::CANCEL_RUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryFrame::Reader::isResume() const {
+  return which() == EntryFrame::RESUME;
+}
+inline bool EntryFrame::Builder::isResume() {
+  return which() == EntryFrame::RESUME;
+}
+inline bool EntryFrame::Reader::hasResume() const {
+  if (which() != EntryFrame::RESUME) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryFrame::Builder::hasResume() {
+  if (which() != EntryFrame::RESUME) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::Resume::Reader EntryFrame::Reader::getResume() const {
+  KJ_IREQUIRE((which() == EntryFrame::RESUME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Resume>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::Resume::Builder EntryFrame::Builder::getResume() {
+  KJ_IREQUIRE((which() == EntryFrame::RESUME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Resume>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
