+inline void EntryFrame::Builder::setResume( ::wigeonsill::schema::Resume::Reader value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESUME);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Resume>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::Resume::Builder EntryFrame::Builder::initResume() {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESUME);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Resume>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryFrame::Builder::adoptResume(
+    ::capnp::Orphan< ::wigeonsill::schema::Resume>&& value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::RESUME);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Resume>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::Resume> EntryFrame::Builder::disownResume() {
+  KJ_IREQUIRE((which() == EntryFrame::RESUME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Resume>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryFrame::Reader::isAcknowledge() const {
+  return which() == EntryFrame::ACKNOWLEDGE;
+}
+inline bool EntryFrame::Builder::isAcknowledge() {
+  return which() == EntryFrame::ACKNOWLEDGE;
+}
+inline bool EntryFrame::Reader::hasAcknowledge() const {
+  if (which() != EntryFrame::ACKNOWLEDGE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryFrame::Builder::hasAcknowledge() {
+  if (which() != EntryFrame::ACKNOWLEDGE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::Acknowledge::Reader EntryFrame::Reader::getAcknowledge() const {
+  KJ_IREQUIRE((which() == EntryFrame::ACKNOWLEDGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Acknowledge>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::Acknowledge::Builder EntryFrame::Builder::getAcknowledge() {
+  KJ_IREQUIRE((which() == EntryFrame::ACKNOWLEDGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Acknowledge>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryFrame::Builder::setAcknowledge( ::wigeonsill::schema::Acknowledge::Reader value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::ACKNOWLEDGE);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Acknowledge>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::Acknowledge::Builder EntryFrame::Builder::initAcknowledge() {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::ACKNOWLEDGE);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Acknowledge>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryFrame::Builder::adoptAcknowledge(
-    ::capnp::Orphan<::wigeonsill::schema::Acknowledge> &&value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::ACKNOWLEDGE);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::Acknowledge>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::Acknowledge> EntryFrame::Builder::disownAcknowledge()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::ACKNOWLEDGE), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::Acknowledge>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool EntryFrame::Reader::isHeartbeat() const
-{
-    return which() == EntryFrame::HEARTBEAT;
-}
-inline bool EntryFrame::Builder::isHeartbeat()
-{
-    return which() == EntryFrame::HEARTBEAT;
-}
-inline bool EntryFrame::Reader::hasHeartbeat() const
-{
-    if (which() != EntryFrame::HEARTBEAT)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryFrame::Builder::hasHeartbeat()
-{
-    if (which() != EntryFrame::HEARTBEAT)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::EntryHeartbeat::Reader EntryFrame::Reader::getHeartbeat() const
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::HEARTBEAT), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHeartbeat>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::EntryHeartbeat::Builder EntryFrame::Builder::getHeartbeat()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::HEARTBEAT), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHeartbeat>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EntryFrame::Builder::setHeartbeat(::wigeonsill::schema::EntryHeartbeat::Reader value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HEARTBEAT);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHeartbeat>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::EntryHeartbeat::Builder EntryFrame::Builder::initHeartbeat()
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HEARTBEAT);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHeartbeat>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::Acknowledge>&& value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::ACKNOWLEDGE);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::Acknowledge>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::Acknowledge> EntryFrame::Builder::disownAcknowledge() {
+  KJ_IREQUIRE((which() == EntryFrame::ACKNOWLEDGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::Acknowledge>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryFrame::Reader::isHeartbeat() const {
+  return which() == EntryFrame::HEARTBEAT;
+}
+inline bool EntryFrame::Builder::isHeartbeat() {
+  return which() == EntryFrame::HEARTBEAT;
+}
+inline bool EntryFrame::Reader::hasHeartbeat() const {
+  if (which() != EntryFrame::HEARTBEAT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryFrame::Builder::hasHeartbeat() {
+  if (which() != EntryFrame::HEARTBEAT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::EntryHeartbeat::Reader EntryFrame::Reader::getHeartbeat() const {
+  KJ_IREQUIRE((which() == EntryFrame::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHeartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::EntryHeartbeat::Builder EntryFrame::Builder::getHeartbeat() {
+  KJ_IREQUIRE((which() == EntryFrame::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHeartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryFrame::Builder::setHeartbeat( ::wigeonsill::schema::EntryHeartbeat::Reader value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHeartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::EntryHeartbeat::Builder EntryFrame::Builder::initHeartbeat() {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HEARTBEAT);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHeartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryFrame::Builder::adoptHeartbeat(
-    ::capnp::Orphan<::wigeonsill::schema::EntryHeartbeat> &&value)
-{
-    _builder.setDataField<EntryFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HEARTBEAT);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHeartbeat>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::EntryHeartbeat> EntryFrame::Builder::disownHeartbeat()
-{
-    KJ_IREQUIRE(
-        (which() == EntryFrame::HEARTBEAT), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::EntryHeartbeat>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline ::wigeonsill::schema::AgentFrame::Which AgentFrame::Reader::which() const
-{
-    return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline ::wigeonsill::schema::AgentFrame::Which AgentFrame::Builder::which()
-{
-    return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool AgentFrame::Reader::isHello() const
-{
-    return which() == AgentFrame::HELLO;
-}
-inline bool AgentFrame::Builder::isHello()
-{
-    return which() == AgentFrame::HELLO;
-}
-inline bool AgentFrame::Reader::hasHello() const
-{
-    if (which() != AgentFrame::HELLO)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentFrame::Builder::hasHello()
-{
-    if (which() != AgentFrame::HELLO)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::AgentHello::Reader AgentFrame::Reader::getHello() const
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::HELLO), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHello>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::AgentHello::Builder AgentFrame::Builder::getHello()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::HELLO), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHello>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentFrame::Builder::setHello(::wigeonsill::schema::AgentHello::Reader value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HELLO);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHello>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::AgentHello::Builder AgentFrame::Builder::initHello()
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HELLO);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHello>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::EntryHeartbeat>&& value) {
+  _builder.setDataField<EntryFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, EntryFrame::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHeartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::EntryHeartbeat> EntryFrame::Builder::disownHeartbeat() {
+  KJ_IREQUIRE((which() == EntryFrame::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::EntryHeartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::wigeonsill::schema::AgentFrame::Which AgentFrame::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::wigeonsill::schema::AgentFrame::Which AgentFrame::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool AgentFrame::Reader::isHello() const {
+  return which() == AgentFrame::HELLO;
+}
+inline bool AgentFrame::Builder::isHello() {
+  return which() == AgentFrame::HELLO;
+}
+inline bool AgentFrame::Reader::hasHello() const {
+  if (which() != AgentFrame::HELLO) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentFrame::Builder::hasHello() {
+  if (which() != AgentFrame::HELLO) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::AgentHello::Reader AgentFrame::Reader::getHello() const {
+  KJ_IREQUIRE((which() == AgentFrame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHello>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::AgentHello::Builder AgentFrame::Builder::getHello() {
+  KJ_IREQUIRE((which() == AgentFrame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHello>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentFrame::Builder::setHello( ::wigeonsill::schema::AgentHello::Reader value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HELLO);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHello>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::AgentHello::Builder AgentFrame::Builder::initHello() {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HELLO);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHello>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentFrame::Builder::adoptHello(
-    ::capnp::Orphan<::wigeonsill::schema::AgentHello> &&value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HELLO);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHello>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::AgentHello> AgentFrame::Builder::disownHello()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::HELLO), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHello>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool AgentFrame::Reader::isPull() const
-{
-    return which() == AgentFrame::PULL;
-}
-inline bool AgentFrame::Builder::isPull()
-{
-    return which() == AgentFrame::PULL;
-}
-inline bool AgentFrame::Reader::hasPull() const
-{
-    if (which() != AgentFrame::PULL)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentFrame::Builder::hasPull()
-{
-    if (which() != AgentFrame::PULL)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::RequestId::Reader AgentFrame::Reader::getPull() const
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::PULL), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::RequestId::Builder AgentFrame::Builder::getPull()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::PULL), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentFrame::Builder::setPull(::wigeonsill::schema::RequestId::Reader value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::PULL);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::RequestId::Builder AgentFrame::Builder::initPull()
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::PULL);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentFrame::Builder::adoptPull(::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::PULL);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> AgentFrame::Builder::disownPull()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::PULL), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool AgentFrame::Reader::isReservationEnded() const
-{
-    return which() == AgentFrame::RESERVATION_ENDED;
-}
-inline bool AgentFrame::Builder::isReservationEnded()
-{
-    return which() == AgentFrame::RESERVATION_ENDED;
-}
-inline bool AgentFrame::Reader::hasReservationEnded() const
-{
-    if (which() != AgentFrame::RESERVATION_ENDED)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentFrame::Builder::hasReservationEnded()
-{
-    if (which() != AgentFrame::RESERVATION_ENDED)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::IdWithReason::Reader AgentFrame::Reader::getReservationEnded() const
-{
-    KJ_IREQUIRE((which() == AgentFrame::RESERVATION_ENDED),
-        "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::IdWithReason::Builder AgentFrame::Builder::getReservationEnded()
-{
-    KJ_IREQUIRE((which() == AgentFrame::RESERVATION_ENDED),
-        "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentFrame::Builder::setReservationEnded(
-    ::wigeonsill::schema::IdWithReason::Reader value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::RESERVATION_ENDED);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::IdWithReason::Builder AgentFrame::Builder::initReservationEnded()
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::RESERVATION_ENDED);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::AgentHello>&& value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HELLO);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::AgentHello> AgentFrame::Builder::disownHello() {
+  KJ_IREQUIRE((which() == AgentFrame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHello>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AgentFrame::Reader::isPull() const {
+  return which() == AgentFrame::PULL;
+}
+inline bool AgentFrame::Builder::isPull() {
+  return which() == AgentFrame::PULL;
+}
+inline bool AgentFrame::Reader::hasPull() const {
+  if (which() != AgentFrame::PULL) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentFrame::Builder::hasPull() {
+  if (which() != AgentFrame::PULL) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::RequestId::Reader AgentFrame::Reader::getPull() const {
+  KJ_IREQUIRE((which() == AgentFrame::PULL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::RequestId::Builder AgentFrame::Builder::getPull() {
+  KJ_IREQUIRE((which() == AgentFrame::PULL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentFrame::Builder::setPull( ::wigeonsill::schema::RequestId::Reader value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::PULL);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::RequestId::Builder AgentFrame::Builder::initPull() {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::PULL);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentFrame::Builder::adoptPull(
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::PULL);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> AgentFrame::Builder::disownPull() {
+  KJ_IREQUIRE((which() == AgentFrame::PULL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AgentFrame::Reader::isReservationEnded() const {
+  return which() == AgentFrame::RESERVATION_ENDED;
+}
+inline bool AgentFrame::Builder::isReservationEnded() {
+  return which() == AgentFrame::RESERVATION_ENDED;
+}
+inline bool AgentFrame::Reader::hasReservationEnded() const {
+  if (which() != AgentFrame::RESERVATION_ENDED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentFrame::Builder::hasReservationEnded() {
+  if (which() != AgentFrame::RESERVATION_ENDED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::ReservationEnded::Reader AgentFrame::Reader::getReservationEnded() const {
+  KJ_IREQUIRE((which() == AgentFrame::RESERVATION_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::ReservationEnded>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::ReservationEnded::Builder AgentFrame::Builder::getReservationEnded() {
+  KJ_IREQUIRE((which() == AgentFrame::RESERVATION_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::ReservationEnded>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentFrame::Builder::setReservationEnded( ::wigeonsill::schema::ReservationEnded::Reader value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::RESERVATION_ENDED);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::ReservationEnded>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::ReservationEnded::Builder AgentFrame::Builder::initReservationEnded() {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::RESERVATION_ENDED);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::ReservationEnded>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentFrame::Builder::adoptReservationEnded(
-    ::capnp::Orphan<::wigeonsill::schema::IdWithReason> &&value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::RESERVATION_ENDED);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::IdWithReason>
-AgentFrame::Builder::disownReservationEnded()
-{
-    KJ_IREQUIRE((which() == AgentFrame::RESERVATION_ENDED),
-        "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool AgentFrame::Reader::isAnswerHead() const
-{
-    return which() == AgentFrame::ANSWER_HEAD;
-}
-inline bool AgentFrame::Builder::isAnswerHead()
-{
-    return which() == AgentFrame::ANSWER_HEAD;
-}
-inline bool AgentFrame::Reader::hasAnswerHead() const
-{
-    if (which() != AgentFrame::ANSWER_HEAD)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentFrame::Builder::hasAnswerHead()
-{
-    if (which() != AgentFrame::ANSWER_HEAD)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::AnswerHead::Reader AgentFrame::Reader::getAnswerHead() const
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::ANSWER_HEAD), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerHead>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::AnswerHead::Builder AgentFrame::Builder::getAnswerHead()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::ANSWER_HEAD), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerHead>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentFrame::Builder::setAnswerHead(::wigeonsill::schema::AnswerHead::Reader value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_HEAD);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerHead>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::AnswerHead::Builder AgentFrame::Builder::initAnswerHead()
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_HEAD);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerHead>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::ReservationEnded>&& value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::RESERVATION_ENDED);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::ReservationEnded>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::ReservationEnded> AgentFrame::Builder::disownReservationEnded() {
+  KJ_IREQUIRE((which() == AgentFrame::RESERVATION_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::ReservationEnded>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AgentFrame::Reader::isAnswerHead() const {
+  return which() == AgentFrame::ANSWER_HEAD;
+}
+inline bool AgentFrame::Builder::isAnswerHead() {
+  return which() == AgentFrame::ANSWER_HEAD;
+}
+inline bool AgentFrame::Reader::hasAnswerHead() const {
+  if (which() != AgentFrame::ANSWER_HEAD) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentFrame::Builder::hasAnswerHead() {
+  if (which() != AgentFrame::ANSWER_HEAD) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::AnswerHead::Reader AgentFrame::Reader::getAnswerHead() const {
+  KJ_IREQUIRE((which() == AgentFrame::ANSWER_HEAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerHead>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::AnswerHead::Builder AgentFrame::Builder::getAnswerHead() {
+  KJ_IREQUIRE((which() == AgentFrame::ANSWER_HEAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerHead>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentFrame::Builder::setAnswerHead( ::wigeonsill::schema::AnswerHead::Reader value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_HEAD);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerHead>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::AnswerHead::Builder AgentFrame::Builder::initAnswerHead() {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_HEAD);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerHead>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentFrame::Builder::adoptAnswerHead(
-    ::capnp::Orphan<::wigeonsill::schema::AnswerHead> &&value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_HEAD);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerHead>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::AnswerHead> AgentFrame::Builder::disownAnswerHead()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::ANSWER_HEAD), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerHead>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool AgentFrame::Reader::isAnswerBytes() const
-{
-    return which() == AgentFrame::ANSWER_BYTES;
-}
-inline bool AgentFrame::Builder::isAnswerBytes()
-{
-    return which() == AgentFrame::ANSWER_BYTES;
-}
-inline bool AgentFrame::Reader::hasAnswerBytes() const
-{
-    if (which() != AgentFrame::ANSWER_BYTES)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentFrame::Builder::hasAnswerBytes()
-{
-    if (which() != AgentFrame::ANSWER_BYTES)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::AnswerBytes::Reader AgentFrame::Reader::getAnswerBytes() const
-{
-    KJ_IREQUIRE((which() == AgentFrame::ANSWER_BYTES),
-        "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerBytes>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::AnswerBytes::Builder AgentFrame::Builder::getAnswerBytes()
-{
-    KJ_IREQUIRE((which() == AgentFrame::ANSWER_BYTES),
-        "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerBytes>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentFrame::Builder::setAnswerBytes(::wigeonsill::schema::AnswerBytes::Reader value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_BYTES);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerBytes>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::AnswerBytes::Builder AgentFrame::Builder::initAnswerBytes()
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_BYTES);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerBytes>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::AnswerHead>&& value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_HEAD);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerHead>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::AnswerHead> AgentFrame::Builder::disownAnswerHead() {
+  KJ_IREQUIRE((which() == AgentFrame::ANSWER_HEAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerHead>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AgentFrame::Reader::isAnswerBytes() const {
+  return which() == AgentFrame::ANSWER_BYTES;
+}
+inline bool AgentFrame::Builder::isAnswerBytes() {
+  return which() == AgentFrame::ANSWER_BYTES;
+}
+inline bool AgentFrame::Reader::hasAnswerBytes() const {
+  if (which() != AgentFrame::ANSWER_BYTES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentFrame::Builder::hasAnswerBytes() {
+  if (which() != AgentFrame::ANSWER_BYTES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::AnswerBytes::Reader AgentFrame::Reader::getAnswerBytes() const {
+  KJ_IREQUIRE((which() == AgentFrame::ANSWER_BYTES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerBytes>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::AnswerBytes::Builder AgentFrame::Builder::getAnswerBytes() {
+  KJ_IREQUIRE((which() == AgentFrame::ANSWER_BYTES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerBytes>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentFrame::Builder::setAnswerBytes( ::wigeonsill::schema::AnswerBytes::Reader value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_BYTES);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerBytes>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::AnswerBytes::Builder AgentFrame::Builder::initAnswerBytes() {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_BYTES);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerBytes>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentFrame::Builder::adoptAnswerBytes(
-    ::capnp::Orphan<::wigeonsill::schema::AnswerBytes> &&value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_BYTES);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerBytes>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::AnswerBytes> AgentFrame::Builder::disownAnswerBytes()
-{
-    KJ_IREQUIRE((which() == AgentFrame::ANSWER_BYTES),
-        "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerBytes>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool AgentFrame::Reader::isAnswerEnd() const
-{
-    return which() == AgentFrame::ANSWER_END;
-}
-inline bool AgentFrame::Builder::isAnswerEnd()
-{
-    return which() == AgentFrame::ANSWER_END;
-}
-inline bool AgentFrame::Reader::hasAnswerEnd() const
-{
-    if (which() != AgentFrame::ANSWER_END)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentFrame::Builder::hasAnswerEnd()
-{
-    if (which() != AgentFrame::ANSWER_END)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::AnswerEnd::Reader AgentFrame::Reader::getAnswerEnd() const
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::ANSWER_END), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerEnd>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::AnswerEnd::Builder AgentFrame::Builder::getAnswerEnd()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::ANSWER_END), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerEnd>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentFrame::Builder::setAnswerEnd(::wigeonsill::schema::AnswerEnd::Reader value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_END);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerEnd>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::AnswerEnd::Builder AgentFrame::Builder::initAnswerEnd()
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_END);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerEnd>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::AnswerBytes>&& value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_BYTES);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerBytes>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::AnswerBytes> AgentFrame::Builder::disownAnswerBytes() {
+  KJ_IREQUIRE((which() == AgentFrame::ANSWER_BYTES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerBytes>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AgentFrame::Reader::isAnswerEnd() const {
+  return which() == AgentFrame::ANSWER_END;
+}
+inline bool AgentFrame::Builder::isAnswerEnd() {
+  return which() == AgentFrame::ANSWER_END;
+}
+inline bool AgentFrame::Reader::hasAnswerEnd() const {
+  if (which() != AgentFrame::ANSWER_END) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentFrame::Builder::hasAnswerEnd() {
+  if (which() != AgentFrame::ANSWER_END) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::AnswerEnd::Reader AgentFrame::Reader::getAnswerEnd() const {
+  KJ_IREQUIRE((which() == AgentFrame::ANSWER_END),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerEnd>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::AnswerEnd::Builder AgentFrame::Builder::getAnswerEnd() {
+  KJ_IREQUIRE((which() == AgentFrame::ANSWER_END),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerEnd>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentFrame::Builder::setAnswerEnd( ::wigeonsill::schema::AnswerEnd::Reader value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_END);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerEnd>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::AnswerEnd::Builder AgentFrame::Builder::initAnswerEnd() {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_END);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerEnd>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentFrame::Builder::adoptAnswerEnd(
-    ::capnp::Orphan<::wigeonsill::schema::AnswerEnd> &&value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_END);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerEnd>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::AnswerEnd> AgentFrame::Builder::disownAnswerEnd()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::ANSWER_END), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AnswerEnd>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool AgentFrame::Reader::isNotRun() const
-{
-    return which() == AgentFrame::NOT_RUN;
-}
-inline bool AgentFrame::Builder::isNotRun()
-{
-    return which() == AgentFrame::NOT_RUN;
-}
-inline bool AgentFrame::Reader::hasNotRun() const
-{
-    if (which() != AgentFrame::NOT_RUN)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentFrame::Builder::hasNotRun()
-{
-    if (which() != AgentFrame::NOT_RUN)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::IdWithReason::Reader AgentFrame::Reader::getNotRun() const
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::NOT_RUN), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::IdWithReason::Builder AgentFrame::Builder::getNotRun()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::NOT_RUN), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentFrame::Builder::setNotRun(::wigeonsill::schema::IdWithReason::Reader value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::NOT_RUN);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::IdWithReason::Builder AgentFrame::Builder::initNotRun()
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::NOT_RUN);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::AnswerEnd>&& value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::ANSWER_END);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerEnd>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::AnswerEnd> AgentFrame::Builder::disownAnswerEnd() {
+  KJ_IREQUIRE((which() == AgentFrame::ANSWER_END),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AnswerEnd>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AgentFrame::Reader::isNotRun() const {
+  return which() == AgentFrame::NOT_RUN;
+}
+inline bool AgentFrame::Builder::isNotRun() {
+  return which() == AgentFrame::NOT_RUN;
+}
+inline bool AgentFrame::Reader::hasNotRun() const {
+  if (which() != AgentFrame::NOT_RUN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentFrame::Builder::hasNotRun() {
+  if (which() != AgentFrame::NOT_RUN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::IdWithReason::Reader AgentFrame::Reader::getNotRun() const {
+  KJ_IREQUIRE((which() == AgentFrame::NOT_RUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::IdWithReason>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::IdWithReason::Builder AgentFrame::Builder::getNotRun() {
+  KJ_IREQUIRE((which() == AgentFrame::NOT_RUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::IdWithReason>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentFrame::Builder::setNotRun( ::wigeonsill::schema::IdWithReason::Reader value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::NOT_RUN);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::IdWithReason>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::IdWithReason::Builder AgentFrame::Builder::initNotRun() {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::NOT_RUN);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::IdWithReason>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentFrame::Builder::adoptNotRun(
-    ::capnp::Orphan<::wigeonsill::schema::IdWithReason> &&value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::NOT_RUN);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::IdWithReason> AgentFrame::Builder::disownNotRun()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::NOT_RUN), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::IdWithReason>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool AgentFrame::Reader::isStillRunning() const
-{
-    return which() == AgentFrame::STILL_RUNNING;
-}
-inline bool AgentFrame::Builder::isStillRunning()
-{
-    return which() == AgentFrame::STILL_RUNNING;
-}
-inline bool AgentFrame::Reader::hasStillRunning() const
-{
-    if (which() != AgentFrame::STILL_RUNNING)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentFrame::Builder::hasStillRunning()
-{
-    if (which() != AgentFrame::STILL_RUNNING)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::RequestId::Reader AgentFrame::Reader::getStillRunning() const
-{
-    KJ_IREQUIRE((which() == AgentFrame::STILL_RUNNING),
-        "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::RequestId::Builder AgentFrame::Builder::getStillRunning()
-{
-    KJ_IREQUIRE((which() == AgentFrame::STILL_RUNNING),
-        "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentFrame::Builder::setStillRunning(::wigeonsill::schema::RequestId::Reader value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::STILL_RUNNING);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::RequestId::Builder AgentFrame::Builder::initStillRunning()
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::STILL_RUNNING);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::IdWithReason>&& value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::NOT_RUN);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::IdWithReason>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::IdWithReason> AgentFrame::Builder::disownNotRun() {
+  KJ_IREQUIRE((which() == AgentFrame::NOT_RUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::IdWithReason>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AgentFrame::Reader::isStillRunning() const {
+  return which() == AgentFrame::STILL_RUNNING;
+}
+inline bool AgentFrame::Builder::isStillRunning() {
+  return which() == AgentFrame::STILL_RUNNING;
+}
+inline bool AgentFrame::Reader::hasStillRunning() const {
+  if (which() != AgentFrame::STILL_RUNNING) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentFrame::Builder::hasStillRunning() {
+  if (which() != AgentFrame::STILL_RUNNING) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::RequestId::Reader AgentFrame::Reader::getStillRunning() const {
+  KJ_IREQUIRE((which() == AgentFrame::STILL_RUNNING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::RequestId::Builder AgentFrame::Builder::getStillRunning() {
+  KJ_IREQUIRE((which() == AgentFrame::STILL_RUNNING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentFrame::Builder::setStillRunning( ::wigeonsill::schema::RequestId::Reader value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::STILL_RUNNING);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::RequestId::Builder AgentFrame::Builder::initStillRunning() {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::STILL_RUNNING);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentFrame::Builder::adoptStillRunning(
-    ::capnp::Orphan<::wigeonsill::schema::RequestId> &&value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::STILL_RUNNING);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::wigeonsill::schema::RequestId> AgentFrame::Builder::disownStillRunning()
-{
-    KJ_IREQUIRE((which() == AgentFrame::STILL_RUNNING),
-        "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::RequestId>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool AgentFrame::Reader::isHeartbeat() const
-{
-    return which() == AgentFrame::HEARTBEAT;
-}
-inline bool AgentFrame::Builder::isHeartbeat()
-{
-    return which() == AgentFrame::HEARTBEAT;
-}
-inline bool AgentFrame::Reader::hasHeartbeat() const
-{
-    if (which() != AgentFrame::HEARTBEAT)
-        return false;
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentFrame::Builder::hasHeartbeat()
-{
-    if (which() != AgentFrame::HEARTBEAT)
-        return false;
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::wigeonsill::schema::AgentHeartbeat::Reader AgentFrame::Reader::getHeartbeat() const
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::HEARTBEAT), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHeartbeat>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::wigeonsill::schema::AgentHeartbeat::Builder AgentFrame::Builder::getHeartbeat()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::HEARTBEAT), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHeartbeat>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentFrame::Builder::setHeartbeat(::wigeonsill::schema::AgentHeartbeat::Reader value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HEARTBEAT);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHeartbeat>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::wigeonsill::schema::AgentHeartbeat::Builder AgentFrame::Builder::initHeartbeat()
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HEARTBEAT);
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHeartbeat>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::wigeonsill::schema::RequestId>&& value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::STILL_RUNNING);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wigeonsill::schema::RequestId> AgentFrame::Builder::disownStillRunning() {
+  KJ_IREQUIRE((which() == AgentFrame::STILL_RUNNING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::RequestId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AgentFrame::Reader::isHeartbeat() const {
+  return which() == AgentFrame::HEARTBEAT;
+}
+inline bool AgentFrame::Builder::isHeartbeat() {
+  return which() == AgentFrame::HEARTBEAT;
+}
+inline bool AgentFrame::Reader::hasHeartbeat() const {
+  if (which() != AgentFrame::HEARTBEAT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentFrame::Builder::hasHeartbeat() {
+  if (which() != AgentFrame::HEARTBEAT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wigeonsill::schema::AgentHeartbeat::Reader AgentFrame::Reader::getHeartbeat() const {
+  KJ_IREQUIRE((which() == AgentFrame::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHeartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wigeonsill::schema::AgentHeartbeat::Builder AgentFrame::Builder::getHeartbeat() {
+  KJ_IREQUIRE((which() == AgentFrame::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHeartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentFrame::Builder::setHeartbeat( ::wigeonsill::schema::AgentHeartbeat::Reader value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHeartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wigeonsill::schema::AgentHeartbeat::Builder AgentFrame::Builder::initHeartbeat() {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HEARTBEAT);
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHeartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentFrame::Builder::adoptHeartbeat(
-    ::capnp::Orphan<::wigeonsill::schema::AgentHeartbeat> &&value)
-{
-    _builder.setDataField<AgentFrame::Which>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HEARTBEAT);
-    ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHeartbeat>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::wigeonsill::schema::AgentHeartbeat>&& value) {
+  _builder.setDataField<AgentFrame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, AgentFrame::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHeartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::wigeonsill::schema::AgentHeartbeat> AgentFrame::Builder::disownHeartbeat()
-{
-    KJ_IREQUIRE(
-        (which() == AgentFrame::HEARTBEAT), "Must check which() before get()ing a union member.");
-    return ::capnp::_::PointerHelpers<::wigeonsill::schema::AgentHeartbeat>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::wigeonsill::schema::AgentHeartbeat> AgentFrame::Builder::disownHeartbeat() {
+  KJ_IREQUIRE((which() == AgentFrame::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wigeonsill::schema::AgentHeartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-} // namespace schema
-} // namespace wigeonsill
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/src/wigeonsill-entry/requestreader.cpp
+++ b/src/wigeonsill-entry/requestreader.cpp
@@ -110,11 +110,13 @@
 {
     profile.tier = service.tier;
     profile.organisation = organisation.name;
+    profile.service = service.name;
     profile.pool = service.pool;
     profile.weight = organisation.weight;
     profile.timeLeft = service.deadline;
     profile.nonIdempotent = service.nonIdempotent;
     profile.preemption = organisation.preemption;
+    profile.weighting = organisation.weighting;
 }
 
 /// Text of the prompt, as far as estimates need it.
