Tier floors: nothing of a higher tier is shed while a lower tier is served

Cause: an entry shed by itself, without knowing what other agents of the pool serve. Change: floors with the agents' word, early raise, wider reservations at risk, eviction of the lowest tier from a full agent queue, waiting places by tier, early refusal by predicted wait.

--- a/src/libcore/agentcore.cpp
+++ b/src/libcore/agentcore.cpp
@@ -195,7 +195,9 @@
     run.ended = true;
     run.endedAt = now;
     run.result = result;
-    if (run.cancelled) {
+    if (run.preempted && result != ResultCode::Ok) {
+        run.result = ResultCode::Preempted;
+    } else if (run.cancelled) {
         this->runs.erase(run.profile.id);
         return;
     }
@@ -219,7 +221,7 @@
     this->d->sendHeartbeats(now);
 }
 
-AgentHeartbeat AgentCore::Private::heartbeat() const
+AgentHeartbeat AgentCore::Private::heartbeat(TimePoint now, const EntryLink &link) const
 {
     AgentHeartbeat beat;
     beat.configurationRevision = this->configurationRevision;
@@ -228,6 +230,8 @@
     beat.tokenLimit = this->admission.tokens();
     beat.running = this->running;
     beat.waiting = static_cast<std::uint32_t>(this->queue.size());
+    beat.floors = this->floors.list(now);
+    beat.floorSequence = link.floorSequence;
     beat.tokensPerSecond = this->served.perSecond();
     beat.expectedWait = this->expectedWait();
     return beat;
@@ -269,7 +273,7 @@
     this->lastHeartbeat = now;
     for (const auto &[entry, link] : this->entries) {
         if (link.connected) {
-            this->send(entry, this->heartbeat());
+            this->send(entry, this->heartbeat(now, link));
         }
     }
 }
--- a/src/libcore/agentdirectory.h
+++ b/src/libcore/agentdirectory.h
@@ -2,7 +2,7 @@
 /// What an entry knows of the agents.
 #pragma once
 
-#include "wigeonsill/core.h"
+#include "floors.h"
 
 #include <set>
 
@@ -21,6 +21,7 @@
     TimePoint lastHeard;
     TimePoint disconnectedAt;
     AgentHeartbeat load;
+    FloorTable confirmedFloors; ///< By its own word, on this process's clock.
     std::set<std::uint64_t> reserved; ///< Sequences of waiting requests reserved there.
     std::set<std::uint64_t> bound; ///< Sequences of requests bound there.
 
--- a/src/libcore/agentmessages.cpp
+++ b/src/libcore/agentmessages.cpp
@@ -10,13 +10,16 @@
     ResultCode reason = ResultCode::Ok;
     if (this->draining) {
         reason = ResultCode::Draining;
-    } else if (this->queue.size() >= this->limits.maximumQueued) {
-        reason = ResultCode::Overloaded;
     } else if (this->tombstones.verdict(profile.id) != Tombstones::Verdict::Unseen) {
         reason = ResultCode::RequestExpired;
+    } else if (!this->floors.admits(now, profile.pool, profile.tier)) {
+        reason = ResultCode::TierFloor;
+    } else if (!this->makeRoomFor(profile)) {
+        reason = ResultCode::Overloaded;
     }
     if (reason != ResultCode::Ok) {
-        this->send(profile.id.entry, ReservationEnded{ profile.id, reason, {} });
+        this->send(
+            profile.id.entry, ReservationEnded{ profile.id, reason, this->floors.list(now) });
         return;
     }
     if (this->pulls.contains(profile.id)) {
@@ -52,6 +55,10 @@
         this->refuse(id, ResultCode::Draining);
         return;
     }
+    if (!this->floors.admits(now, message.profile.pool, message.profile.tier)) {
+        this->refuse(id, ResultCode::TierFloor);
+        return;
+    }
     this->tombstones.markStarted(id);
     AgentRun &run = this->runs[id];
     run.profile = message.profile;
@@ -136,8 +143,6 @@
     }
 }
 
-void AgentCore::Private::onMessage(TimePoint, const Incarnation &, const EntryHeartbeat &) { }
-
 void AgentCore::Private::refuse(const RequestId &id, ResultCode reason)
 {
     this->queue.remove(id);
--- a/src/libcore/agentstate.h
+++ b/src/libcore/agentstate.h
@@ -4,6 +4,7 @@
 
 #include "admissionlimit.h"
 #include "answerbuffer.h"
+#include "floors.h"
 #include "ratemeter.h"
 #include "reservationqueue.h"
 #include "tombstones.h"
@@ -20,6 +21,7 @@
     bool haveHead = false;
     bool paused = false;
     bool cancelled = false;
+    bool preempted = false; ///< Cancelled for a higher tier; its entry is told.
     int status = 0;
     Headers headers;
     AnswerBuffer answer;
@@ -45,6 +47,7 @@
     bool connected = false;
     TimePoint lastHeard;
     TimePoint disconnectedAt;
+    std::uint64_t floorSequence = 0; ///< Latest statement of floors that came.
 };
 
 struct AgentCore::Private
@@ -77,6 +80,7 @@
 
     ReservationQueue queue;
     Tombstones tombstones;
+    FloorTable floors;
     AdmissionLimit admission;
     RateMeter served; ///< Estimated tokens of ended runs.
     RateMeter drained; ///< Estimated tokens that left the queue to be run, here or elsewhere.
@@ -95,7 +99,11 @@
     bool hasRoomFor(std::uint64_t tokens) const;
     void releasePull(const RequestId &id);
     void sendHeartbeats(TimePoint now);
-    AgentHeartbeat heartbeat() const;
+    AgentHeartbeat heartbeat(TimePoint now, const EntryLink &link) const;
+    /// Evicts and cancels what a floor that has just been raised no longer lets through.
+    void enforceFloor(const std::string &pool, Tier lowestServed, TimePoint now);
+    /// Whether the queue has room, if need be by evicting a lower tier.
+    bool makeRoomFor(const RequestProfile &profile);
     /// Wait of a new reservation, by tier; zero until the rate is known.
     std::array<Duration, tierCount> expectedWait() const;
     /// Takes a reservation out of the queue because its request runs here or elsewhere.
--- a/src/libcore/entrycore.cpp
+++ b/src/libcore/entrycore.cpp
@@ -75,14 +75,15 @@
         this->d->finish(entry, ResultCode::Draining);
         return id;
     }
-    if (this->d->waiting >= this->d->limits.maximumWaiting) {
-        this->d->finish(entry, ResultCode::Overloaded);
-        return id;
-    }
     if (!this->d->agents.hasUsable(entry.caller.profile.pool)) {
         this->d->finish(entry, ResultCode::NoTargetAvailable);
         return id;
     }
+    const std::optional<ResultCode> refusal = this->d->refusalOf(now, entry.caller.profile);
+    if (refusal) {
+        this->d->finish(entry, *refusal);
+        return id;
+    }
     this->d->deadlines.emplace(entry.deadline, id.sequence);
     ++this->d->waiting;
     if (entry.isClaimed()) {
@@ -126,6 +127,11 @@
 void EntryCore::Private::beginWaiting(TimePoint now, EntryRequest &request)
 {
     request.phase = RequestPhase::Waiting;
+    if (request.deadline <= now) {
+        // The claim took longer than the request may wait.
+        this->finish(request, ResultCode::RequestExpired);
+        return;
+    }
     AgentView *pushed
         = this->pushPlacement.pick(this->limits.placement, this->agents, request.caller.profile);
     if (pushed != nullptr) {
@@ -133,19 +139,26 @@
         return;
     }
     this->placeReservations(now, request);
+    this->watchRisk(now, request);
 }
 
 void EntryCore::Private::placeReservations(
     TimePoint now, EntryRequest &request, const std::string &avoid)
 {
-    if (request.reservedAt.size() >= this->limits.candidates) {
+    const std::size_t wanted = this->wantedCandidates(request);
+    const RequestProfile &profile = request.caller.profile;
+    if (request.reservedAt.size() >= wanted) {
+        return;
+    }
+    if (!this->floors.admits(now, profile.pool, profile.tier)) {
+        this->noteUnplaced(request);
         return;
     }
     std::set<std::string> excluded = request.excluded;
     excluded.insert(request.reservedAt.begin(), request.reservedAt.end());
     excluded.insert(avoid);
     const PlacementQuery query{ &request.caller.profile, &excluded,
-        this->limits.candidates - request.reservedAt.size() };
+        wanted - request.reservedAt.size() };
     for (const std::string &name : pickCandidates(this->agents, query, this->random)) {
         request.reservedAt.insert(name);
         this->agents.get(name).reserved.insert(request.id().sequence);
@@ -153,6 +166,17 @@
         reserve.profile.timeLeft = request.deadline - now;
         this->send(name, std::move(reserve));
     }
+    this->noteUnplaced(request);
+}
+
+void EntryCore::Private::noteUnplaced(const EntryRequest &request)
+{
+    const std::pair key(request.caller.profile.tier, request.id().sequence);
+    if (request.reservedAt.empty()) {
+        this->unplaced.insert(key);
+    } else {
+        this->unplaced.erase(key);
+    }
 }
 
 void EntryCore::Private::stopWaiting(EntryRequest &request)
@@ -168,6 +192,7 @@
         this->send(name, Withdraw{ request.id() });
     }
     request.reservedAt.clear();
+    this->unwatchRisk(request);
 }
 
 void EntryCore::Private::bind(TimePoint now, EntryRequest &request, AgentView &agent)
@@ -183,7 +208,7 @@
     this->send(agent.name, Bind{ request.caller.profile, request.caller.request });
 }
 
-void EntryCore::Private::unbind(TimePoint now, EntryRequest &request)
+void EntryCore::Private::unbind(TimePoint now, EntryRequest &request, ResultCode reason)
 {
     this->agents.get(request.agent).bound.erase(request.id().sequence);
     request.excluded.insert(request.agent);
@@ -192,7 +217,11 @@
     this->deadlines.emplace(request.deadline, request.id().sequence);
     ++this->waiting;
     this->placeReservations(now, request);
-    if (request.reservedAt.empty()) {
+    if (!request.reservedAt.empty()) {
+        this->watchRisk(now, request);
+    } else if (reason == ResultCode::TierFloor) {
+        this->shed(now, request, reason);
+    } else {
         this->finish(request, ResultCode::NoTargetAvailable);
     }
 }
@@ -332,17 +361,15 @@
     if (now - this->lastHeartbeat < this->limits.heartbeatInterval) {
         return;
     }
-    this->lastHeartbeat = now;
-    for (const auto &[name, agent] : this->agents.all()) {
-        if (agent.connected) {
-            this->send(name, EntryHeartbeat{ this->configurationRevision, {} });
-        }
-    }
+    this->tellFloors(now);
 }
 
 void EntryCore::tick(TimePoint now)
 {
+    this->d->renewFloors(now);
+    this->d->shedWhereAllowed(now);
     this->d->expireWaiting(now);
+    this->d->placeUnplaced(now);
     this->d->watchAgents(now);
     this->d->askAboutBound(now);
     this->d->sendHeartbeats(now);
--- a/src/libcore/entrymessages.cpp
+++ b/src/libcore/entrymessages.cpp
@@ -12,6 +12,7 @@
     if (agent.incarnation != hello.incarnation) {
         this->d->endBoundRequests(agent);
         agent.load = {};
+        agent.confirmedFloors.clear();
     }
     agent.connected = false;
     this->d->dropReservations(now, agent);
@@ -21,6 +22,8 @@
     agent.draining = hello.draining;
     agent.lastHeard = now;
     this->d->agents.setPools(agent, hello.pools);
+    this->d->floors.forgetConsent();
+    this->d->send(name, this->d->floors.makeStatement(now, this->d->configurationRevision));
     for (const std::uint64_t sequence : agent.bound) {
         this->d->ask(this->d->requests.at(sequence));
     }
@@ -101,6 +104,13 @@
         this->send(agent.name, Decline{ message.id });
         return;
     }
+    if (!this->floors.admits(now, request->caller.profile.pool, request->caller.profile.tier)) {
+        agent.reserved.erase(message.id.sequence);
+        request->reservedAt.erase(agent.name);
+        this->noteUnplaced(*request);
+        this->send(agent.name, Decline{ message.id });
+        return;
+    }
     this->bind(now, *request, agent);
 }
 
@@ -110,6 +120,7 @@
     if (request == nullptr || request->phase != RequestPhase::Waiting) {
         return;
     }
+    this->floors.hear(now, message.floors);
     agent.reserved.erase(message.id.sequence);
     request->reservedAt.erase(agent.name);
     if (message.reason == ResultCode::Draining) {
@@ -119,13 +130,13 @@
     if (!request->reservedAt.empty()) {
         return;
     }
-    if (message.reason == ResultCode::Overloaded) {
-        this->finish(*request, ResultCode::Overloaded);
-        return;
-    }
-    this->placeReservations(now, *request);
-    if (request->reservedAt.empty()) {
+    const bool noAgentLeft = !this->agents.hasUsable(request->caller.profile.pool);
+    if (noAgentLeft) {
         this->finish(*request, ResultCode::NoTargetAvailable);
+    } else if (message.reason == ResultCode::Overloaded) {
+        this->shed(now, *request, ResultCode::Overloaded);
+    } else if (message.reason != ResultCode::TierFloor) {
+        this->placeReservations(now, *request);
     }
 }
 
@@ -195,7 +206,7 @@
         this->finish(*request, ResultCode::CallerGone);
         return;
     }
-    this->unbind(now, *request);
+    this->unbind(now, *request, message.reason);
 }
 
 void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const StillRunning &message)
@@ -209,6 +220,8 @@
 void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const AgentHeartbeat &message)
 {
     agent.load = message;
+    this->floors.hear(now, message.floors);
+    this->floors.confirm(now, agent, message.floorSequence);
     if (message.draining && !agent.draining) {
         agent.draining = true;
         this->dropReservations(now, agent);
--- a/src/libcore/entrystate.h
+++ b/src/libcore/entrystate.h
@@ -2,7 +2,7 @@
 /// State of an entry core and the steps that its parts share.
 #pragma once
 
-#include "agentdirectory.h"
+#include "entryfloors.h"
 #include "placement.h"
 #include "pushplacement.h"
 
@@ -32,6 +32,8 @@
     TimePoint arrivedAt;
     TimePoint deadline;
     std::set<std::string> reservedAt;
+    TimePoint riskAt; ///< From when on it counts as being at risk of its deadline.
+    bool atRisk = false;
     std::set<std::string> excluded; ///< Agents that refused it for ever.
 
     std::string agent; ///< When bound.
@@ -64,6 +66,14 @@
     std::size_t waiting = 0;
     AgentDirectory agents;
     PushPlacement pushPlacement;
+    EntryFloors floors;
+    std::set<std::pair<TimePoint, std::uint64_t>> riskTimes; ///< Of waiting requests not at risk.
+    std::map<std::string, std::array<std::size_t, tierCount>>
+        atRisk; ///< Requests by pool and tier.
+    std::set<std::pair<Tier, std::uint64_t>> unplaced; ///< Waiting without a reservation.
+    std::pair<Tier, std::uint64_t> lastUnplaced;
+    /// Given up as soon as the floor allows it, by pool and tier.
+    std::map<std::pair<std::string, Tier>, std::map<std::uint64_t, ResultCode>> toShed;
     TimePoint lastHeartbeat;
     TimePoint lastAsk;
     std::vector<EntryAction> actions;
@@ -76,10 +86,29 @@
     /// Reserves at more agents until enough hold the request.
     /// \param avoid Name of an agent that is not asked this time, or empty.
     void placeReservations(TimePoint now, EntryRequest &request, const std::string &avoid = {});
+    void noteUnplaced(const EntryRequest &request);
     void stopWaiting(EntryRequest &request);
+
+    std::size_t wantedCandidates(const EntryRequest &request) const;
+    /// Sets when a request counts as being at risk. It may end the request.
+    void watchRisk(TimePoint now, EntryRequest &request);
+    void unwatchRisk(EntryRequest &request);
+    /// Shortest wait that its agents expect; empty when it is reserved nowhere.
+    std::optional<Duration> predictedWait(const EntryRequest &request);
+    void markAtRisk(TimePoint now, EntryRequest &request);
+    void raiseFloor(TimePoint now, const std::string &pool, Tier tier);
+    void tellFloors(TimePoint now);
+    /// Gives a waiting request up, at once or when its floor has spread. Returns whether it ended.
+    bool shed(TimePoint now, EntryRequest &request, ResultCode reason);
+    /// Why a new request is refused at once, if it is.
+    std::optional<ResultCode> refusalOf(TimePoint now, const RequestProfile &profile);
+    void renewFloors(TimePoint now);
+    void shedWhereAllowed(TimePoint now);
+    void placeUnplaced(TimePoint now);
+
     void bind(TimePoint now, EntryRequest &request, AgentView &agent);
     /// Back to waiting: the bound agent's word is that the target never got it.
-    void unbind(TimePoint now, EntryRequest &request);
+    void unbind(TimePoint now, EntryRequest &request, ResultCode reason);
     /// Ends a request with its last action and forgets it.
     void finish(EntryRequest &request, ResultCode result);
     Duration retryAfter(ResultCode result);
--- a/src/libcore/reservationqueue.cpp
+++ b/src/libcore/reservationqueue.cpp
@@ -116,6 +116,43 @@
     }
 }
 
+std::vector<RequestId> ReservationQueue::removeBelow(const std::string &pool, Tier lowestServed)
+{
+    std::vector<RequestId> ids;
+    for (std::size_t i = static_cast<std::size_t>(lowestServed) + 1; i < tierCount; ++i) {
+        for (const auto &[organisation, share] : this->tiers[i].shares) {
+            for (const RequestId &id : share.waiting) {
+                const auto found = this->byId.find(id);
+                if (found != this->byId.end() && found->second.profile.pool == pool) {
+                    ids.push_back(id);
+                }
+            }
+        }
+    }
+    for (const RequestId &id : ids) {
+        this->remove(id);
+    }
+    return ids;
+}
+
+std::optional<RequestId> ReservationQueue::evictBelow(Tier tier)
+{
+    for (std::size_t i = tierCount - 1; i > static_cast<std::size_t>(tier); --i) {
+        if (this->tiers[i].order.empty()) {
+            continue;
+        }
+        // The organisation that is furthest ahead of its share loses its newest reservation.
+        Share &share = *this->tiers[i].order.rbegin()->second;
+        while (!this->byId.contains(share.waiting.back())) {
+            share.waiting.pop_back();
+        }
+        const RequestId id = share.waiting.back();
+        this->remove(id);
+        return id;
+    }
+    return std::nullopt;
+}
+
 std::vector<RequestId> ReservationQueue::removeAll()
 {
     std::vector<RequestId> ids;
--- a/src/libcore/reservationqueue.h
+++ b/src/libcore/reservationqueue.h
@@ -32,6 +32,10 @@
     std::vector<RequestId> removeExpired(TimePoint now);
     /// Removes the reservations of one entry.
     void removeEntry(const Incarnation &entry);
+    /// Removes the reservations of a pool below a tier and returns their ids.
+    std::vector<RequestId> removeBelow(const std::string &pool, Tier lowestServed);
+    /// Removes the last reservation of the lowest tier, if that is below the given one.
+    std::optional<RequestId> evictBelow(Tier tier);
     /// Removes everything and returns the ids.
     std::vector<RequestId> removeAll();
 
