--- a/src/libcore/agentdirectory.cpp
+++ b/src/libcore/agentdirectory.cpp
@@ -16,10 +16,12 @@
 {
     for (const std::string &pool : agent.pools) {
         std::erase(this->pools[pool], agent.name);
+        std::erase(this->views[pool], &agent);
     }
     agent.pools = newPools;
     for (const std::string &pool : newPools) {
         this->pools[pool].push_back(agent.name);
+        this->views[pool].push_back(&agent);
     }
 }
 
@@ -30,11 +32,18 @@
     return found == this->pools.end() ? none : found->second;
 }
 
-bool AgentDirectory::hasUsable(const std::string &pool)
+const std::vector<AgentView *> &AgentDirectory::viewsOf(const std::string &pool) const
 {
-    const std::vector<std::string> &names = this->ofPool(pool);
-    return std::any_of(names.begin(), names.end(),
-        [this](const std::string &name) { return this->agents[name].isUsable(); });
+    static const std::vector<AgentView *> none;
+    const auto found = this->views.find(pool);
+    return found == this->views.end() ? none : found->second;
+}
+
+bool AgentDirectory::hasUsable(const std::string &pool) const
+{
+    const std::vector<AgentView *> &poolAgents = this->viewsOf(pool);
+    return std::any_of(poolAgents.begin(), poolAgents.end(),
+        [](const AgentView *agent) { return agent->isUsable(); });
 }
 
 } // namespace wigeonsill
--- a/src/libcore/agentdirectory.h
+++ b/src/libcore/agentdirectory.h
@@ -45,7 +45,9 @@
     void setPools(AgentView &agent, const std::vector<std::string> &pools);
     /// Names of the agents that serve a pool, usable or not.
     const std::vector<std::string> &ofPool(const std::string &pool) const;
-    bool hasUsable(const std::string &pool);
+    /// The same agents. Valid until the pools of an agent are set.
+    const std::vector<AgentView *> &viewsOf(const std::string &pool) const;
+    bool hasUsable(const std::string &pool) const;
 
     std::map<std::string, AgentView> &all() { return this->agents; }
     const std::map<std::string, AgentView> &all() const { return this->agents; }
@@ -53,6 +55,7 @@
 private:
     std::map<std::string, AgentView> agents;
     std::map<std::string, std::vector<std::string>> pools;
+    std::map<std::string, std::vector<AgentView *>> views;
 };
 
 } // namespace wigeonsill
--- a/src/libcore/entrycore.cpp
+++ b/src/libcore/entrycore.cpp
@@ -147,7 +147,9 @@
         this->bind(now, request, *pushed);
         return;
     }
-    this->placeReservations(now, request);
+    if (!this->placeAffine(now, request)) {
+        this->placeReservations(now, request);
+    }
     this->watchRisk(now, request);
 }
 
@@ -169,15 +171,20 @@
     const PlacementQuery query{ &request.caller.profile, &excluded,
         wanted - request.reservedAt.size() };
     for (const std::string &name : pickCandidates(this->agents, query, this->random)) {
-        request.reservedAt.insert(name);
-        this->agents.get(name).reserved.insert(request.id().sequence);
-        Reserve reserve{ request.caller.profile };
-        reserve.profile.timeLeft = request.deadline - now;
-        this->send(name, std::move(reserve));
+        this->reserveAt(now, request, name);
     }
     this->noteUnplaced(request);
 }
 
+void EntryCore::Private::reserveAt(TimePoint now, EntryRequest &request, const std::string &agent)
+{
+    request.reservedAt.insert(agent);
+    this->agents.get(agent).reserved.insert(request.id().sequence);
+    Reserve reserve{ request.caller.profile };
+    reserve.profile.timeLeft = request.deadline - now;
+    this->send(agent, std::move(reserve));
+}
+
 void EntryCore::Private::noteUnplaced(const EntryRequest &request)
 {
     const std::pair key(request.caller.profile.tier, request.id().sequence);
@@ -212,6 +219,7 @@
     request.phase = RequestPhase::Bound;
     request.agent = agent.name;
     request.agentIncarnation = agent.incarnation;
+    this->prefixes.remember(now, agent.name, request.caller.profile.prefixHashes);
     request.lastProgress = now;
     agent.bound.insert(request.id().sequence);
     this->send(agent.name, Bind{ request.caller.profile, request.caller.request });
@@ -346,12 +354,16 @@
         return;
     }
     this->lastAsk = now;
-    for (auto &[sequence, request] : this->requests) {
-        const bool quiet = now - request.lastProgress > this->limits.askInterval;
-        if (request.phase == RequestPhase::Bound && quiet
-            && this->agents.get(request.agent).connected) {
-            request.lastProgress = now;
-            this->ask(request);
+    for (auto &[name, agent] : this->agents.all()) {
+        if (!agent.connected) {
+            continue;
+        }
+        for (const std::uint64_t sequence : agent.bound) {
+            EntryRequest &request = this->requests.at(sequence);
+            if (now - request.lastProgress > this->limits.askInterval) {
+                request.lastProgress = now;
+                this->ask(request);
+            }
         }
     }
 }
@@ -371,6 +383,7 @@
     this->d->shedWhereAllowed(now);
     this->d->expireWaiting(now);
     this->d->placeUnplaced(now);
+    this->d->endAffineHolds(now);
     this->d->watchAgents(now);
     this->d->askAboutBound(now);
     this->d->sendHeartbeats(now);
--- a/src/libcore/entryfloors.cpp
+++ b/src/libcore/entryfloors.cpp
@@ -82,10 +82,9 @@
         return true;
     }
     TimePoint least = TimePoint::max();
-    for (const std::string &name : agents.ofPool(pool)) {
-        const AgentView &agent = agents.get(name);
-        if (agent.connected && !agent.draining) {
-            least = std::min(least, agent.confirmedFloors.heldUntil(pool, tier));
+    for (const AgentView *agent : agents.viewsOf(pool)) {
+        if (agent->connected && !agent->draining) {
+            least = std::min(least, agent->confirmedFloors.heldUntil(pool, tier));
         }
         if (least <= needed) {
             return false;
--- a/src/libcore/entrymessages.cpp
+++ b/src/libcore/entrymessages.cpp
@@ -13,6 +13,7 @@
         this->d->endBoundRequests(agent);
         agent.load = {};
         agent.confirmedFloors.clear();
+        this->d->prefixes.forgetAgent(name);
     }
     agent.connected = false;
     this->d->dropReservations(now, agent);
@@ -27,10 +28,9 @@
     for (const std::uint64_t sequence : agent.bound) {
         this->d->ask(this->d->requests.at(sequence));
     }
-    for (auto &[sequence, request] : this->d->requests) {
-        if (request.phase == RequestPhase::Waiting) {
-            this->d->placeReservations(now, request);
-        }
+    const auto unplaced = this->d->unplaced;
+    for (const auto &[tier, sequence] : unplaced) {
+        this->d->placeReservations(now, this->d->requests.at(sequence));
     }
 }
 
--- a/src/libcore/entryshedding.cpp
+++ b/src/libcore/entryshedding.cpp
@@ -44,6 +44,7 @@
     const std::uint64_t sequence = request.id().sequence;
     const RequestProfile &profile = request.caller.profile;
     this->riskTimes.erase({ request.riskAt, sequence });
+    this->affineHolds.erase({ request.affineUntil, sequence });
     this->unplaced.erase({ profile.tier, sequence });
     if (request.atRisk) {
         request.atRisk = false;
@@ -161,7 +162,8 @@
     const Duration floor = this->floors.remaining(this->presentTime, profile.pool, profile.tier);
     // Room for the caller is there once its wait would fit the time that it allows.
     const Duration excess = this->poolWait(profile) - profile.timeLeft;
-    return this->returns.delayFor(this->presentTime, profile, std::max(floor, excess), this->random);
+    return this->returns.delayFor(
+        this->presentTime, profile, std::max(floor, excess), this->random);
 }
 
 void EntryCore::Private::learn(const RequestProfile &profile, const AnswerEnd &message)
--- a/src/libcore/entrystate.h
+++ b/src/libcore/entrystate.h
@@ -36,6 +36,7 @@
     std::set<std::string> reservedAt;
     TimePoint riskAt; ///< From when on it counts as being at risk of its deadline.
     bool atRisk = false;
+    TimePoint affineUntil; ///< Until then only the holder of its prefix is asked.
     Duration quotaDelay{}; ///< Until the organisation's quota has room, when it has none.
     std::set<std::string> excluded; ///< Agents that refused it for ever.
 
@@ -57,6 +58,7 @@
 struct EntryCore::Private
 {
     static constexpr std::size_t servicesRemembered = 65'536;
+    static constexpr std::size_t prefixesRemembered = 65'536;
 
     Incarnation incarnation;
     Location location;
@@ -71,6 +73,9 @@
     std::size_t waiting = 0;
     AgentDirectory agents;
     PushPlacement pushPlacement;
+    PrefixDirectory prefixes{ prefixesRemembered };
+    std::set<std::pair<TimePoint, std::uint64_t>>
+        affineHolds; ///< Requests that wait for one agent.
     SizeEstimator sizes{ servicesRemembered };
     Quotas quotas;
     ReturnSchedule returns;
@@ -95,6 +100,10 @@
     /// Reserves at more agents until enough hold the request.
     /// \param avoid Name of an agent that is not asked this time, or empty.
     void placeReservations(TimePoint now, EntryRequest &request, const std::string &avoid = {});
+    /// Reserves at the holder of the request's prefix alone. Returns whether there is one.
+    bool placeAffine(TimePoint now, EntryRequest &request);
+    void reserveAt(TimePoint now, EntryRequest &request, const std::string &agent);
+    void endAffineHolds(TimePoint now);
     void noteUnplaced(const EntryRequest &request);
     void stopWaiting(EntryRequest &request);
 
--- a/src/libcore/placement.h
+++ b/src/libcore/placement.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "agentdirectory.h"
+#include "prefixdirectory.h"
 
 namespace wigeonsill {
 
@@ -14,6 +15,15 @@
     std::size_t wanted = 1;
 };
 
+/// How long a request waits for an agent that holds its prefix before others are asked too.
+Duration affinityPatience(Weighting weighting);
+
+/// Picks the agent that probably holds the request's prefix, unless its queue is longer than the
+/// prefix is worth. A hot prefix so spreads to further agents. Empty when there is none.
+/// \pre profile and excluded are set.
+std::string pickAffine(AgentDirectory &directory, const PrefixDirectory &prefixes,
+    const PlacementQuery &query, TimePoint now);
+
 /// Picks up to wanted agents: idle ones first, then the shorter queues of random picks.
 /// \pre profile and excluded are set.
 std::vector<std::string> pickCandidates(
--- /dev/null
+++ b/src/libcore/prefixdirectory.cpp
@@ -0,0 +1,70 @@
+/// \file prefixdirectory.cpp
+/// Which agents were given which prompt prefixes.
+#include "prefixdirectory.h"
+
+#include <algorithm>
+
+namespace wigeonsill {
+
+namespace {
+
+constexpr Duration longestAge = seconds(300);
+constexpr std::size_t maximumHolders = 4; ///< Of one prefix.
+
+} // namespace
+
+PrefixDirectory::PrefixDirectory(std::size_t prefixesKept)
+    : maximumPrefixes(prefixesKept)
+{
+}
+
+void PrefixDirectory::remember(
+    TimePoint now, const std::string &agent, const std::vector<std::uint64_t> &hashes)
+{
+    for (const std::uint64_t hash : hashes) {
+        const auto found = this->byHash.find(hash);
+        if (found != this->byHash.end()) {
+            this->prefixes.splice(this->prefixes.begin(), this->prefixes, found->second);
+        } else {
+            this->prefixes.push_front({ hash, {} });
+            this->byHash[hash] = this->prefixes.begin();
+        }
+        std::vector<PrefixHolder> &holders = this->prefixes.front().holders;
+        std::erase_if(
+            holders, [&agent](const PrefixHolder &holder) { return holder.agent == agent; });
+        holders.insert(holders.begin(), { agent, now });
+        holders.resize(std::min(holders.size(), maximumHolders));
+    }
+    while (this->prefixes.size() > this->maximumPrefixes) {
+        this->byHash.erase(this->prefixes.back().hash);
+        this->prefixes.pop_back();
+    }
+}
+
+std::vector<PrefixHolder> PrefixDirectory::holders(
+    TimePoint now, const std::vector<std::uint64_t> &hashes) const
+{
+    for (auto hash = hashes.rbegin(); hash != hashes.rend(); ++hash) {
+        const auto found = this->byHash.find(*hash);
+        if (found == this->byHash.end()) {
+            continue;
+        }
+        std::vector<PrefixHolder> fresh = found->second->holders;
+        std::erase_if(fresh,
+            [now](const PrefixHolder &holder) { return now - holder.lastUsed > longestAge; });
+        if (!fresh.empty()) {
+            return fresh;
+        }
+    }
+    return {};
+}
+
+void PrefixDirectory::forgetAgent(const std::string &agent)
+{
+    for (Prefix &prefix : this->prefixes) {
+        std::erase_if(
+            prefix.holders, [&agent](const PrefixHolder &holder) { return holder.agent == agent; });
+    }
+}
+
+} // namespace wigeonsill
--- a/src/libcore/reservationqueue.cpp
+++ b/src/libcore/reservationqueue.cpp
@@ -11,6 +11,7 @@
     if (!this->byId.emplace(profile.id, Entry{ profile, deadline }).second) {
         return false;
     }
+    this->byDeadline.emplace(deadline, profile.id);
     TierQueue &queue = this->tiers[static_cast<std::size_t>(profile.tier)];
     Share &share = queue.shares[profile.organisation];
     if (share.live == 0) {
@@ -32,6 +33,7 @@
         return false;
     }
     const RequestProfile profile = found->second.profile;
+    this->byDeadline.erase({ found->second.deadline, id });
     this->byId.erase(found);
     TierQueue &queue = this->tiers[static_cast<std::size_t>(profile.tier)];
     Share &share = queue.shares[profile.organisation];
@@ -92,13 +94,9 @@
 std::vector<RequestId> ReservationQueue::removeExpired(TimePoint now)
 {
     std::vector<RequestId> expired;
-    for (const auto &[id, entry] : this->byId) {
-        if (entry.deadline <= now) {
-            expired.push_back(id);
-        }
-    }
-    for (const RequestId &id : expired) {
-        this->remove(id);
+    while (!this->byDeadline.empty() && this->byDeadline.begin()->first <= now) {
+        expired.push_back(this->byDeadline.begin()->second);
+        this->remove(expired.back());
     }
     return expired;
 }
@@ -106,10 +104,9 @@
 void ReservationQueue::removeEntry(const Incarnation &entry)
 {
     std::vector<RequestId> ids;
-    for (const auto &[id, queued] : this->byId) {
-        if (id.entry == entry) {
-            ids.push_back(id);
-        }
+    for (auto next = this->byId.lower_bound({ entry, 0 });
+         next != this->byId.end() && next->first.entry == entry; ++next) {
+        ids.push_back(next->first);
     }
     for (const RequestId &id : ids) {
         this->remove(id);
--- a/src/libcore/reservationqueue.h
+++ b/src/libcore/reservationqueue.h
@@ -5,7 +5,7 @@
 #include "wigeonsill/core.h"
 
 #include <deque>
-#include <unordered_map>
+#include <set>
 
 namespace wigeonsill {
 
@@ -66,7 +66,8 @@
     void forget(TierQueue &queue, const std::string &organisation);
 
     std::array<TierQueue, tierCount> tiers;
-    std::unordered_map<RequestId, Entry, RequestIdHash> byId;
+    std::map<RequestId, Entry> byId; ///< Those of one entry stand together.
+    std::set<std::pair<TimePoint, RequestId>> byDeadline;
 };
 
 } // namespace wigeonsill
