--- a/src/libcore/agentstate.h
+++ b/src/libcore/agentstate.h
@@ -2,7 +2,10 @@
 /// State of an agent core and the steps that its parts share.
 #pragma once
 
+#include "admissionlimit.h"
 #include "answerbuffer.h"
+#include "floors.h"
+#include "ratemeter.h"
 #include "reservationqueue.h"
 #include "tombstones.h"
 
@@ -18,6 +21,7 @@
     bool haveHead = false;
     bool paused = false;
     bool cancelled = false;
+    bool preempted = false; ///< Cancelled for a higher tier; its entry is told.
     int status = 0;
     Headers headers;
     AnswerBuffer answer;
@@ -26,7 +30,7 @@
     bool endSent = false;
     ResultCode result = ResultCode::Ok;
     TokenUsage usage;
-    TimePoint startedAt;
+    AnswerTiming timing;
     TimePoint endedAt;
 };
 
@@ -43,6 +47,7 @@
     bool connected = false;
     TimePoint lastHeard;
     TimePoint disconnectedAt;
+    std::uint64_t floorSequence = 0; ///< Latest statement of floors that came.
 };
 
 struct AgentCore::Private
@@ -51,9 +56,21 @@
         : limits(agentLimits)
         , incarnation(agentIncarnation)
         , tombstones(agentLimits.tombstonesPerEntry)
+        , admission(admissionOptions(agentLimits))
+        , served(rateTimeConstant)
+        , drained(rateTimeConstant)
     {
     }
 
+    static AdmissionLimit::Options admissionOptions(const AgentLimits &limits)
+    {
+        AdmissionLimit::Options options;
+        options.initial = limits.tokenLimit;
+        return options;
+    }
+
+    static constexpr Duration rateTimeConstant = seconds(5);
+
     AgentLimits limits;
     Incarnation incarnation;
     Location location;
@@ -63,6 +80,10 @@
 
     ReservationQueue queue;
     Tombstones tombstones;
+    FloorTable floors;
+    AdmissionLimit admission;
+    RateMeter served; ///< Estimated tokens of ended runs.
+    RateMeter drained; ///< Estimated tokens that left the queue to be run, here or elsewhere.
     std::unordered_map<RequestId, PendingPull, RequestIdHash> pulls;
     std::unordered_map<RequestId, AgentRun, RequestIdHash> runs;
     std::map<Incarnation, EntryLink> entries;
@@ -78,7 +99,16 @@
     bool hasRoomFor(std::uint64_t tokens) const;
     void releasePull(const RequestId &id);
     void sendHeartbeats(TimePoint now);
-    AgentHeartbeat heartbeat() const;
+    AgentHeartbeat heartbeat(TimePoint now, const EntryLink &link) const;
+    /// Evicts and cancels what a floor that has just been raised no longer lets through.
+    void enforceFloor(const std::string &pool, Tier lowestServed, TimePoint now);
+    /// Whether the queue has room, if need be by evicting a lower tier.
+    bool makeRoomFor(const RequestProfile &profile);
+    /// Wait of a new reservation, by tier; zero until the rate is known.
+    std::array<Duration, tierCount> expectedWait() const;
+    /// Takes a reservation out of the queue because its request runs here or elsewhere.
+    void removeServed(const RequestId &id);
+    void measureRates(TimePoint now);
 
     void onMessage(TimePoint now, const Incarnation &entry, const Reserve &message);
     void onMessage(TimePoint now, const Incarnation &entry, const Withdraw &message);
--- a/src/libcore/entrycore.cpp
+++ b/src/libcore/entrycore.cpp
@@ -66,23 +66,33 @@
 RequestId EntryCore::arrive(TimePoint now, CallerRequest request)
 {
     const RequestId id{ this->d->incarnation, this->d->nextSequence++ };
+    this->d->presentTime = now;
     request.profile.id = id;
     EntryRequest &entry = this->d->requests[id.sequence];
     entry.caller = std::move(request);
     entry.arrivedAt = now;
+    RequestProfile &profile = entry.caller.profile;
+    profile.outputTokens
+        = this->d->sizes.estimate(profile.organisation, profile.service, profile.outputTokens);
     entry.deadline = now + entry.caller.profile.timeLeft;
     if (this->d->draining) {
         this->d->finish(entry, ResultCode::Draining);
         return id;
     }
-    if (this->d->waiting >= this->d->limits.maximumWaiting) {
-        this->d->finish(entry, ResultCode::Overloaded);
-        return id;
-    }
     if (!this->d->agents.hasUsable(entry.caller.profile.pool)) {
         this->d->finish(entry, ResultCode::NoTargetAvailable);
         return id;
     }
+    const std::optional<ResultCode> refusal = this->d->refusalOf(now, entry.caller.profile);
+    if (refusal) {
+        this->d->finish(entry, *refusal);
+        return id;
+    }
+    entry.quotaDelay = this->d->quotas.take(now, profile, entry.caller.quotaTokensPerSecond);
+    if (entry.quotaDelay > Duration::zero()) {
+        this->d->finish(entry, ResultCode::QuotaExceeded);
+        return id;
+    }
     this->d->deadlines.emplace(entry.deadline, id.sequence);
     ++this->d->waiting;
     if (entry.isClaimed()) {
@@ -126,32 +136,62 @@
 void EntryCore::Private::beginWaiting(TimePoint now, EntryRequest &request)
 {
     request.phase = RequestPhase::Waiting;
+    if (request.deadline <= now) {
+        // The claim took longer than the request may wait.
+        this->finish(request, ResultCode::RequestExpired);
+        return;
+    }
     AgentView *pushed
         = this->pushPlacement.pick(this->limits.placement, this->agents, request.caller.profile);
     if (pushed != nullptr) {
         this->bind(now, request, *pushed);
         return;
     }
-    this->placeReservations(now, request);
+    if (!this->placeAffine(now, request)) {
+        this->placeReservations(now, request);
+    }
+    this->watchRisk(now, request);
 }
 
 void EntryCore::Private::placeReservations(
     TimePoint now, EntryRequest &request, const std::string &avoid)
 {
-    if (request.reservedAt.size() >= this->limits.candidates) {
+    const std::size_t wanted = this->wantedCandidates(request);
+    const RequestProfile &profile = request.caller.profile;
+    if (request.reservedAt.size() >= wanted) {
+        return;
+    }
+    if (!this->floors.admits(now, profile.pool, profile.tier)) {
+        this->noteUnplaced(request);
         return;
     }
     std::set<std::string> excluded = request.excluded;
     excluded.insert(request.reservedAt.begin(), request.reservedAt.end());
     excluded.insert(avoid);
     const PlacementQuery query{ &request.caller.profile, &excluded,
-        this->limits.candidates - request.reservedAt.size() };
+        wanted - request.reservedAt.size() };
     for (const std::string &name : pickCandidates(this->agents, query, this->random)) {
-        request.reservedAt.insert(name);
-        this->agents.get(name).reserved.insert(request.id().sequence);
-        Reserve reserve{ request.caller.profile };
-        reserve.profile.timeLeft = request.deadline - now;
-        this->send(name, std::move(reserve));
+        this->reserveAt(now, request, name);
+    }
+    this->noteUnplaced(request);
+}
+
+void EntryCore::Private::reserveAt(TimePoint now, EntryRequest &request, const std::string &agent)
+{
+    request.reservedAt.insert(agent);
+    this->agents.get(agent).reserved.insert(request.id().sequence);
+    Reserve reserve{ request.caller.profile };
+    reserve.profile.timeLeft = request.deadline - now;
+    this->send(agent, std::move(reserve));
+}
+
+void EntryCore::Private::noteUnplaced(const EntryRequest &request)
+{
+    const std::pair key(request.caller.profile.tier, request.id().sequence);
+    if (request.reservedAt.empty()) {
+        this->unplaced.insert(key);
+    } else {
+        this->unplaced.erase(key);
     }
 }
 
@@ -168,6 +208,7 @@
         this->send(name, Withdraw{ request.id() });
     }
     request.reservedAt.clear();
+    this->unwatchRisk(request);
 }
 
 void EntryCore::Private::bind(TimePoint now, EntryRequest &request, AgentView &agent)
@@ -178,12 +219,13 @@
     request.phase = RequestPhase::Bound;
     request.agent = agent.name;
     request.agentIncarnation = agent.incarnation;
+    this->prefixes.remember(now, agent.name, request.caller.profile.prefixHashes);
     request.lastProgress = now;
     agent.bound.insert(request.id().sequence);
     this->send(agent.name, Bind{ request.caller.profile, request.caller.request });
 }
 
-void EntryCore::Private::unbind(TimePoint now, EntryRequest &request)
+void EntryCore::Private::unbind(TimePoint now, EntryRequest &request, ResultCode reason)
 {
     this->agents.get(request.agent).bound.erase(request.id().sequence);
     request.excluded.insert(request.agent);
@@ -192,20 +234,15 @@
     this->deadlines.emplace(request.deadline, request.id().sequence);
     ++this->waiting;
     this->placeReservations(now, request);
-    if (request.reservedAt.empty()) {
+    if (!request.reservedAt.empty()) {
+        this->watchRisk(now, request);
+    } else if (reason == ResultCode::TierFloor) {
+        this->shed(now, request, reason);
+    } else {
         this->finish(request, ResultCode::NoTargetAvailable);
     }
 }
 
-Duration EntryCore::Private::retryAfter(ResultCode result)
-{
-    if (infoOf(result).httpStatus != 503) {
-        return Duration::zero();
-    }
-    std::uniform_int_distribution<std::int64_t> jitter(1, 4);
-    return seconds(jitter(this->random));
-}
-
 void EntryCore::Private::finish(EntryRequest &request, ResultCode result)
 {
     const RequestId id = request.id();
@@ -221,7 +258,7 @@
             keepAnswer ? request.recorded : std::string() });
     }
     if (!request.callerIsGone) {
-        this->actions.emplace_back(DeliverEnd{ id, result, this->retryAfter(result) });
+        this->actions.emplace_back(DeliverEnd{ id, result, this->retryAfter(request, result) });
     }
     this->requests.erase(id.sequence);
 }
@@ -317,12 +354,16 @@
         return;
     }
     this->lastAsk = now;
-    for (auto &[sequence, request] : this->requests) {
-        const bool quiet = now - request.lastProgress > this->limits.askInterval;
-        if (request.phase == RequestPhase::Bound && quiet
-            && this->agents.get(request.agent).connected) {
-            request.lastProgress = now;
-            this->ask(request);
+    for (auto &[name, agent] : this->agents.all()) {
+        if (!agent.connected) {
+            continue;
+        }
+        for (const std::uint64_t sequence : agent.bound) {
+            EntryRequest &request = this->requests.at(sequence);
+            if (now - request.lastProgress > this->limits.askInterval) {
+                request.lastProgress = now;
+                this->ask(request);
+            }
         }
     }
 }
@@ -332,17 +373,17 @@
     if (now - this->lastHeartbeat < this->limits.heartbeatInterval) {
         return;
     }
-    this->lastHeartbeat = now;
-    for (const auto &[name, agent] : this->agents.all()) {
-        if (agent.connected) {
-            this->send(name, EntryHeartbeat{ this->configurationRevision, {} });
-        }
-    }
+    this->tellFloors(now);
 }
 
 void EntryCore::tick(TimePoint now)
 {
+    this->d->presentTime = now;
+    this->d->renewFloors(now);
+    this->d->shedWhereAllowed(now);
     this->d->expireWaiting(now);
+    this->d->placeUnplaced(now);
+    this->d->endAffineHolds(now);
     this->d->watchAgents(now);
     this->d->askAboutBound(now);
     this->d->sendHeartbeats(now);
--- a/src/libcore/entrymessages.cpp
+++ b/src/libcore/entrymessages.cpp
@@ -12,6 +12,8 @@
     if (agent.incarnation != hello.incarnation) {
         this->d->endBoundRequests(agent);
         agent.load = {};
+        agent.confirmedFloors.clear();
+        this->d->prefixes.forgetAgent(name);
     }
     agent.connected = false;
     this->d->dropReservations(now, agent);
@@ -21,13 +23,14 @@
     agent.draining = hello.draining;
     agent.lastHeard = now;
     this->d->agents.setPools(agent, hello.pools);
+    this->d->floors.forgetConsent();
+    this->d->send(name, this->d->floors.makeStatement(now, this->d->configurationRevision));
     for (const std::uint64_t sequence : agent.bound) {
         this->d->ask(this->d->requests.at(sequence));
     }
-    for (auto &[sequence, request] : this->d->requests) {
-        if (request.phase == RequestPhase::Waiting) {
-            this->d->placeReservations(now, request);
-        }
+    const auto unplaced = this->d->unplaced;
+    for (const auto &[tier, sequence] : unplaced) {
+        this->d->placeReservations(now, this->d->requests.at(sequence));
     }
 }
 
@@ -50,6 +53,7 @@
         return;
     }
     agent->lastHeard = now;
+    this->d->presentTime = now;
     std::visit(
         [this, now, agent](const auto &typed) { this->d->onMessage(now, *agent, typed); }, message);
 }
@@ -101,6 +105,13 @@
         this->send(agent.name, Decline{ message.id });
         return;
     }
+    if (!this->floors.admits(now, request->caller.profile.pool, request->caller.profile.tier)) {
+        agent.reserved.erase(message.id.sequence);
+        request->reservedAt.erase(agent.name);
+        this->noteUnplaced(*request);
+        this->send(agent.name, Decline{ message.id });
+        return;
+    }
     this->bind(now, *request, agent);
 }
 
@@ -110,6 +121,7 @@
     if (request == nullptr || request->phase != RequestPhase::Waiting) {
         return;
     }
+    this->floors.hear(now, message.floors);
     agent.reserved.erase(message.id.sequence);
     request->reservedAt.erase(agent.name);
     if (message.reason == ResultCode::Draining) {
@@ -119,13 +131,13 @@
     if (!request->reservedAt.empty()) {
         return;
     }
-    if (message.reason == ResultCode::Overloaded) {
-        this->finish(*request, ResultCode::Overloaded);
-        return;
-    }
-    this->placeReservations(now, *request);
-    if (request->reservedAt.empty()) {
+    const bool noAgentLeft = !this->agents.hasUsable(request->caller.profile.pool);
+    if (noAgentLeft) {
         this->finish(*request, ResultCode::NoTargetAvailable);
+    } else if (message.reason == ResultCode::Overloaded) {
+        this->shed(now, *request, ResultCode::Overloaded);
+    } else if (message.reason != ResultCode::TierFloor) {
+        this->placeReservations(now, *request);
     }
 }
 
@@ -182,6 +194,7 @@
         return;
     }
     this->send(agent.name, Acknowledge{ message.id, request->received, true });
+    this->learn(request->caller.profile, message);
     this->finish(*request, message.result);
 }
 
@@ -195,7 +208,7 @@
         this->finish(*request, ResultCode::CallerGone);
         return;
     }
-    this->unbind(now, *request);
+    this->unbind(now, *request, message.reason);
 }
 
 void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const StillRunning &message)
@@ -209,6 +222,8 @@
 void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const AgentHeartbeat &message)
 {
     agent.load = message;
+    this->floors.hear(now, message.floors);
+    this->floors.confirm(now, agent, message.floorSequence);
     if (message.draining && !agent.draining) {
         agent.draining = true;
         this->dropReservations(now, agent);
--- a/src/libcore/reservationqueue.cpp
+++ b/src/libcore/reservationqueue.cpp
@@ -11,6 +11,7 @@
     if (!this->byId.emplace(profile.id, Entry{ profile, deadline }).second) {
         return false;
     }
+    this->byDeadline.emplace(deadline, profile.id);
     TierQueue &queue = this->tiers[static_cast<std::size_t>(profile.tier)];
     Share &share = queue.shares[profile.organisation];
     if (share.live == 0) {
@@ -21,6 +22,7 @@
     share.waiting.push_back(profile.id);
     ++share.live;
     ++queue.live;
+    queue.tokens += profile.tokens();
     return true;
 }
 
@@ -31,11 +33,13 @@
         return false;
     }
     const RequestProfile profile = found->second.profile;
+    this->byDeadline.erase({ found->second.deadline, id });
     this->byId.erase(found);
     TierQueue &queue = this->tiers[static_cast<std::size_t>(profile.tier)];
     Share &share = queue.shares[profile.organisation];
     --share.live;
     --queue.live;
+    queue.tokens -= profile.tokens();
     if (share.live == 0) {
         this->forget(queue, profile.organisation);
     } else {
@@ -90,13 +94,9 @@
 std::vector<RequestId> ReservationQueue::removeExpired(TimePoint now)
 {
     std::vector<RequestId> expired;
-    for (const auto &[id, entry] : this->byId) {
-        if (entry.deadline <= now) {
-            expired.push_back(id);
-        }
-    }
-    for (const RequestId &id : expired) {
-        this->remove(id);
+    while (!this->byDeadline.empty() && this->byDeadline.begin()->first <= now) {
+        expired.push_back(this->byDeadline.begin()->second);
+        this->remove(expired.back());
     }
     return expired;
 }
@@ -104,14 +104,50 @@
 void ReservationQueue::removeEntry(const Incarnation &entry)
 {
     std::vector<RequestId> ids;
-    for (const auto &[id, queued] : this->byId) {
-        if (id.entry == entry) {
-            ids.push_back(id);
+    for (auto next = this->byId.lower_bound({ entry, 0 });
+         next != this->byId.end() && next->first.entry == entry; ++next) {
+        ids.push_back(next->first);
+    }
+    for (const RequestId &id : ids) {
+        this->remove(id);
+    }
+}
+
+std::vector<RequestId> ReservationQueue::removeBelow(const std::string &pool, Tier lowestServed)
+{
+    std::vector<RequestId> ids;
+    for (std::size_t i = static_cast<std::size_t>(lowestServed) + 1; i < tierCount; ++i) {
+        for (const auto &[organisation, share] : this->tiers[i].shares) {
+            for (const RequestId &id : share.waiting) {
+                const auto found = this->byId.find(id);
+                if (found != this->byId.end() && found->second.profile.pool == pool) {
+                    ids.push_back(id);
+                }
+            }
         }
     }
     for (const RequestId &id : ids) {
         this->remove(id);
     }
+    return ids;
+}
+
+std::optional<RequestId> ReservationQueue::evictBelow(Tier tier)
+{
+    for (std::size_t i = tierCount - 1; i > static_cast<std::size_t>(tier); --i) {
+        if (this->tiers[i].order.empty()) {
+            continue;
+        }
+        // The organisation that is furthest ahead of its share loses its newest reservation.
+        Share &share = *this->tiers[i].order.rbegin()->second;
+        while (!this->byId.contains(share.waiting.back())) {
+            share.waiting.pop_back();
+        }
+        const RequestId id = share.waiting.back();
+        this->remove(id);
+        return id;
+    }
+    return std::nullopt;
 }
 
 std::vector<RequestId> ReservationQueue::removeAll()
@@ -132,4 +168,15 @@
     return this->tiers[static_cast<std::size_t>(tier)].live;
 }
 
+std::uint64_t ReservationQueue::tokensOf(Tier tier) const
+{
+    return this->tiers[static_cast<std::size_t>(tier)].tokens;
+}
+
+const ReservationQueue::Entry *ReservationQueue::find(const RequestId &id) const
+{
+    const auto found = this->byId.find(id);
+    return found == this->byId.end() ? nullptr : &found->second;
+}
+
 } // namespace wigeonsill
--- a/src/libcore/reservationqueue.h
+++ b/src/libcore/reservationqueue.h
@@ -5,7 +5,7 @@
 #include "wigeonsill/core.h"
 
 #include <deque>
-#include <unordered_map>
+#include <set>
 
 namespace wigeonsill {
 
@@ -32,11 +32,18 @@
     std::vector<RequestId> removeExpired(TimePoint now);
     /// Removes the reservations of one entry.
     void removeEntry(const Incarnation &entry);
+    /// Removes the reservations of a pool below a tier and returns their ids.
+    std::vector<RequestId> removeBelow(const std::string &pool, Tier lowestServed);
+    /// Removes the last reservation of the lowest tier, if that is below the given one.
+    std::optional<RequestId> evictBelow(Tier tier);
     /// Removes everything and returns the ids.
     std::vector<RequestId> removeAll();
 
     std::size_t size() const { return this->byId.size(); }
     std::size_t sizeOf(Tier tier) const;
+    /// Estimated tokens that wait in a tier.
+    std::uint64_t tokensOf(Tier tier) const;
+    const Entry *find(const RequestId &id) const;
 
 private:
     struct Share
@@ -52,13 +59,15 @@
             order; ///< By virtual time; live shares only.
         double virtualTime = 0;
         std::size_t live = 0;
+        std::uint64_t tokens = 0;
     };
 
     void skipRemoved(Share &share);
     void forget(TierQueue &queue, const std::string &organisation);
 
     std::array<TierQueue, tierCount> tiers;
-    std::unordered_map<RequestId, Entry, RequestIdHash> byId;
+    std::map<RequestId, Entry> byId; ///< Those of one entry stand together.
+    std::set<std::pair<TimePoint, RequestId>> byDeadline;
 };
 
 } // namespace wigeonsill
--- a/src/wigeonsill-entry/requestreader.cpp
+++ b/src/wigeonsill-entry/requestreader.cpp
@@ -110,11 +110,13 @@
 {
     profile.tier = service.tier;
     profile.organisation = organisation.name;
+    profile.service = service.name;
     profile.pool = service.pool;
     profile.weight = organisation.weight;
     profile.timeLeft = service.deadline;
     profile.nonIdempotent = service.nonIdempotent;
     profile.preemption = organisation.preemption;
+    profile.weighting = organisation.weighting;
 }
 
 /// Text of the prompt, as far as estimates need it.
@@ -179,6 +181,7 @@
         return Error{ ResultCode::MalformedRequest, "the body needs \"prompt\" or \"messages\"" };
     }
     CallerRequest result;
+    result.quotaTokensPerSecond = organisation.quotaTokensPerSecond;
     fillProfile(result.profile, organisation, *service);
     BOOST_OUTCOME_TRY(result.idempotencyKey, readKey(*service, request));
     result.profile.promptTokens = static_cast<std::uint32_t>(prompt.size() / bytesPerToken + 1);
@@ -204,6 +207,7 @@
         return Error{ ResultCode::UnknownService, service->name + " is not a plain service" };
     }
     CallerRequest result;
+    result.quotaTokensPerSecond = organisation.quotaTokensPerSecond;
     fillProfile(result.profile, organisation, *service);
     BOOST_OUTCOME_TRY(result.idempotencyKey, readKey(*service, request));
     const std::string_view path = rest.substr(end);
