--- a/src/wigeonsill-agent/entrylinks.cpp
+++ b/src/wigeonsill-agent/entrylinks.cpp
@@ -119,8 +119,12 @@
     if (const auto *hello = std::get_if<EntryHello>(&decoded.value())) {
         this->onHello(link, *hello);
     } else if (link->hello) {
-        this->core.receive(
-            currentTime(), link->hello->incarnation, std::get<EntryMessage>(decoded.value()));
+        const auto &message = std::get<EntryMessage>(decoded.value());
+        // An agent has no use for the configuration, but its heartbeats carry the revision on.
+        if (const auto *heartbeat = std::get_if<EntryHeartbeat>(&message)) {
+            this->core.setConfigurationRevision(heartbeat->configurationRevision);
+        }
+        this->core.receive(currentTime(), link->hello->incarnation, message);
     }
     this->pump();
 }
