--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -468,7 +468,7 @@
     /// Requests running, or ended with an answer that an entry has not taken whole.
     std::size_t requestsInProgress() const;
     /// What the entries are told at each heartbeat.
-    AgentHeartbeat load() const;
+    AgentHeartbeat load(TimePoint now) const;
     std::size_t connectedEntries() const;
     boost::json::object dumpState(TimePoint now) const;
 
--- a/src/libcore/agentcore.cpp
+++ b/src/libcore/agentcore.cpp
@@ -346,9 +346,9 @@
     return this->d->runs.size() + this->d->pulls.size();
 }
 
-AgentHeartbeat AgentCore::load() const
+AgentHeartbeat AgentCore::load(TimePoint now) const
 {
-    return this->d->heartbeat();
+    return this->d->heartbeat(now, {});
 }
 
 std::size_t AgentCore::connectedEntries() const
--- a/src/wigeonsill-agent/agentdaemon.cpp
+++ b/src/wigeonsill-agent/agentdaemon.cpp
@@ -88,7 +88,7 @@
     const auto set = [this](std::string_view name, double value) {
         this->context.metrics.gauge(name, {}, value);
     };
-    const AgentHeartbeat load = this->core->load();
+    const AgentHeartbeat load = this->core->load(currentTime());
     set("wigeonsill_agent_running", load.running);
     set("wigeonsill_agent_queued", load.waiting);
     set("wigeonsill_agent_tokens_in_flight", double(load.tokensInFlight));
