--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -424,7 +424,7 @@
 /// Limits and intervals of an agent.
 struct AgentLimits
 {
-    std::uint64_t tokenLimit = 32'768; ///< Tokens in flight at the target.
+    std::uint64_t tokenLimit = 8'192; ///< Tokens in flight at the target at first; it adapts.
     std::uint32_t maximumRunning = 64; ///< Requests in flight at the target.
     std::size_t maximumQueued = 4'096; ///< Reservations.
     std::uint64_t window = 262'144; ///< Bytes of one answer sent ahead of its acknowledgement.
--- a/src/libcore/admissionlimit.cpp
+++ b/src/libcore/admissionlimit.cpp
@@ -11,7 +11,7 @@
 constexpr std::uint32_t allowedLatePerHundred = 5;
 constexpr std::uint32_t minimumGaps = 10; ///< Samples that a judgement needs.
 constexpr std::uint32_t minimumFirstTokens = 1;
-constexpr std::uint32_t shortAnswerTokens = 16; ///< Too few to tell gaps from an unstreamed answer.
+constexpr std::uint32_t shortAnswerTokens = 64; ///< Fewer tell nothing of gaps when unstreamed.
 constexpr double smallestDecrease = 0.9; ///< Factors of the limit.
 constexpr double largestDecrease = 0.5;
 constexpr double growthShare = 0.05; ///< Of the limit, in one interval.
