--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -53,6 +53,9 @@
 for name in entry-1 entry-2; do
     start "$name" wigeonsill-entry "{ \"instance\": \"$name\", \"region\": \"lomb-ovest\", \"failureDomain\": \"a\",
         \"store\": \"$store\", \"instanceList\": \"$store\" }"
+    curl -sS -o /dev/null -X PUT "http://$store/v1/instances?name=$name" \
+        -d "{ \"role\": \"entry\", \"endpoint\": \"127.0.0.1:$(port "$name" listen)\", \"state\": \"live\",
+              \"region\": \"lomb-ovest\", \"peer\": \"127.0.0.1:$(port "$name" peers)\" }"
 done
 entry1=http://127.0.0.1:$(port entry-1 listen)
 entry2=http://127.0.0.1:$(port entry-2 listen)
--- a/src/libconfig/configurationfollower_test.cpp
+++ b/src/libconfig/configurationfollower_test.cpp
@@ -74,6 +74,7 @@
         bool isAlive = true;
         bool isStale = false; ///< Always offers revision 1.
         bool seesStore = true;
+        bool isLagging = false; ///< Its watch shows the state before the last change.
     };
 
     std::vector<ConfigurationMember> members;
@@ -88,7 +89,8 @@
     {
         if (fetch.source == RootSource::Store) {
             const bool answers = this->isStoreUp && this->nodes[node]->seesStore;
-            return answers ? std::optional(this->stored) : std::nullopt;
+            const std::uint64_t lag = this->nodes[node]->isLagging && this->stored > 0 ? 1 : 0;
+            return answers ? std::optional(this->stored - lag) : std::nullopt;
         }
         RC_ASSERT(fetch.peer != this->members[node].instance);
         const std::size_t index = std::stoul(fetch.peer.substr(6));
@@ -134,7 +136,7 @@
     const bool holds = rc::check("spread under faults", [] {
         FollowerNetwork network(6);
         const auto events = *rc::gen::container<std::vector<std::pair<int, std::size_t>>>(
-            40, rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange<std::size_t>(0, 6)));
+            40, rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange<std::size_t>(0, 6)));
         for (const auto &[event, index] : events) {
             FollowerNetwork::Node &node = *network.nodes[index];
             switch (event) {
@@ -159,6 +161,9 @@
             case 6:
                 network.put(index, network.stored / 2);
                 break;
+            case 7:
+                node.isLagging = !node.isLagging;
+                break;
             default:
                 network.advance(20);
             }
@@ -168,6 +173,7 @@
             node->isAlive = true;
             node->isStale = false;
             node->seesStore = true;
+            node->isLagging = false;
         }
         ++network.stored;
         network.advance(20 * 60);
--- a/src/libpeer/asioeventport.cpp
+++ b/src/libpeer/asioeventport.cpp
@@ -3,6 +3,7 @@
 #include "asioeventport.h"
 
 #include <boost/asio/post.hpp>
+#include <kj/async.h>
 
 namespace wigeonsill {
 
--- a/src/libpeer/rpcloop.cpp
+++ b/src/libpeer/rpcloop.cpp
@@ -2,6 +2,8 @@
 /// The event loop of a thread.
 #include "asioeventport.h"
 
+#include <kj/async.h>
+
 namespace wigeonsill {
 
 struct RpcLoop::Private
--- a/src/wigeonsill-entry/main.cpp
+++ b/src/wigeonsill-entry/main.cpp
@@ -12,7 +12,7 @@
         "Takes callers' requests over HTTP, holds them until an agent has room, hands each to one\n"
         "agent and streams the answer back. Runs behind the platform's balancer.",
         "Settings (JSON with comments): instance, region, failureDomain, listen, admin, store,\n"
-        "instanceList, limits, log. docs/OPERATING.md describes each.\n"
+        "instanceList, peers, limits, log. docs/OPERATING.md describes each.\n"
         "The first line on standard output is a JSON object with the ports in use.\n"
         "SIGTERM drains: new requests are refused, those in progress are finished. A second one "
         "ends.",
--- a/src/wigeonsillctl/inforce.cpp
+++ b/src/wigeonsillctl/inforce.cpp
@@ -20,7 +20,7 @@
 
 bool isFollower(const ListedInstance &instance)
 {
-    return instance.peer.has_value() && !instance.leaving;
+    return instance.role == "entry" && !instance.leaving;
 }
 
 } // namespace
@@ -110,7 +110,9 @@
     }
     const std::vector<ListedInstance> chosen = this->chooseEntries(entries, revision);
     for (const ListedInstance &entry : chosen) {
-        co_await this->askOne(*entry.peer);
+        if (entry.peer) {
+            co_await this->askOne(*entry.peer);
+        }
         if (this->summarize(entries, revision).isEverywhere()) {
             break;
         }
--- a/src/wigeonsillctl/inforce.h
+++ b/src/wigeonsillctl/inforce.h
@@ -14,7 +14,8 @@
     std::size_t instances = 0; ///< Listed entries that are not leaving.
     std::size_t reached = 0;
     std::vector<std::string> behind; ///< Entries that are behind or not heard of.
-    bool isEverywhere() const { return this->reached == this->instances; }
+    /// An empty list proves nothing.
+    bool isEverywhere() const { return this->instances > 0 && this->reached == this->instances; }
 };
 
 /// Asks in rounds and remembers what it was told. Not thread-safe.
