--- a/src/libconfig/bundles.cpp
+++ b/src/libconfig/bundles.cpp
@@ -142,13 +142,14 @@
     : poolMap(std::move(pools))
 {
     const auto keep = [this](std::string text) {
-        const std::string id = partId(text);
+        std::string id = partId(text);
         this->texts[id] = std::make_shared<const std::string>(std::move(text));
         return id;
     };
     std::map<std::size_t, OrganisationBundle> grouped;
-    for (auto &[name, organisation] : organisations) {
-        grouped[bundleOf(name)].organisations.emplace(name, std::move(organisation));
+    while (!organisations.empty()) {
+        auto node = organisations.extract(organisations.begin());
+        grouped[bundleOf(node.key())].organisations.insert(std::move(node));
     }
     this->parts.pools = keep(partOfPools(this->poolMap));
     for (auto &[bundle, content] : grouped) {
--- a/src/libconfig/differences.cpp
+++ b/src/libconfig/differences.cpp
@@ -18,8 +18,12 @@
         return;
     }
     for (const auto &member : *object) {
-        const std::string key(member.key().data(), member.key().size());
-        flatten(member.value(), path.empty() ? key : path + "." + key, result);
+        std::string inner = path;
+        if (!path.empty()) {
+            inner += '.';
+        }
+        inner.append(member.key().data(), member.key().size());
+        flatten(member.value(), inner, result);
     }
 }
 
@@ -110,7 +114,9 @@
         const auto *other = find(theirs, name);
         const auto *own = find(mine, name);
         if (!same(old, own) && !same(old, other) && !same(own, other)) {
-            conflicts.push_back(kind + " " + name);
+            std::string conflict = kind;
+            conflict.append(" ").append(name);
+            conflicts.push_back(std::move(conflict));
         }
         const auto *chosen = same(old, own) ? other : own;
         if (chosen != nullptr) {
--- a/src/wigeonsillctl/applycommand.cpp
+++ b/src/wigeonsillctl/applycommand.cpp
@@ -197,10 +197,8 @@
         std::cerr << toString(problems.front()) << "\n";
         return exitUsage;
     }
-    asio::io_context io;
-    const std::unique_ptr<Store> platform = makeHttpStore(io, *address);
-    ConfigurationStore store(io, *platform, seconds(arguments.timeoutSeconds));
-    const ChangeReport report = runToEnd(io, changeConfiguration(store, request));
+    StoreSession session(*address, seconds(arguments.timeoutSeconds));
+    const ChangeReport report = runToEnd(session.io, changeConfiguration(session.store, request));
     if (isStored(report.state) && arguments.record) {
         recordBase(arguments, report.revision);
     }
@@ -211,7 +209,7 @@
     }
     int status = exitStatusOf(report.state);
     if (isStored(report.state) && !arguments.noWait) {
-        status = waitForInstances(io, arguments, report.revision, row);
+        status = waitForInstances(session.io, arguments, report.revision, row);
     }
     if (arguments.json) {
         printJson(row);
--- a/src/wigeonsillctl/configurationstore.h
+++ b/src/wigeonsillctl/configurationstore.h
@@ -63,4 +63,18 @@
     std::chrono::steady_clock::time_point deadline;
 };
 
+/// The store of one command, with the io_context that it runs on.
+struct StoreSession
+{
+    StoreSession(const boost::asio::ip::tcp::endpoint &endpoint, Duration timeout)
+        : platform(makeHttpStore(this->io, endpoint))
+        , store(this->io, *this->platform, timeout)
+    {
+    }
+
+    boost::asio::io_context io;
+    std::unique_ptr<Store> platform;
+    ConfigurationStore store;
+};
+
 } // namespace wigeonsill
--- a/src/wigeonsillctl/diffcommand.cpp
+++ b/src/wigeonsillctl/diffcommand.cpp
@@ -34,10 +34,8 @@
     if (!wanted || !address) {
         return exitUsage;
     }
-    asio::io_context io;
-    const std::unique_ptr<Store> platform = makeHttpStore(io, *address);
-    ConfigurationStore store(io, *platform, seconds(arguments.timeoutSeconds));
-    const Result<Configuration> present = runToEnd(io, readPresent(store, *wanted));
+    StoreSession session(*address, seconds(arguments.timeoutSeconds));
+    const Result<Configuration> present = runToEnd(session.io, readPresent(session.store, *wanted));
     if (!present) {
         return printFailure(arguments, present.error());
     }
--- a/src/wigeonsillctl/historycommand.cpp
+++ b/src/wigeonsillctl/historycommand.cpp
@@ -41,10 +41,9 @@
     if (!address) {
         return exitUsage;
     }
-    asio::io_context io;
-    const std::unique_ptr<Store> platform = makeHttpStore(io, *address);
-    ConfigurationStore store(io, *platform, seconds(arguments.timeoutSeconds));
-    const auto history = runToEnd(io, readNewest(store, static_cast<std::size_t>(arguments.count)));
+    StoreSession session(*address, seconds(arguments.timeoutSeconds));
+    const auto history = runToEnd(
+        session.io, readNewest(session.store, static_cast<std::size_t>(arguments.count)));
     if (!history) {
         return printFailure(arguments, history.error());
     }
--- a/src/wigeonsillctl/statuscommand.cpp
+++ b/src/wigeonsillctl/statuscommand.cpp
@@ -42,10 +42,8 @@
     if (!address) {
         return exitUsage;
     }
-    asio::io_context io;
-    const std::unique_ptr<Store> platform = makeHttpStore(io, *address);
-    ConfigurationStore store(io, *platform, seconds(arguments.timeoutSeconds));
-    const Result<StoredRoot> stored = runToEnd(io, store.readRoot());
+    StoreSession session(*address, seconds(arguments.timeoutSeconds));
+    const Result<StoredRoot> stored = runToEnd(session.io, session.store.readRoot());
     if (!stored) {
         return printFailure(arguments, stored.error());
     }
@@ -56,7 +54,8 @@
     if (!arguments.json) {
         std::cout << "stored: revision " << root.revision << ", change " << root.changeId << "\n";
     }
-    const int status = arguments.noWait ? exitDone : reportInForce(io, arguments, root, object);
+    const int status
+        = arguments.noWait ? exitDone : reportInForce(session.io, arguments, root, object);
     if (arguments.json) {
         printJson(object);
     }
