--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -467,8 +467,8 @@
     std::vector<AgentAction> takeActions();
     /// Requests running, or ended with an answer that an entry has not taken whole.
     std::size_t requestsInProgress() const;
-    /// What the entries are told at each heartbeat.
-    AgentHeartbeat load(TimePoint now) const;
+    /// What every entry is told at each heartbeat, without the floors.
+    AgentHeartbeat load() const;
     std::size_t connectedEntries() const;
     boost::json::object dumpState(TimePoint now) const;
 
--- a/src/wigeonsill-entry/configurationfeed.cpp
+++ b/src/wigeonsill-entry/configurationfeed.cpp
@@ -166,9 +166,9 @@
         std::erase_if(this->callers,
             [now](const auto &entry) { return now - entry.second.at >= callerLifetime; });
         this->context.metrics.gauge(
-            "wigeonsill_configuration_revision", {}, double(this->follower.inForce()));
+            "wigeonsill_entry_configuration_revision", {}, double(this->follower.inForce()));
         this->context.metrics.gauge(
-            "wigeonsill_configuration_cut_off", {}, this->follower.isCutOff(now) ? 1 : 0);
+            "wigeonsill_entry_configuration_cut_off", {}, this->follower.isCutOff(now) ? 1 : 0);
         timer.expires_after(tickInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -177,6 +177,7 @@
 asio::awaitable<void> ConfigurationFeed::fetchFromStore(Duration wait)
 {
     const Result<std::uint64_t> revision = co_await this->takeStoreRoot(wait);
+    this->context.metrics.gauge("wigeonsill_entry_store_reachable", {}, revision ? 1 : 0);
     if (!revision) {
         LOG4CPLUS_WARN(logger("entry.config"),
             "No configuration from the store: " << revision.error().detail << ".");
--- a/src/wigeonsill-entry/entrydaemon.cpp
+++ b/src/wigeonsill-entry/entrydaemon.cpp
@@ -240,8 +240,6 @@
 void EntryDaemon::useConfiguration(std::shared_ptr<const Configuration> configuration)
 {
     this->core->setConfigurationRevision(configuration->revision);
-    this->context.metrics.gauge(
-        "wigeonsill_entry_configuration_revision", {}, double(configuration->revision));
     this->front.setConfiguration(std::move(configuration));
 }
 
