AgentCore::load fits the heartbeat by link

Change: load() gives what every entry is told, heartbeat() adds the floors of one link. Figures: the core library builds. Conclusion: build repaired.

--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -467,7 +467,7 @@
     std::vector<AgentAction> takeActions();
     /// Requests running, or ended with an answer that an entry has not taken whole.
     std::size_t requestsInProgress() const;
-    /// What the entries are told at each heartbeat.
+    /// What every entry is told at each heartbeat, without the floors.
     AgentHeartbeat load() const;
     std::size_t connectedEntries() const;
     boost::json::object dumpState(TimePoint now) const;
--- a/src/libcore/agentstate.h
+++ b/src/libcore/agentstate.h
@@ -99,6 +99,7 @@
     bool hasRoomFor(std::uint64_t tokens) const;
     void releasePull(const RequestId &id);
     void sendHeartbeats(TimePoint now);
+    AgentHeartbeat load() const;
     AgentHeartbeat heartbeat(TimePoint now, const EntryLink &link) const;
     /// Evicts and cancels what a floor that has just been raised no longer lets through.
     void enforceFloor(const std::string &pool, Tier lowestServed, TimePoint now);
