--- a/src/wigeonsill-entry/entrydaemon.h
+++ b/src/wigeonsill-entry/entrydaemon.h
@@ -49,8 +49,6 @@
     void perform(RecordClaim &action);
 
     void claimDecided(const RequestId &id, const ClaimDecision &decision);
-    boost::asio::awaitable<void> claim(ClaimKey action);
-    boost::asio::awaitable<void> recordClaim(RecordClaim action);
     boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> watchConfiguration();
     boost::asio::awaitable<void> watchInstances();
@@ -61,7 +59,6 @@
     std::unique_ptr<Store> store;
     std::unique_ptr<InstanceList> instanceList;
     ClaimClient claims;
-    std::size_t claimsInProgress = 0;
     CallerFront front;
     AgentLinks links;
     HttpServer server;
