--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -76,6 +76,19 @@
         }
     }
 
+    /// Passes the reservation and the pull, so that the entry has the hand-over to send.
+    void passReservationAndPull()
+    {
+        for (const EntryAction &action : this->entry->takeActions()) {
+            this->agent->receive(
+                this->now, entryIncarnation, std::get<SendToAgent>(action).message);
+        }
+        for (const AgentAction &action : this->agent->takeActions()) {
+            this->entry->receive(
+                this->now, agentName, agentIncarnation, std::get<SendToEntry>(action).message);
+        }
+    }
+
     /// Throws away what both sides would send.
     void loseMessages()
     {
@@ -177,13 +190,7 @@
 {
     this->entry->arrive(this->now, makeRequest());
     // The reservation goes out and the pull comes back; the hand-over is lost.
-    for (const EntryAction &action : this->entry->takeActions()) {
-        this->agent->receive(this->now, entryIncarnation, std::get<SendToAgent>(action).message);
-    }
-    for (const AgentAction &action : this->agent->takeActions()) {
-        this->entry->receive(
-            this->now, agentName, agentIncarnation, std::get<SendToEntry>(action).message);
-    }
+    this->passReservationAndPull();
     const std::vector<EntryAction> lost = this->entry->takeActions();
     ASSERT_EQ(lost.size(), 1U);
     this->disconnect();
@@ -298,13 +305,7 @@
 TEST_F(CoreTest, handOverThatComesLateIsNotStarted)
 {
     this->entry->arrive(this->now, makeRequest());
-    for (const EntryAction &action : this->entry->takeActions()) {
-        this->agent->receive(this->now, entryIncarnation, std::get<SendToAgent>(action).message);
-    }
-    for (const AgentAction &action : this->agent->takeActions()) {
-        this->entry->receive(
-            this->now, agentName, agentIncarnation, std::get<SendToEntry>(action).message);
-    }
+    this->passReservationAndPull();
     // The agent is paused with the hand-over in its socket.
     this->now += AgentLimits().pullTimeout + milliseconds(1);
     this->exchange();
