--- a/src/cmake/WigeonsillTargets.cmake
+++ b/src/cmake/WigeonsillTargets.cmake
@@ -44,7 +44,11 @@
     target_compile_definitions(${target} PRIVATE WIGEONSILL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
     add_test(NAME ${target} COMMAND ${target})
     # A fixed seed gives property tests the same verdict every time.
-    set_tests_properties(${target} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
+    # A test that sets its own parameters keeps them.
+    file(STRINGS "${source}" own_parameters REGEX "RC_PARAMS")
+    if(NOT own_parameters)
+      set_tests_properties(${target} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
+    endif()
   endforeach()
   file(GLOB benches CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*_bench.cpp")
   foreach(source ${benches})
