--- a/src/wigeonsillctl/configurationchange.cpp
+++ b/src/wigeonsillctl/configurationchange.cpp
@@ -71,7 +71,7 @@
     }
     if (stored.version != 0 && !request.base) {
         plan.report.state = ChangeState::Conflict;
-        plan.report.conflicts.push_back("the base of the declarations is not known; name it");
+        plan.report.conflicts.emplace_back("the base of the declarations is not known; name it");
         co_return plan;
     }
     plan.configuration = request.wanted;
@@ -111,7 +111,7 @@
         parts.erase(id);
     }
     const auto add = [&parts](std::string text) {
-        const std::string id = partId(text);
+        std::string id = partId(text);
         parts[id] = std::make_shared<const std::string>(std::move(text));
         return id;
     };
--- a/src/wigeonsillctl/configurationstore.cpp
+++ b/src/wigeonsillctl/configurationstore.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <ranges>
+
 namespace wigeonsill {
 
 namespace asio = boost::asio;
@@ -136,11 +138,11 @@
     std::vector<HistoryEntry> result;
     HistoryPage page{ root.history, root.olderPage };
     for (;;) {
-        for (auto entry = page.entries.rbegin(); entry != page.entries.rend(); ++entry) {
-            if (entry->revision < downTo || result.size() >= count) {
+        for (const HistoryEntry &entry : std::ranges::reverse_view(page.entries)) {
+            if (entry.revision < downTo || result.size() >= count) {
                 co_return result;
             }
-            result.push_back(*entry);
+            result.push_back(entry);
         }
         if (page.olderPage.empty()) {
             co_return result;
