--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -176,7 +176,8 @@
     RequestId id;
     ResultCode reason = ResultCode::Ok;
 };
-/// Answers Resume while the request runs.
+/// Answers Resume while the request runs; also asks whether the entry still wants it. An entry for
+/// which the request has ended replies CancelRun.
 struct StillRunning
 {
     RequestId id;
@@ -377,6 +378,82 @@
     std::uint64_t ownSeed = 0;
 };
 
+// ---------------------------------------------------------------------------------------------
+// Claims
+
+/// Read a shard of claims from the store, then call readDone().
+struct ReadShard
+{
+    std::string key;
+};
+/// Write a shard by compare-and-swap, then call writeDone().
+struct WriteShard
+{
+    std::string key;
+    std::string value;
+    std::uint64_t expectedVersion = 0;
+};
+/// The word on a claim, for EntryCore::claimDecided().
+struct ClaimDecided
+{
+    RequestId id;
+    ClaimDecision decision;
+};
+using ClaimBookAction = std::variant<ReadShard, WriteShard, ClaimDecided>;
+
+/// A shard as the store holds it.
+struct ShardValue
+{
+    std::string value;
+    std::uint64_t version = 0; ///< 0: the store has none.
+};
+
+struct ClaimLimits
+{
+    std::uint32_t shards = 32;
+    std::size_t maximumShardBytes = 262'144; ///< Recorded answers are dropped beyond this.
+    Duration claimDelay = milliseconds(5); ///< Claims are gathered this long into one write.
+    Duration runningWait = seconds(1); ///< A repeat waits this long for the first attempt's end.
+    Duration recordDelay = milliseconds(250); ///< Ends of requests wait this long for a claim.
+    Duration writeInterval = milliseconds(100); ///< Between two writes of one shard.
+    Duration claimTimeout = seconds(3); ///< A claim that is not written by then is refused.
+    Duration recordTimeout = seconds(60); ///< An end that is not written by then is given up.
+    std::size_t maximumRecords = 64; ///< Ends held for one shard.
+    Duration retryInterval = milliseconds(200); ///< After the store failed.
+    std::chrono::seconds retention{ 86'400 }; ///< Age at which a claim is forgotten.
+    std::chrono::seconds runningLimit{ 60 }; ///< Older running claims are said to be unknown.
+};
+
+/// Claims idempotency keys and records how their requests ended, with many of both in one write.
+/// The swap is the guard: any number of entries may write the same shard.
+class ClaimBook
+{
+public:
+    explicit ClaimBook(const ClaimLimits &limits);
+    ~ClaimBook();
+    ClaimBook(const ClaimBook &) = delete;
+    ClaimBook &operator=(const ClaimBook &) = delete;
+
+    /// Exactly one ClaimDecided follows.
+    void claim(TimePoint now, ClaimKey action);
+    void record(TimePoint now, RecordClaim action);
+    /// The outcome of a ReadShard action.
+    void readDone(TimePoint now, const std::string &key, const Result<ShardValue> &value);
+    /// The outcome of a WriteShard action: the new version, or StoreConflict, StoreAnswerLost or
+    /// another error after which nothing was written.
+    void writeDone(TimePoint now, const std::string &key, const Result<std::uint64_t> &version);
+    /// Call at least every 50 ms. The wall clock is in seconds of the Unix epoch.
+    void tick(TimePoint now, std::chrono::seconds wallClock);
+
+    std::vector<ClaimBookAction> takeActions();
+    /// Claims without a decision and ends not yet recorded.
+    std::size_t inProgress() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
 // ---------------------------------------------------------------------------------------------
 // Agent
 
@@ -432,7 +509,9 @@
     std::size_t tombstonesPerEntry = 65'536;
     Duration heartbeatInterval = seconds(1);
     Duration silenceLimit = seconds(3); ///< Reservations of a quiet entry are dropped after this.
-    Duration pullTimeout = seconds(2); ///< A pull without reply gives its place back.
+    Duration pullTimeout = seconds(2); ///< A pull without reply is given up, and its request too.
+    bool acceptPushed = false; ///< Start requests that were not pulled, however late they come.
+    Duration askInterval = seconds(5); ///< A run of which its entry says nothing is asked about.
     Duration answerRetention = seconds(30); ///< An ended answer is held for a lost entry this long.
     Duration entryLostAfter
         = seconds(20); ///< Idempotent work of an unreachable entry is cancelled.
--- a/src/libcore/agentcore.cpp
+++ b/src/libcore/agentcore.cpp
@@ -100,9 +100,39 @@
     this->pulls.erase(found);
 }
 
+void AgentCore::Private::releasePullsOf(const Incarnation &entry)
+{
+    std::vector<RequestId> ids;
+    for (const auto &[id, pull] : this->pulls) {
+        if (id.entry == entry) {
+            ids.push_back(id);
+        }
+    }
+    for (const RequestId &id : ids) {
+        this->releasePull(id);
+    }
+}
+
+void AgentCore::Private::expirePulls(TimePoint now)
+{
+    std::vector<RequestId> unanswered;
+    for (const auto &[id, pull] : this->pulls) {
+        if (now - pull.sentAt > this->limits.pullTimeout) {
+            unanswered.push_back(id);
+        }
+    }
+    for (const RequestId &id : unanswered) {
+        this->releasePull(id);
+        // A hand-over that comes later answers a pull that is over; it must not start.
+        this->tombstones.markRefused(id);
+        this->send(id.entry, ReservationEnded{ id, ResultCode::NoTargetAvailable, {} });
+    }
+}
+
 void AgentCore::entryConnected(TimePoint now, const Incarnation &entry)
 {
     this->d->queue.removeEntry(entry);
+    this->d->releasePullsOf(entry);
     EntryLink &link = this->d->entries[entry];
     link.connected = true;
     link.lastHeard = now;
@@ -150,6 +180,10 @@
     AgentRun &run = found->second;
     this->d->admission.onBytes(now, run.timing, run.paused);
     run.answer.append(bytes);
+    if (run.discarding) {
+        this->d->discard(run);
+        return;
+    }
     this->d->flush(run);
     if (!run.paused && run.answer.size() >= this->d->limits.maximumBuffered) {
         run.paused = true;
@@ -171,6 +205,7 @@
         --this->d->running;
         this->d->runs.erase(found);
         this->d->tombstones.markRefused(id);
+        this->d->lingersUntil = now + this->d->limits.heartbeatInterval;
         this->d->targetUsableAt = now + this->d->limits.targetBackoff;
         this->d->send(id.entry, NotRun{ id, ResultCode::TargetRefusedConnection });
         return;
@@ -289,12 +324,23 @@
 void AgentCore::Private::forgetOldAnswers(TimePoint now)
 {
     for (auto run = this->runs.begin(); run != this->runs.end();) {
-        const bool old
-            = run->second.ended && now - run->second.endedAt > this->limits.answerRetention;
+        // An entry whose caller reads slowly keeps asking, and its answer is kept.
+        const TimePoint since = std::max(run->second.endedAt, run->second.lastHeard);
+        const bool old = run->second.ended && now - since > this->limits.answerRetention;
         run = old ? this->runs.erase(run) : std::next(run);
     }
 }
 
+void AgentCore::Private::askAboutRuns(TimePoint now)
+{
+    for (auto &[id, run] : this->runs) {
+        if (now - std::max(run.lastHeard, run.lastAsked) > this->limits.askInterval) {
+            run.lastAsked = now;
+            this->send(id.entry, StillRunning{ id });
+        }
+    }
+}
+
 void AgentCore::Private::watchEntries(TimePoint now)
 {
     std::vector<Incarnation> lost;
@@ -313,6 +359,7 @@
                 this->cancel(run);
             }
         }
+        this->tombstones.forgetEntry(entry);
         this->entries.erase(entry);
     }
 }
@@ -324,17 +371,12 @@
     for (const RequestId &id : this->d->queue.removeExpired(now)) {
         this->d->send(id.entry, ReservationEnded{ id, ResultCode::RequestExpired, {} });
     }
-    std::vector<RequestId> unanswered;
-    for (const auto &[id, pull] : this->d->pulls) {
-        if (now - pull.sentAt > this->d->limits.pullTimeout) {
-            unanswered.push_back(id);
-        }
-    }
-    for (const RequestId &id : unanswered) {
-        this->d->releasePull(id);
-        this->d->send(id.entry, ReservationEnded{ id, ResultCode::RequestExpired, {} });
+    if (this->d->lingersUntil && now >= *this->d->lingersUntil) {
+        this->d->lingersUntil.reset();
     }
+    this->d->expirePulls(now);
     this->d->forgetOldAnswers(now);
+    this->d->askAboutRuns(now);
     this->d->watchEntries(now);
     if (now - this->d->lastHeartbeat >= this->d->limits.heartbeatInterval) {
         this->d->sendHeartbeats(now);
@@ -349,7 +391,9 @@
 
 std::size_t AgentCore::requestsInProgress() const
 {
-    return this->d->runs.size() + this->d->pulls.size();
+    // A process that ended now could take its last refusal with it.
+    const std::size_t lingering = this->d->lingersUntil ? 1 : 0;
+    return this->d->runs.size() + this->d->pulls.size() + lingering;
 }
 
 AgentHeartbeat AgentCore::load() const
--- a/src/libcore/agentmessages.cpp
+++ b/src/libcore/agentmessages.cpp
@@ -11,7 +11,7 @@
     if (this->draining) {
         reason = ResultCode::Draining;
     } else if (this->tombstones.verdict(profile.id) != Tombstones::Verdict::Unseen) {
-        reason = ResultCode::RequestExpired;
+        reason = ResultCode::NoTargetAvailable;
     } else if (!this->floors.admits(now, profile.pool, profile.tier)) {
         reason = ResultCode::TierFloor;
     } else if (!this->makeRoomFor(profile)) {
@@ -45,18 +45,27 @@
 void AgentCore::Private::onMessage(TimePoint now, const Incarnation &, const Bind &message)
 {
     const RequestId id = message.profile.id;
+    const auto pull = this->pulls.find(id);
+    // The hand-over was sent after the pull, so the pull's age by the own clock bounds its age.
+    const bool fresh
+        = pull != this->pulls.end() && now - pull->second.sentAt <= this->limits.pullTimeout;
     this->queue.remove(id);
     this->releasePull(id);
-    // A repeated hand-over, or one that comes after the entry was told that it never came.
-    if (this->tombstones.verdict(id) != Tombstones::Verdict::Unseen) {
+    const Tombstones::Verdict verdict = this->tombstones.verdict(id);
+    if (verdict == Tombstones::Verdict::Refused) {
+        this->send(id.entry, NotRun{ id, ResultCode::RequestExpired });
         return;
     }
-    if (this->draining) {
-        this->refuse(id, ResultCode::Draining);
+    if (verdict != Tombstones::Verdict::Unseen) {
+        return;
+    }
+    const bool late = !fresh && !this->limits.acceptPushed;
+    if (this->draining || late) {
+        this->refuse(now, id, this->draining ? ResultCode::Draining : ResultCode::RequestExpired);
         return;
     }
     if (!this->floors.admits(now, message.profile.pool, message.profile.tier)) {
-        this->refuse(id, ResultCode::TierFloor);
+        this->refuse(now, id, ResultCode::TierFloor);
         return;
     }
     this->tombstones.markStarted(id);
@@ -64,6 +73,7 @@
     run.profile = message.profile;
     run.timing.startedAt = now;
     run.timing.startedAlone = this->running == 0;
+    run.lastHeard = now;
     this->tokensInFlight += run.profile.tokens();
     ++this->running;
     this->actions.emplace_back(StartAtTarget{ id, message.request });
@@ -87,13 +97,13 @@
     this->cancel(found->second);
 }
 
-void AgentCore::Private::onMessage(TimePoint, const Incarnation &, const Resume &message)
+void AgentCore::Private::onMessage(TimePoint now, const Incarnation &, const Resume &message)
 {
     const auto found = this->runs.find(message.id);
     if (found == this->runs.end()) {
         switch (this->tombstones.verdict(message.id)) {
         case Tombstones::Verdict::Unseen:
-            this->refuse(message.id, ResultCode::ConnectionClosed);
+            this->refuse(now, message.id, ResultCode::ConnectionClosed);
             break;
         case Tombstones::Verdict::Refused:
             this->send(message.id.entry, NotRun{ message.id, ResultCode::ConnectionClosed });
@@ -110,10 +120,16 @@
         return;
     }
     AgentRun &run = found->second;
+    run.lastHeard = now;
     if (message.offset < run.answer.begin()) {
-        this->send(message.id.entry, AnswerEnd{ message.id, ResultCode::AnswerLost, 0, 0, 0, 0 });
+        // An entry acknowledges only what it has, so without discarding this is an old message.
+        if (run.discarding) {
+            this->send(
+                message.id.entry, AnswerEnd{ message.id, ResultCode::AnswerLost, 0, 0, 0, 0 });
+        }
         return;
     }
+    run.discarding = false;
     if (run.haveHead && message.needHead) {
         this->send(message.id.entry, AnswerHead{ message.id, run.status, run.headers });
     }
@@ -123,28 +139,31 @@
     this->flush(run);
 }
 
-void AgentCore::Private::onMessage(TimePoint, const Incarnation &, const Acknowledge &message)
+void AgentCore::Private::onMessage(TimePoint now, const Incarnation &, const Acknowledge &message)
 {
     const auto found = this->runs.find(message.id);
     if (found == this->runs.end()) {
         return;
     }
     AgentRun &run = found->second;
+    run.lastHeard = now;
     if (message.final && run.ended) {
         this->runs.erase(found);
         return;
     }
+    if (message.final) {
+        this->cancel(run);
+        return;
+    }
     run.acknowledged = std::max(run.acknowledged, message.offset);
     run.answer.acknowledge(message.offset);
     this->flush(run);
-    if (run.paused && run.answer.size() < this->limits.maximumBuffered / 2) {
-        run.paused = false;
-        this->actions.emplace_back(PauseTarget{ message.id, false });
-    }
+    this->resumeReading(run);
 }
 
-void AgentCore::Private::refuse(const RequestId &id, ResultCode reason)
+void AgentCore::Private::refuse(TimePoint now, const RequestId &id, ResultCode reason)
 {
+    this->lingersUntil = now + this->limits.heartbeatInterval;
     this->queue.remove(id);
     this->releasePull(id);
     this->tombstones.markRefused(id);
@@ -154,13 +173,33 @@
 void AgentCore::Private::cancel(AgentRun &run)
 {
     // Money-bearing work is never stopped half way, whoever has gone.
-    if (run.cancelled || run.ended || run.profile.nonIdempotent) {
+    if (run.cancelled || run.ended) {
+        return;
+    }
+    if (run.profile.nonIdempotent) {
+        this->discard(run);
         return;
     }
     run.cancelled = true;
     this->actions.emplace_back(CancelAtTarget{ run.profile.id });
 }
 
+void AgentCore::Private::discard(AgentRun &run)
+{
+    run.discarding = true;
+    run.answer.acknowledge(run.answer.end());
+    run.sent = run.answer.end();
+    this->resumeReading(run);
+}
+
+void AgentCore::Private::resumeReading(AgentRun &run)
+{
+    if (run.paused && run.answer.size() < this->limits.maximumBuffered / 2) {
+        run.paused = false;
+        this->actions.emplace_back(PauseTarget{ run.profile.id, false });
+    }
+}
+
 void AgentCore::Private::flush(AgentRun &run)
 {
     const RequestId &id = run.profile.id;
--- a/src/libcore/agentstate.h
+++ b/src/libcore/agentstate.h
@@ -22,6 +22,7 @@
     bool paused = false;
     bool cancelled = false;
     bool preempted = false; ///< Cancelled for a higher tier; its entry is told.
+    bool discarding = false; ///< Nobody waits for the answer; its bytes are not kept.
     int status = 0;
     Headers headers;
     AnswerBuffer answer;
@@ -32,6 +33,8 @@
     TokenUsage usage;
     AnswerTiming timing;
     TimePoint endedAt;
+    TimePoint lastHeard; ///< Last message of the entry about it.
+    TimePoint lastAsked; ///< When the agent last asked about it.
 };
 
 /// A pull that waits for its reply.
@@ -77,6 +80,7 @@
     std::vector<std::string> pools;
     std::uint64_t configurationRevision = 0;
     bool draining = false;
+    std::optional<TimePoint> lingersUntil; ///< A refusal is on its way out until then.
 
     ReservationQueue queue;
     Tombstones tombstones;
@@ -98,6 +102,9 @@
     void pullNext(TimePoint now);
     bool hasRoomFor(std::uint64_t tokens) const;
     void releasePull(const RequestId &id);
+    void releasePullsOf(const Incarnation &entry);
+    /// Gives up the pulls that got no reply in time, for ever.
+    void expirePulls(TimePoint now);
     void sendHeartbeats(TimePoint now);
     AgentHeartbeat load() const;
     AgentHeartbeat heartbeat(TimePoint now, const EntryLink &link) const;
@@ -121,8 +128,13 @@
     void onMessage(TimePoint now, const Incarnation &entry, const EntryHeartbeat &message);
 
     /// Refuses a request for ever and says so.
-    void refuse(const RequestId &id, ResultCode reason);
+    void refuse(TimePoint now, const RequestId &id, ResultCode reason);
+    /// Stops a run that nobody waits for. A non-idempotent one runs on and its answer is discarded.
     void cancel(AgentRun &run);
+    void discard(AgentRun &run);
+    void resumeReading(AgentRun &run);
+    /// Asks the entries about runs of which they have said nothing for long.
+    void askAboutRuns(TimePoint now);
     /// Sends what the window allows of an answer, and its end when all of it is out.
     void flush(AgentRun &run);
     void endRun(TimePoint now, AgentRun &run, ResultCode result);
--- /dev/null
+++ b/src/libcore/claimbook_test.cpp
@@ -0,0 +1,251 @@
+/// \file claimbook_test.cpp
+/// Claims against a store of one map: conflicts, lost answers, outages, and writes per booking.
+#include "claimshard.h"
+
+#include <gtest/gtest.h>
+
+namespace wigeonsill {
+namespace {
+
+constexpr std::chrono::seconds wallClock{ 1'800'000'000 };
+
+ClaimKey makeClaim(std::uint64_t sequence, const std::string &key, std::uint64_t digest = 7)
+{
+    return { { { 1, 1 }, sequence }, "org", key, digest };
+}
+
+RecordClaim makeEnd(const ClaimKey &claim, ResultCode result, const std::string &body = {})
+{
+    return { claim.id, claim.organisation, claim.key, result, 200, {}, body };
+}
+
+/// One or two books over one store; every call is answered after one tick.
+class ClaimBookTest : public testing::Test
+{
+protected:
+    enum class Fault : std::uint8_t { None, Down, LoseAnswer };
+
+    explicit ClaimBookTest(const ClaimLimits &claimLimits = {})
+        : limits(claimLimits)
+    {
+    }
+
+    void perform(ClaimBook &book, const ReadShard &read)
+    {
+        if (this->fault == Fault::Down) {
+            book.readDone(this->now, read.key, Error{ ResultCode::StoreUnavailable, {} });
+            return;
+        }
+        book.readDone(this->now, read.key, this->store[read.key]);
+    }
+
+    void perform(ClaimBook &book, const WriteShard &write)
+    {
+        ShardValue &stored = this->store[write.key];
+        if (this->fault == Fault::Down) {
+            book.writeDone(this->now, write.key, Error{ ResultCode::StoreUnavailable, {} });
+            return;
+        }
+        if (stored.version != write.expectedVersion) {
+            book.writeDone(this->now, write.key, Error{ ResultCode::StoreConflict, {} });
+            return;
+        }
+        ++this->writes;
+        stored.value = write.value;
+        ++stored.version;
+        if (std::exchange(this->fault, Fault::None) == Fault::LoseAnswer) {
+            book.writeDone(this->now, write.key, Error{ ResultCode::StoreAnswerLost, {} });
+            return;
+        }
+        book.writeDone(this->now, write.key, stored.version);
+    }
+
+    void perform(ClaimBook &, const ClaimDecided &decided)
+    {
+        EXPECT_TRUE(this->decisions.emplace(decided.id.sequence, decided.decision).second);
+    }
+
+    void pump(ClaimBook &book)
+    {
+        for (const ClaimBookAction &action : book.takeActions()) {
+            std::visit([this, &book](const auto &typed) { this->perform(book, typed); }, action);
+        }
+    }
+
+    void advance(Duration duration)
+    {
+        const TimePoint end = this->now + duration;
+        while (this->now < end) {
+            this->now += milliseconds(5);
+            for (ClaimBook *book : { &this->first, &this->second }) {
+                book->tick(this->now, this->wall);
+                this->pump(*book);
+            }
+        }
+    }
+
+    ResultCode resultOf(std::uint64_t sequence) const
+    {
+        return this->decisions.at(sequence).result;
+    }
+
+    ClaimLimits limits;
+    TimePoint now{ seconds(1'000) };
+    std::chrono::seconds wall = wallClock;
+    std::map<std::string, ShardValue> store;
+    Fault fault = Fault::None;
+    std::size_t writes = 0;
+    std::map<std::uint64_t, ClaimDecision> decisions;
+    ClaimBook first{ this->limits };
+    ClaimBook second{ this->limits };
+};
+
+TEST_F(ClaimBookTest, oneOfTwoEntriesGetsTheKey)
+{
+    this->first.claim(this->now, makeClaim(1, "key"));
+    this->second.claim(this->now, makeClaim(2, "key"));
+    this->advance(this->limits.runningWait + seconds(1));
+    EXPECT_EQ(this->resultOf(1), ResultCode::Ok);
+    EXPECT_EQ(this->resultOf(2), ResultCode::FirstAttemptRunning);
+}
+
+TEST_F(ClaimBookTest, repeatWaitsForTheEndOfTheFirstAttempt)
+{
+    const ClaimKey claim = makeClaim(1, "key");
+    this->first.claim(this->now, claim);
+    this->advance(milliseconds(100));
+    this->second.claim(this->now, makeClaim(2, "key"));
+    this->advance(milliseconds(100));
+    this->first.record(this->now, makeEnd(claim, ResultCode::Ok, "tent 7"));
+    this->advance(seconds(1));
+    EXPECT_EQ(this->decisions.at(2).body, "tent 7");
+}
+
+TEST_F(ClaimBookTest, repeatGetsTheRecordedAnswer)
+{
+    const ClaimKey claim = makeClaim(1, "key");
+    this->first.claim(this->now, claim);
+    this->advance(seconds(1));
+    this->first.record(this->now, makeEnd(claim, ResultCode::Ok, "tent 7"));
+    this->advance(seconds(1));
+    this->second.claim(this->now, makeClaim(2, "key"));
+    this->second.claim(this->now, makeClaim(3, "key", 8));
+    this->advance(seconds(1));
+    EXPECT_TRUE(this->decisions.at(2).replay);
+    EXPECT_EQ(this->decisions.at(2).body, "tent 7");
+    EXPECT_EQ(this->resultOf(3), ResultCode::IdempotencyKeyReused);
+}
+
+TEST_F(ClaimBookTest, keyOfWhatDidNotRunIsFreeAgain)
+{
+    const ClaimKey claim = makeClaim(1, "key");
+    this->first.claim(this->now, claim);
+    this->advance(seconds(1));
+    this->first.record(this->now, makeEnd(claim, ResultCode::RequestExpired));
+    this->advance(seconds(1));
+    this->second.claim(this->now, makeClaim(2, "key"));
+    this->advance(seconds(1));
+    EXPECT_EQ(this->resultOf(2), ResultCode::Ok);
+}
+
+TEST_F(ClaimBookTest, claimOfALostEntryIsUnknownAfterTheRunningLimit)
+{
+    this->first.claim(this->now, makeClaim(1, "key"));
+    this->advance(seconds(1));
+    this->wall += this->limits.runningLimit;
+    this->second.claim(this->now, makeClaim(2, "key"));
+    this->advance(seconds(1));
+    EXPECT_EQ(this->resultOf(2), ResultCode::EarlierAttemptUnknown);
+}
+
+TEST_F(ClaimBookTest, lostAnswerIsSettledByReading)
+{
+    this->fault = Fault::LoseAnswer;
+    this->first.claim(this->now, makeClaim(1, "key"));
+    this->advance(seconds(1));
+    EXPECT_EQ(this->resultOf(1), ResultCode::Ok);
+}
+
+TEST_F(ClaimBookTest, claimIsRefusedWhileTheStoreIsDownAndFreeAfterwards)
+{
+    this->fault = Fault::Down;
+    this->first.claim(this->now, makeClaim(1, "key"));
+    this->advance(this->limits.claimTimeout + seconds(1));
+    EXPECT_EQ(this->resultOf(1), ResultCode::ClaimStoreUnavailable);
+    this->fault = Fault::None;
+    this->advance(seconds(1));
+    this->second.claim(this->now, makeClaim(2, "key"));
+    this->advance(seconds(1));
+    EXPECT_EQ(this->resultOf(2), ResultCode::Ok);
+    EXPECT_EQ(this->first.inProgress(), 0U);
+}
+
+TEST(ClaimShard, keepsEveryClaimWhenAnswersOutgrowIt)
+{
+    ClaimLimits limits;
+    limits.maximumShardBytes = 20'000;
+    ClaimShard shard;
+    bool added = false;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        const ClaimKey claim = makeClaim(i, "key-" + std::to_string(i));
+        shard.claim(claim, wallClock + std::chrono::seconds(i), limits.runningLimit, added);
+        shard.record(makeEnd(claim, ResultCode::Ok, std::string(1'000, 'a')));
+        shard.prune(wallClock, limits);
+    }
+    EXPECT_LE(shard.estimatedSize(), limits.maximumShardBytes);
+    const auto repeat = [&](const std::string &key) {
+        return shard.claim(makeClaim(99, key), wallClock, limits.runningLimit, added);
+    };
+    EXPECT_EQ(repeat("key-0").result, ResultCode::EarlierAttemptUnknown);
+    EXPECT_TRUE(repeat("key-19").replay);
+    const auto parsed = ClaimShard::parse(shard.serialize());
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(parsed.value().serialize(), shard.serialize());
+}
+
+/// Bookings at a steady rate for ten seconds, each recorded 200 ms after its claim.
+class ClaimRateTest : public ClaimBookTest
+{
+protected:
+    std::size_t writesAt(std::uint64_t bookingsPerSecond)
+    {
+        const std::uint64_t total = bookingsPerSecond * 10;
+        std::uint64_t started = 0;
+        std::uint64_t ended = 0;
+        const TimePoint begin = this->now;
+        while (ended < total) {
+            this->advance(milliseconds(5));
+            const auto passed = std::uint64_t((this->now - begin).count());
+            const std::uint64_t due = std::min(total, passed * bookingsPerSecond / 1'000'000);
+            for (; started < due; ++started) {
+                const std::string key = "key-" + std::to_string(started);
+                this->first.claim(this->now, makeClaim(started, key));
+            }
+            while (ended < started && this->decisions.contains(ended)) {
+                const ClaimKey claim = makeClaim(ended, "key-" + std::to_string(ended));
+                this->first.record(this->now, makeEnd(claim, ResultCode::Ok, "done"));
+                ++ended;
+            }
+        }
+        this->advance(seconds(1));
+        return this->writes;
+    }
+};
+
+TEST_F(ClaimRateTest, writesAtALowRateAreAtMostTwoForEachBooking)
+{
+    const std::size_t few = this->writesAt(10);
+    RecordProperty("writesAt10PerSecond", std::to_string(few));
+    EXPECT_LE(few, 200U);
+}
+
+TEST_F(ClaimRateTest, writesAtAHighRateAreBounded)
+{
+    const std::size_t many = this->writesAt(1'000);
+    RecordProperty("writesAt1000PerSecond", std::to_string(many));
+    // One write for each booking and one for each end would be 20,000.
+    EXPECT_LE(many, 5'000U);
+}
+
+} // namespace
+} // namespace wigeonsill
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -76,6 +76,19 @@
         }
     }
 
+    /// Passes the reservation and the pull, so that the entry has the hand-over to send.
+    void passReservationAndPull()
+    {
+        for (const EntryAction &action : this->entry->takeActions()) {
+            this->agent->receive(
+                this->now, entryIncarnation, std::get<SendToAgent>(action).message);
+        }
+        for (const AgentAction &action : this->agent->takeActions()) {
+            this->entry->receive(
+                this->now, agentName, agentIncarnation, std::get<SendToEntry>(action).message);
+        }
+    }
+
     /// Throws away what both sides would send.
     void loseMessages()
     {
@@ -177,13 +190,7 @@
 {
     this->entry->arrive(this->now, makeRequest());
     // The reservation goes out and the pull comes back; the hand-over is lost.
-    for (const EntryAction &action : this->entry->takeActions()) {
-        this->agent->receive(this->now, entryIncarnation, std::get<SendToAgent>(action).message);
-    }
-    for (const AgentAction &action : this->agent->takeActions()) {
-        this->entry->receive(
-            this->now, agentName, agentIncarnation, std::get<SendToEntry>(action).message);
-    }
+    this->passReservationAndPull();
     const std::vector<EntryAction> lost = this->entry->takeActions();
     ASSERT_EQ(lost.size(), 1U);
     this->disconnect();
@@ -244,5 +251,68 @@
     EXPECT_EQ(this->entryActionsOf<DeliverEnd>().front().result, ResultCode::RequestExpired);
 }
 
+TEST_F(CoreTest, claimThatIsGrantedAfterTheDeadlineIsRefused)
+{
+    CallerRequest request = makeRequest();
+    request.idempotencyKey = "key";
+    const RequestId id = this->entry->arrive(this->now, request);
+    this->advance(seconds(31));
+    this->entry->claimDecided(this->now, id, {});
+    this->exchange();
+    ASSERT_EQ(this->entryActionsOf<DeliverEnd>().size(), 1U);
+    EXPECT_EQ(this->entryActionsOf<DeliverEnd>().front().result, ResultCode::RequestExpired);
+    EXPECT_EQ(this->entryActionsOf<RecordClaim>().size(), 1U);
+}
+
+TEST_F(CoreTest, claimedRequestRunsToItsEndWithoutItsCaller)
+{
+    CallerRequest request = makeRequest();
+    request.profile.nonIdempotent = true;
+    request.idempotencyKey = "key";
+    const RequestId id = this->entry->arrive(this->now, request);
+    this->entry->claimDecided(this->now, id, {});
+    this->exchange();
+    this->agent->targetHead(this->now, id, 200, {});
+    // The caller takes nothing of what fills the window, and goes.
+    this->agent->targetBytes(this->now, id, std::string(AgentLimits().window, 'a'));
+    this->exchange();
+    this->entry->callerGone(this->now, id);
+    this->agent->targetBytes(this->now, id, "rest");
+    this->agent->targetEnded(this->now, id, TargetEnd::Whole, {});
+    this->exchange();
+    EXPECT_EQ(this->entryActionsOf<RecordClaim>().size(), 1U);
+    EXPECT_EQ(this->entry->requestsInProgress(), 0U);
+    EXPECT_EQ(this->agent->requestsInProgress(), 0U);
+}
+
+TEST_F(CoreTest, answerIsHeldForACallerThatReadsSlowly)
+{
+    const RequestId id = this->entry->arrive(this->now, makeRequest());
+    this->exchange();
+    const std::uint64_t size = AgentLimits().window + 4;
+    this->agent->targetHead(this->now, id, 200, {});
+    this->agent->targetBytes(this->now, id, std::string(size, 'a'));
+    this->agent->targetEnded(this->now, id, TargetEnd::Whole, {});
+    this->exchange();
+    this->advance(AgentLimits().answerRetention * 2);
+    this->entry->callerTook(this->now, id, AgentLimits().window);
+    this->exchange();
+    EXPECT_EQ(this->deliveredBytes().size(), size);
+    ASSERT_EQ(this->entryActionsOf<DeliverEnd>().size(), 1U);
+    EXPECT_EQ(this->entryActionsOf<DeliverEnd>().front().result, ResultCode::Ok);
+}
+
+TEST_F(CoreTest, handOverThatComesLateIsNotStarted)
+{
+    this->entry->arrive(this->now, makeRequest());
+    this->passReservationAndPull();
+    // The agent is paused with the hand-over in its socket.
+    this->now += AgentLimits().pullTimeout + milliseconds(1);
+    this->exchange();
+    EXPECT_TRUE(this->agentActionsOf<StartAtTarget>().empty());
+    ASSERT_EQ(this->entryActionsOf<DeliverEnd>().size(), 1U);
+    EXPECT_EQ(infoOf(this->entryActionsOf<DeliverEnd>().front().result).outcome, Outcome::NotRun);
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libcore/entrycore.cpp
+++ b/src/libcore/entrycore.cpp
@@ -75,6 +75,7 @@
     profile.outputTokens
         = this->d->sizes.estimate(profile.organisation, profile.service, profile.outputTokens);
     entry.deadline = now + entry.caller.profile.timeLeft;
+    this->d->retries.earn(entry.caller.profile.organisation, entry.caller.profile.pool);
     if (this->d->draining) {
         this->d->finish(entry, ResultCode::Draining);
         return id;
@@ -113,9 +114,11 @@
     if (request == nullptr || request->phase != RequestPhase::Claiming) {
         return;
     }
-    if (decision.replay) {
+    if (decision.replay && !request->callerIsGone) {
         this->d->actions.emplace_back(DeliverHead{ id, decision.status, decision.headers });
         this->d->actions.emplace_back(DeliverBytes{ id, decision.body });
+    }
+    if (decision.replay) {
         request->caller.idempotencyKey.clear();
         this->d->finish(*request, ResultCode::Ok);
         return;
@@ -130,6 +133,10 @@
         this->d->finish(*request, ResultCode::CallerGone);
         return;
     }
+    if (request->deadline <= now) {
+        this->d->finish(*request, ResultCode::RequestExpired);
+        return;
+    }
     this->d->beginWaiting(now, *request);
 }
 
@@ -227,6 +234,13 @@
 
 void EntryCore::Private::unbind(TimePoint now, EntryRequest &request, ResultCode reason)
 {
+    const RequestProfile &profile = request.caller.profile;
+    const bool failed = reason != ResultCode::TierFloor;
+    if (failed && !this->retries.take(profile.organisation, profile.pool)) {
+        const bool isRefusal = infoOf(reason).outcome == Outcome::NotRun;
+        this->finish(request, isRefusal ? reason : ResultCode::NoTargetAvailable);
+        return;
+    }
     this->agents.get(request.agent).bound.erase(request.id().sequence);
     request.excluded.insert(request.agent);
     request.agent.clear();
@@ -272,6 +286,12 @@
     request->callerIsGone = true;
     const bool claimInFlight = request->phase == RequestPhase::Claiming;
     const bool mustRunOn = request->phase == RequestPhase::Bound && request->isClaimed();
+    if (mustRunOn) {
+        // What the caller did not take must not close the agent's window.
+        request->taken = request->received;
+        request->acknowledged = request->received;
+        this->d->send(request->agent, Acknowledge{ id, request->received, false });
+    }
     if (claimInFlight || mustRunOn) {
         return;
     }
--- a/src/libcore/entrymessages.cpp
+++ b/src/libcore/entrymessages.cpp
@@ -66,6 +66,11 @@
     return bound ? request : nullptr;
 }
 
+bool EntryCore::Private::hasEnded(const RequestId &id) const
+{
+    return id.entry == this->incarnation && !this->requests.contains(id.sequence);
+}
+
 void EntryCore::Private::dropReservations(TimePoint now, AgentView &agent)
 {
     const std::set<std::uint64_t> sequences = std::exchange(agent.reserved, {});
@@ -88,6 +93,10 @@
 
 void EntryCore::Private::ask(EntryRequest &request)
 {
+    // An acknowledgement may have been lost, and without it the agent's window stays closed.
+    if (request.taken > 0) {
+        this->send(request.agent, Acknowledge{ request.id(), request.taken, false });
+    }
     this->send(request.agent, Resume{ request.id(), request.received, !request.haveHead });
 }
 
@@ -127,6 +136,9 @@
     if (message.reason == ResultCode::Draining) {
         agent.draining = true;
     }
+    if (message.reason == ResultCode::NoTargetAvailable) {
+        request->excluded.insert(agent.name);
+    }
     this->placeReservations(now, *request, agent.name);
     if (!request->reservedAt.empty()) {
         return;
@@ -175,6 +187,7 @@
         request->recorded += bytes;
     }
     if (request->callerIsGone) {
+        request->taken = request->received;
         request->acknowledged = request->received;
         this->send(agent.name, Acknowledge{ message.id, request->received, false });
         return;
@@ -186,6 +199,9 @@
 {
     EntryRequest *request = this->boundTo(agent, message.id);
     if (request == nullptr) {
+        if (this->hasEnded(message.id)) {
+            this->send(agent.name, Acknowledge{ message.id, 0, true });
+        }
         return;
     }
     const bool whole = request->haveHead && request->received == message.totalBytes;
@@ -211,11 +227,10 @@
     this->unbind(now, *request, message.reason);
 }
 
-void EntryCore::Private::onMessage(TimePoint now, AgentView &agent, const StillRunning &message)
+void EntryCore::Private::onMessage(TimePoint, AgentView &agent, const StillRunning &message)
 {
-    EntryRequest *request = this->boundTo(agent, message.id);
-    if (request != nullptr) {
-        request->lastProgress = now;
+    if (this->hasEnded(message.id)) {
+        this->send(agent.name, CancelRun{ message.id });
     }
 }
 
--- a/src/libcore/entrystate.h
+++ b/src/libcore/entrystate.h
@@ -5,6 +5,7 @@
 #include "entryfloors.h"
 #include "placement.h"
 #include "pushplacement.h"
+#include "retrybudget.h"
 #include "returnschedule.h"
 #include "sizeestimator.h"
 
@@ -88,6 +89,7 @@
     std::pair<Tier, std::uint64_t> lastUnplaced;
     /// Given up as soon as the floor allows it, by pool and tier.
     std::map<std::pair<std::string, Tier>, std::map<std::uint64_t, ResultCode>> toShed;
+    RetryBudget retries;
     TimePoint lastHeartbeat;
     TimePoint lastAsk;
     std::vector<EntryAction> actions;
@@ -126,6 +128,7 @@
 
     void bind(TimePoint now, EntryRequest &request, AgentView &agent);
     /// Back to waiting: the bound agent's word is that the target never got it.
+    /// It is refused instead when the retries of its organisation and pool are used up.
     void unbind(TimePoint now, EntryRequest &request, ResultCode reason);
     /// Ends a request with its last action and forgets it.
     void finish(EntryRequest &request, ResultCode result);
@@ -148,6 +151,9 @@
     /// The request when it is bound to this life of this agent, or nullptr.
     EntryRequest *boundTo(const AgentView &agent, const RequestId &id);
 
+    /// Whether the request was one of this entry's and has ended.
+    bool hasEnded(const RequestId &id) const;
+
     /// An agent is out of reach: its reservations are void and the requests placed elsewhere.
     void dropReservations(TimePoint now, AgentView &agent);
     /// A life of an agent is over: whatever was bound to it has ended.
--- a/src/libcore/tombstones.cpp
+++ b/src/libcore/tombstones.cpp
@@ -47,7 +47,14 @@
 
 void Tombstones::forgetEntry(const Incarnation &entry)
 {
-    this->entries.erase(entry);
+    const auto found = this->entries.find(entry);
+    if (found == this->entries.end() || found->second.started.empty()) {
+        return;
+    }
+    // The watermark stays: a paused entry may come back and ask about what did run.
+    EntryRecord &record = found->second;
+    record.watermark = std::max(record.watermark, record.started.rbegin()->first + 1);
+    record.started.clear();
 }
 
 std::size_t Tombstones::size() const
--- a/src/libcore/tombstones.h
+++ b/src/libcore/tombstones.h
@@ -28,7 +28,7 @@
     void markStarted(const RequestId &id);
     /// \pre verdict(id) is Unseen, or Started and the target is known never to have got it.
     void markRefused(const RequestId &id);
-    /// Forgets an entry that will not come back.
+    /// Keeps of an entry that seems gone only the watermark above everything seen of it.
     void forgetEntry(const Incarnation &entry);
     std::size_t size() const;
 
--- a/src/wigeonsill-agent/agentdaemon.cpp
+++ b/src/wigeonsill-agent/agentdaemon.cpp
@@ -48,6 +48,7 @@
         limits, "answerRetentionMs", 100, 3'600'000, settings.limits.answerRetention);
     settings.limits.entryLostAfter = readMilliseconds(
         limits, "entryLostAfterMs", 100, 3'600'000, settings.limits.entryLostAfter);
+    settings.limits.acceptPushed = limits.flag("acceptPushed", settings.limits.acceptPushed);
     limits.finish();
     return settings;
 }
--- a/src/wigeonsill-entry/claimclient.cpp
+++ b/src/wigeonsill-entry/claimclient.cpp
@@ -1,158 +1,106 @@
 /// \file claimclient.cpp
-/// Claims idempotency keys in the store.
+/// Carries the claim book's calls to the store.
 #include "claimclient.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace wigeonsill {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
-constexpr int maximumTries = 4;
+constexpr Duration busyInterval = milliseconds(5);
+constexpr Duration idleInterval = seconds(60);
 
-std::string storeKey(const std::string &organisation, const std::string &key)
+std::chrono::seconds wallClock()
 {
-    return "claims/" + organisation + "/" + std::to_string(stableHash(key));
+    return std::chrono::duration_cast<std::chrono::seconds>(
+        std::chrono::system_clock::now().time_since_epoch());
 }
 
-std::string claimText(const ClaimKey &action)
+} // namespace
+
+ClaimClient::ClaimClient(asio::io_context &context, Store &claimStore, Decided onDecided)
+    : io(context)
+    , store(claimStore)
+    , decided(std::move(onDecided))
+    , book(ClaimLimits())
+    , wake(context)
 {
-    json::object claim;
-    claim["key"] = action.key;
-    claim["owner"] = toString(action.id);
-    claim["digest"] = std::to_string(action.bodyDigest);
-    claim["state"] = "running";
-    return json::serialize(claim);
 }
 
-std::string textOf(const json::object &object, std::string_view key)
+void ClaimClient::start()
 {
-    const json::value *value = object.if_contains(key);
-    return value != nullptr && value->is_string() ? std::string(value->get_string())
-                                                  : std::string();
+    spawn(this->io, this->tickLoop());
 }
 
-ClaimDecision refusal(ResultCode code)
+void ClaimClient::claim(ClaimKey action)
 {
-    ClaimDecision decision;
-    decision.result = code;
-    return decision;
+    this->book.claim(currentTime(), std::move(action));
+    this->wake.cancel();
 }
 
-ClaimDecision replayOf(const json::object &claim)
+void ClaimClient::record(RecordClaim action)
 {
-    ClaimDecision decision;
-    decision.replay = true;
-    decision.status = static_cast<int>(claim.at("status").to_number<std::int64_t>());
-    for (const json::value &pair : claim.at("headers").as_array()) {
-        const json::array &row = pair.as_array();
-        decision.headers.push_back(
-            { std::string(row.at(0).as_string()), std::string(row.at(1).as_string()) });
-    }
-    decision.body = textOf(claim, "body");
-    return decision;
+    this->book.record(currentTime(), std::move(action));
+    this->wake.cancel();
 }
 
-/// What an existing claim means for a request; empty when the key may be claimed anew.
-std::optional<ClaimDecision> judge(const std::string &text, const ClaimKey &action)
+asio::awaitable<void> ClaimClient::tickLoop()
 {
-    json::error_code error;
-    const json::value value = json::parse(text, error);
-    if (error || !value.is_object()) {
-        return refusal(ResultCode::EarlierAttemptUnknown);
-    }
-    const json::object &claim = value.get_object();
-    if (textOf(claim, "owner") == toString(action.id)) {
-        return ClaimDecision{};
+    for (;;) {
+        this->wake.expires_after(this->book.inProgress() > 0 ? busyInterval : idleInterval);
+        boost::system::error_code ignored;
+        co_await this->wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        this->book.tick(currentTime(), wallClock());
+        this->pump();
     }
-    if (textOf(claim, "key") != action.key
-        || textOf(claim, "digest") != std::to_string(action.bodyDigest)) {
-        return refusal(ResultCode::IdempotencyKeyReused);
-    }
-    const std::string state = textOf(claim, "state");
-    if (state == "running") {
-        return refusal(ResultCode::FirstAttemptRunning);
-    }
-    if (state == "not-run") {
-        return std::nullopt;
-    }
-    if (state == "completed" && claim.contains("body")) {
-        return replayOf(claim);
-    }
-    return refusal(ResultCode::EarlierAttemptUnknown);
 }
 
-void describeEnd(json::object &claim, const RecordClaim &action)
+asio::awaitable<void> ClaimClient::read(ReadShard action)
 {
-    claim["state"] = nameOf(infoOf(action.result).outcome);
-    if (action.result != ResultCode::Ok || action.body.empty()) {
-        return;
-    }
-    claim["status"] = action.status;
-    json::array headers;
-    for (const Header &header : action.headers) {
-        headers.push_back(json::array{ header.name, header.value });
+    const Result<StoredValue> stored = co_await this->store.get(action.key);
+    if (stored) {
+        ShardValue value{ stored.value().value, stored.value().version };
+        this->book.readDone(currentTime(), action.key, value);
+    } else {
+        LOG4CPLUS_WARN(logger("entry.claim"),
+            "Shard " << action.key << " cannot be read: " << stored.error().detail << ".");
+        this->book.readDone(currentTime(), action.key, stored.error());
     }
-    claim["headers"] = std::move(headers);
-    claim["body"] = action.body;
+    this->pump();
 }
 
-} // namespace
+asio::awaitable<void> ClaimClient::write(WriteShard action)
+{
+    const Result<std::uint64_t> version
+        = co_await this->store.swap(action.key, std::move(action.value), action.expectedVersion);
+    this->book.writeDone(currentTime(), action.key, version);
+    this->pump();
+}
 
-asio::awaitable<ClaimDecision> ClaimClient::claim(ClaimKey action)
+void ClaimClient::pump()
 {
-    const std::string key = storeKey(action.organisation, action.key);
-    std::uint64_t expected = 0;
-    for (int attempt = 0; attempt < maximumTries; ++attempt) {
-        const Result<std::uint64_t> written
-            = co_await this->store.swap(key, claimText(action), expected);
-        if (written) {
-            co_return ClaimDecision{};
-        }
-        const ResultCode code = written.error().code;
-        if (code != ResultCode::StoreConflict && code != ResultCode::StoreAnswerLost) {
-            co_return refusal(ResultCode::ClaimStoreUnavailable);
-        }
-        const Result<StoredValue> present = co_await this->store.get(key);
-        if (!present) {
-            co_return refusal(ResultCode::ClaimStoreUnavailable);
-        }
-        expected = present.value().version;
-        if (expected == 0) {
-            continue;
-        }
-        std::optional<ClaimDecision> decision = judge(present.value().value, action);
-        if (decision) {
-            co_return *decision;
-        }
+    for (ClaimBookAction &action : this->book.takeActions()) {
+        std::visit([this](auto &typed) { this->perform(typed); }, action);
     }
-    co_return refusal(ResultCode::ClaimStoreUnavailable);
 }
 
-asio::awaitable<void> ClaimClient::record(RecordClaim action)
+void ClaimClient::perform(ReadShard &action)
 {
-    const std::string key = storeKey(action.organisation, action.key);
-    for (int attempt = 0; attempt < maximumTries; ++attempt) {
-        const Result<StoredValue> present = co_await this->store.get(key);
-        if (!present) {
-            continue;
-        }
-        json::error_code error;
-        json::value value = json::parse(present.value().value, error);
-        if (error || !value.is_object()
-            || textOf(value.get_object(), "owner") != toString(action.id)) {
-            co_return;
-        }
-        describeEnd(value.get_object(), action);
-        const Result<std::uint64_t> written
-            = co_await this->store.swap(key, json::serialize(value), present.value().version);
-        if (written) {
-            co_return;
-        }
-    }
-    LOG4CPLUS_WARN(
-        logger("entry.claim"), "The end of request " << toString(action.id) << " is not recorded.");
+    spawn(this->io, this->read(std::move(action)));
+}
+
+void ClaimClient::perform(WriteShard &action)
+{
+    spawn(this->io, this->write(std::move(action)));
+}
+
+void ClaimClient::perform(ClaimDecided &action)
+{
+    this->decided(action.id, action.decision);
 }
 
 } // namespace wigeonsill
--- a/src/wigeonsill-entry/entrydaemon.cpp
+++ b/src/wigeonsill-entry/entrydaemon.cpp
@@ -76,7 +76,10 @@
     , core(buildCore(settings, this->incarnation))
     , store(makeHttpStore(daemonContext.io, settings.store))
     , instanceList(makeHttpInstanceList(daemonContext.io, settings.instanceList))
-    , claims(*this->store)
+    , claims(daemonContext.io, *this->store,
+          [this](const RequestId &id, const ClaimDecision &decision) {
+              this->claimDecided(id, decision);
+          })
     , front(daemonContext, *this->core, [this] { this->pump(); })
     , links(daemonContext, *this->core, EntryHello{ this->incarnation, settings.location },
           [this] { this->pump(); })
@@ -98,6 +101,7 @@
 void EntryDaemon::start()
 {
     this->server.start();
+    this->claims.start();
     spawn(this->context.io, this->tickLoop());
     this->feed.start();
     spawn(this->context.io, this->watchInstances());
@@ -116,7 +120,7 @@
 
 bool EntryDaemon::isDrained() const
 {
-    return this->core->requestsInProgress() == 0 && this->claimsInProgress == 0
+    return this->core->requestsInProgress() == 0 && this->claims.inProgress() == 0
         && this->server.connectionCount() == 0;
 }
 
@@ -125,7 +129,7 @@
     json::object state = this->core->dumpState(currentTime());
     state["connections"] = this->server.connectionCount();
     state["messages"] = this->links.dumpTraffic();
-    state["claimsInProgress"] = this->claimsInProgress;
+    state["claimsInProgress"] = this->claims.inProgress();
     const auto &configuration = this->front.configuration();
     state["configuration"] = this->feed.dumpState();
     state["organisations"] = configuration ? configuration->organisationCount() : 0;
@@ -141,7 +145,7 @@
     set("wigeonsill_entry_in_progress", double(this->core->requestsInProgress()));
     set("wigeonsill_entry_agents_connected", double(this->core->connectedAgents()));
     set("wigeonsill_entry_caller_connections", double(this->server.connectionCount()));
-    set("wigeonsill_entry_claims_in_progress", double(this->claimsInProgress));
+    set("wigeonsill_entry_claims_in_progress", double(this->claims.inProgress()));
     this->links.publishTraffic();
 }
 
@@ -194,21 +198,12 @@
 
 void EntryDaemon::perform(ClaimKey &action)
 {
-    spawn(this->context.io, this->claim(std::move(action)));
+    this->claims.claim(std::move(action));
 }
 
 void EntryDaemon::perform(RecordClaim &action)
 {
-    spawn(this->context.io, this->recordClaim(std::move(action)));
-}
-
-asio::awaitable<void> EntryDaemon::claim(ClaimKey action)
-{
-    const RequestId id = action.id;
-    ++this->claimsInProgress;
-    const ClaimDecision decision = co_await this->claims.claim(std::move(action));
-    --this->claimsInProgress;
-    this->claimDecided(id, decision);
+    this->claims.record(std::move(action));
 }
 
 void EntryDaemon::claimDecided(const RequestId &id, const ClaimDecision &decision)
@@ -221,13 +216,6 @@
     this->pump();
 }
 
-asio::awaitable<void> EntryDaemon::recordClaim(RecordClaim action)
-{
-    ++this->claimsInProgress;
-    co_await this->claims.record(std::move(action));
-    --this->claimsInProgress;
-}
-
 asio::awaitable<void> EntryDaemon::tickLoop()
 {
     for (;;) {
--- a/src/wigeonsill-entry/entrydaemon.h
+++ b/src/wigeonsill-entry/entrydaemon.h
@@ -53,8 +53,6 @@
     void claimDecided(const RequestId &id, const ClaimDecision &decision);
     void useConfiguration(std::shared_ptr<const Configuration> configuration);
 
-    boost::asio::awaitable<void> claim(ClaimKey action);
-    boost::asio::awaitable<void> recordClaim(RecordClaim action);
     boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> watchInstances();
 
@@ -64,7 +62,6 @@
     std::unique_ptr<Store> store;
     std::unique_ptr<InstanceList> instanceList;
     ClaimClient claims;
-    std::size_t claimsInProgress = 0;
     CallerFront front;
     AgentLinks links;
     HttpServer server;
