A load report without floors beside the heartbeat

Cause: AgentCore::load() came in beside a heartbeat that now needs the entry's link. Change: Private::load() gives what every entry is told alike; heartbeat() adds the floors.

--- a/src/libcore/agentcore.cpp
+++ b/src/libcore/agentcore.cpp
@@ -224,6 +224,14 @@
 }
 
 AgentHeartbeat AgentCore::Private::heartbeat(TimePoint now, const EntryLink &link) const
+{
+    AgentHeartbeat beat = this->load();
+    beat.floors = this->floors.list(now);
+    beat.floorSequence = link.floorSequence;
+    return beat;
+}
+
+AgentHeartbeat AgentCore::Private::load() const
 {
     AgentHeartbeat beat;
     beat.configurationRevision = this->configurationRevision;
@@ -232,8 +240,6 @@
     beat.tokenLimit = this->admission.tokens();
     beat.running = this->running;
     beat.waiting = static_cast<std::uint32_t>(this->queue.size());
-    beat.floors = this->floors.list(now);
-    beat.floorSequence = link.floorSequence;
     beat.tokensPerSecond = this->served.perSecond();
     beat.expectedWait = this->expectedWait();
     return beat;
@@ -348,7 +354,7 @@
 
 AgentHeartbeat AgentCore::load() const
 {
-    return this->d->heartbeat();
+    return this->d->load();
 }
 
 std::size_t AgentCore::connectedEntries() const
--- a/src/libcore/agentstate.h
+++ b/src/libcore/agentstate.h
@@ -100,6 +100,8 @@
     void releasePull(const RequestId &id);
     void sendHeartbeats(TimePoint now);
     AgentHeartbeat heartbeat(TimePoint now, const EntryLink &link) const;
+    /// What a heartbeat says to every entry alike.
+    AgentHeartbeat load() const;
     /// Evicts and cancels what a floor that has just been raised no longer lets through.
     void enforceFloor(const std::string &pool, Tier lowestServed, TimePoint now);
     /// Whether the queue has room, if need be by evicting a lower tier.
--- a/src/libcore/prefixdirectory.cpp
+++ b/src/libcore/prefixdirectory.cpp
@@ -3,6 +3,7 @@
 #include "prefixdirectory.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace wigeonsill {
 
@@ -44,8 +45,8 @@
 std::vector<PrefixHolder> PrefixDirectory::holders(
     TimePoint now, const std::vector<std::uint64_t> &hashes) const
 {
-    for (auto hash = hashes.rbegin(); hash != hashes.rend(); ++hash) {
-        const auto found = this->byHash.find(*hash);
+    for (const std::uint64_t hash : std::views::reverse(hashes)) {
+        const auto found = this->byHash.find(hash);
         if (found == this->byHash.end()) {
             continue;
         }
