--- a/src/libcore/agentcore.cpp
+++ b/src/libcore/agentcore.cpp
@@ -258,14 +258,6 @@
     this->d->sendHeartbeats(now);
 }
 
-AgentHeartbeat AgentCore::Private::load() const
-{
-    AgentHeartbeat beat = this->load();
-    beat.floors = this->floors.list(now);
-    beat.floorSequence = link.floorSequence;
-    return beat;
-}
-
 AgentHeartbeat AgentCore::Private::load() const
 {
     AgentHeartbeat beat;
--- a/src/libcore/agentstate.h
+++ b/src/libcore/agentstate.h
@@ -106,7 +106,6 @@
     /// Gives up the pulls that got no reply in time, for ever.
     void expirePulls(TimePoint now);
     void sendHeartbeats(TimePoint now);
-    AgentHeartbeat load() const;
     AgentHeartbeat heartbeat(TimePoint now, const EntryLink &link) const;
     /// What a heartbeat says to every entry alike.
     AgentHeartbeat load() const;
