--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,8 @@
 if [ "$#" -gt 0 ] && [ "$1" != "--fix" ]; then
     sources=("$@")
 else
-    mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' | sort)
+    mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' \
+        | grep -v '\.capnp\.h$' | sort)
 fi
 if [ "${1:-}" = "--fix" ]; then
     clang-format-16 -i "${sources[@]}"
--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -200,15 +200,6 @@
 using AgentMessage = std::variant<AgentHello, Pull, ReservationEnded, AnswerHead, AnswerBytes,
     AnswerEnd, NotRun, StillRunning, AgentHeartbeat>;
 
-/// Heartbeats of a connection between entry and agent.
-struct HeartbeatIntervals
-{
-    Duration busy = seconds(1); ///< Between beats while requests depend on the connection.
-    Duration idle = seconds(5); ///< Between beats otherwise.
-    Duration busySilence = seconds(3); ///< A quiet busy connection is replaced after this.
-    Duration idleSilence = seconds(16);
-};
-
 // ---------------------------------------------------------------------------------------------
 // Entry
 
@@ -410,8 +401,8 @@
 
 struct ClaimLimits
 {
-    std::uint32_t shards = 32;
-    std::size_t maximumShardBytes = 262'144; ///< Recorded answers are dropped beyond this.
+    std::uint32_t shards = 64;
+    std::size_t maximumShardBytes = 900'000; ///< Recorded answers are dropped beyond this.
     Duration claimDelay = milliseconds(5); ///< Claims are gathered this long into one write.
     Duration runningWait = seconds(1); ///< A repeat waits this long for the first attempt's end.
     Duration recordDelay = milliseconds(250); ///< Ends of requests wait this long for a claim.
--- a/src/libcore/agentsubset_test.cpp
+++ b/src/libcore/agentsubset_test.cpp
@@ -13,6 +13,7 @@
 std::vector<std::string> makeNames(const std::string &prefix, int count)
 {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         names.push_back(prefix + std::to_string(i));
     }
--- a/src/wigeonsill-entry/agentlinks.cpp
+++ b/src/wigeonsill-entry/agentlinks.cpp
@@ -16,6 +16,9 @@
 constexpr Duration connectTimeout = seconds(2);
 constexpr Duration helloTimeout = seconds(3);
 constexpr Duration retryInterval = milliseconds(500);
+/// An agent that is no longer listed is still tried for this long after its connection was lost,
+/// since requests may be bound to it.
+constexpr Duration unlistedRetryTime = seconds(10);
 } // namespace
 
 struct AgentLinks::Link
@@ -31,6 +34,7 @@
     std::uint64_t attempt = 0; ///< Number of the present connection; older ones are ignored.
     std::optional<Incarnation> incarnation; ///< Known once the agent's hello has come.
     TimePoint connectedAt;
+    TimePoint closedAt;
     bool listed = true;
     asio::steady_timer wake;
 };
@@ -122,7 +126,7 @@
 asio::awaitable<void> AgentLinks::keepConnected(LinkPointer link)
 {
     boost::system::error_code ignored;
-    while (link->connection || link->listed) {
+    while (link->connection || link->listed || currentTime() - link->closedAt < unlistedRetryTime) {
         if (!link->connection) {
             boost::beast::tcp_stream stream(this->context.io);
             stream.expires_after(connectTimeout);
@@ -201,6 +205,7 @@
         return;
     }
     ++link->attempt;
+    link->closedAt = currentTime();
     link->connection.reset();
     link->incarnation.reset();
     LOG4CPLUS_INFO(
--- a/src/wigeonsill-entry/entrydaemon.cpp
+++ b/src/wigeonsill-entry/entrydaemon.cpp
@@ -52,6 +52,10 @@
         limits.number("candidates", 1, 64, std::int64_t(settings.limits.candidates)));
     settings.limits.placement = limits.choice<PlacementStrategy>(
         "placement", placementStrategyNames, settings.limits.placement);
+    settings.agentChoice.perPoolAtHome = static_cast<std::size_t>(limits.number(
+        "agentsPerPool", 1, 10'000, std::int64_t(settings.agentChoice.perPoolAtHome)));
+    settings.agentChoice.perPoolElsewhere = static_cast<std::size_t>(limits.number(
+        "agentsPerPoolElsewhere", 0, 10'000, std::int64_t(settings.agentChoice.perPoolElsewhere)));
     settings.limits.silenceLimit
         = readMilliseconds(limits, "silenceLimitMs", 100, 60'000, settings.limits.silenceLimit);
     settings.limits.agentLostAfter = readMilliseconds(
@@ -73,6 +77,8 @@
 EntryDaemon::EntryDaemon(DaemonContext daemonContext, const EntrySettings &settings)
     : context(daemonContext)
     , incarnation(drawIncarnation())
+    , location(settings.location)
+    , agentChoice(settings.agentChoice)
     , core(buildCore(settings, this->incarnation))
     , store(makeHttpStore(daemonContext.io, settings.store))
     , instanceList(makeHttpInstanceList(daemonContext.io, settings.instanceList))
@@ -236,7 +242,7 @@
     for (;;) {
         const auto instances = co_await this->instanceList->fetch();
         if (instances) {
-            this->links.update(instances.value());
+            this->links.update(chooseAgents(this->location, instances.value(), this->agentChoice));
             this->feed.update(instances.value());
         } else {
             LOG4CPLUS_WARN(logger("entry.instances"),
--- a/src/wigeonsill-entry/entrydaemon.h
+++ b/src/wigeonsill-entry/entrydaemon.h
@@ -2,6 +2,7 @@
 /// The entry process: the core, and what connects it to callers, agents and the platform.
 #pragma once
 
+#include "agentchoice.h"
 #include "agentlinks.h"
 #include "callerfront.h"
 #include "claimclient.h"
@@ -19,6 +20,7 @@
     boost::asio::ip::tcp::endpoint store;
     boost::asio::ip::tcp::endpoint instanceList;
     EntryLimits limits;
+    AgentChoiceLimits agentChoice;
     HttpServerLimits http;
     ConfigurationFeedSettings feed;
 };
@@ -58,6 +60,8 @@
 
     DaemonContext context;
     Incarnation incarnation;
+    Location location;
+    AgentChoiceLimits agentChoice;
     std::unique_ptr<EntryCore> core;
     std::unique_ptr<Store> store;
     std::unique_ptr<InstanceList> instanceList;
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -156,7 +156,9 @@
         }
         full.update(settings)
         process = self.start(name, "wigeonsill-agent", full)
-        self.list_instance(name, "agent", process.address())
+        self.list_instance(
+            name, "agent", process.address(), pools=full["pools"], region=full["region"]
+        )
         return process
 
     def entry(self, name, **settings):
