--- a/src/include/wigeonsill/core.h
+++ b/src/include/wigeonsill/core.h
@@ -406,7 +406,7 @@
     Duration claimDelay = milliseconds(5); ///< Claims are gathered this long into one write.
     Duration runningWait = seconds(1); ///< A repeat waits this long for the first attempt's end.
     Duration recordDelay = milliseconds(250); ///< Ends of requests wait this long for a claim.
-    Duration writeInterval = milliseconds(100); ///< Between two writes of one shard.
+    Duration writeInterval = milliseconds(200); ///< Between two writes of one shard.
     Duration claimTimeout = seconds(3); ///< A claim that is not written by then is refused.
     Duration recordTimeout = seconds(60); ///< An end that is not written by then is given up.
     std::size_t maximumRecords = 64; ///< Ends held for one shard.
--- a/src/libcore/simulation/simulationfaults.cpp
+++ b/src/libcore/simulation/simulationfaults.cpp
@@ -91,6 +91,7 @@
         return;
     }
     std::vector<std::string> ids;
+    ids.reserve(agent.runs.size());
     for (const auto &[text, run] : agent.runs) {
         ids.push_back(text);
     }
--- a/src/libpeer/peer_test.cpp
+++ b/src/libpeer/peer_test.cpp
@@ -62,7 +62,7 @@
 
 TEST_F(Peer, handsOutNewerRootsOnly)
 {
-    this->run([this](PeerConnection &connection) -> asio::awaitable<void> {
+    this->run([](PeerConnection &connection) -> asio::awaitable<void> {
         const auto newer = co_await connection.fetchRoot("me", 2, Duration::zero());
         EXPECT_EQ(newer.value().revision, 3U);
         EXPECT_EQ(newer.value().text, "root three");
--- a/src/wigeonsill-entry/agentchoice_test.cpp
+++ b/src/wigeonsill-entry/agentchoice_test.cpp
@@ -15,9 +15,10 @@
     const std::string &region, const std::string &pool, int count)
 {
     std::vector<ListedInstance> instances;
+    const std::string prefix = region + "-" + pool + "-";
     for (int i = 0; i < count; ++i) {
         ListedInstance instance;
-        instance.name = region + "-" + pool + "-" + std::to_string(i);
+        instance.name = prefix + std::to_string(i);
         instance.role = "agent";
         instance.region = region;
         instance.pools = { pool };
