Every agent gets at least three entries of its region

Cause: with few entries the subsets that they choose can leave an agent without any; two entries that each take 12 of 14 agents miss one with a chance of 2% each.

Change: each agent also has its own three entries by the same hashing, which connect to it in any case; where the list names no entry, all agents at home are kept. The baselines' agents accept pushed requests in measure.py; the slopes of control are measured without a subset.

Figures: 300 agents and 8 entries: every agent has at least 3 entries.

Conclusion: no agent is left without work while the list names the entries.

--- a/scripts/measure-control.py
+++ b/scripts/measure-control.py
@@ -33,7 +33,8 @@
         agent_processes = [
             cluster.agent("agent-%d" % i, engine, "camp-language", log={"level": "warn"}) for i in range(agents)
         ]
-        entry_processes = [cluster.entry("entry-%d" % i, log={"level": "warn"}) for i in range(entries)]
+        entry_processes = [cluster.entry("entry-%d" % i, limits={"agentsPerPool": 1000}, log={"level": "warn"})
+            for i in range(entries)]
         cluster.apply(ROOT / "examples/consortium")
         cluster.wait_ready(*entry_processes, agents=agents)
         time.sleep(2)
--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -141,7 +141,7 @@
         # The product's agents keep their own limits; a baseline's pass everything on.
         limits = {}
         if strategy != "late-binding":
-            limits = {"tokenLimit": 1000000000, "maximumRunning": 100000}
+            limits = {"tokenLimit": 1000000000, "maximumRunning": 100000, "acceptPushed": True}
         self.engines = []
         for number, speed in enumerate(speeds):
             engine = self.cluster.standin(
--- a/src/wigeonsill-entry/agentchoice_test.cpp
+++ b/src/wigeonsill-entry/agentchoice_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 
 namespace wigeonsill {
 namespace {
@@ -27,6 +28,15 @@
     return instances;
 }
 
+ListedInstance listEntry(const std::string &name)
+{
+    ListedInstance instance;
+    instance.name = name;
+    instance.role = "entry";
+    instance.region = "home";
+    return instance;
+}
+
 TEST(AgentChoice, subsetOfEachPoolAndRegion)
 {
     auto instances = listAgents("home", "large", 100);
@@ -34,7 +44,12 @@
     const auto few = listAgents("home", "small", 3);
     instances.insert(instances.end(), far.begin(), far.end());
     instances.insert(instances.end(), few.begin(), few.end());
-    const auto chosen = chooseAgents(entry, instances, {});
+    AgentChoiceLimits limits;
+    limits.entriesPerAgent = 0;
+    for (const std::string name : { "entry-1", "entry-2" }) {
+        instances.push_back(listEntry(name));
+    }
+    const auto chosen = chooseAgents(entry, instances, limits);
     const auto countOf = [&chosen](const std::string &prefix) {
         return std::count_if(
             chosen.begin(), chosen.end(), [&prefix](const ListedInstance &instance) {
@@ -63,5 +78,31 @@
     EXPECT_EQ(chooseAgents(entry, instances, {}).size(), 31U);
 }
 
+TEST(AgentChoice, everyAgentHasItsEntries)
+{
+    auto instances = listAgents("home", "large", 300);
+    constexpr int entryCount = 8;
+    for (int i = 0; i < entryCount; ++i) {
+        instances.push_back(listEntry("entry-" + std::to_string(i)));
+    }
+    const AgentChoiceLimits limits;
+    std::map<std::string, std::size_t> entriesOfAgent;
+    for (int i = 0; i < entryCount; ++i) {
+        const Location self{ "entry-" + std::to_string(i), "home", "a" };
+        for (const ListedInstance &agent : chooseAgents(self, instances, limits)) {
+            ++entriesOfAgent[agent.name];
+        }
+    }
+    EXPECT_EQ(entriesOfAgent.size(), 300U);
+    for (const auto &[agent, entries] : entriesOfAgent) {
+        EXPECT_GE(entries, limits.entriesPerAgent) << agent;
+    }
+}
+
+TEST(AgentChoice, withoutListedEntriesEveryAgentAtHomeIsKept)
+{
+    EXPECT_EQ(chooseAgents(entry, listAgents("home", "large", 300), {}).size(), 300U);
+}
+
 } // namespace
 } // namespace wigeonsill
