Stand-ins: one reader for the faults that store and weight store share

Cause: both read the request's JSON object and the faults "down" and "slowMs" in the same lines.

Conclusion: behaviour is as before; one place to extend.

--- a/src/wigeonsill-standin/standin.h
+++ b/src/wigeonsill-standin/standin.h
@@ -41,6 +41,10 @@
 std::string queryValue(std::string_view target, std::string_view name);
 /// Member of an object as a number, or the fallback.
 double numberMember(const boost::json::object &object, std::string_view key, double fallback);
+/// The JSON object in a request's body; empty when the body is anything else.
+std::optional<boost::json::object> objectBody(const HttpRequest &request);
+/// Takes the faults that the store and the weight store share: "down" and "slowMs".
+void takeOutageFaults(const boost::json::object &faults, bool &down, Duration &slow);
 /// Sleeps on the io_context.
 boost::asio::awaitable<void> sleepFor(boost::asio::io_context &io, Duration duration);
 
--- a/src/wigeonsill-standin/standinhelpers.cpp
+++ b/src/wigeonsill-standin/standinhelpers.cpp
@@ -50,6 +50,25 @@
     return value != nullptr && value->is_number() ? value->to_number<double>() : fallback;
 }
 
+std::optional<boost::json::object> objectBody(const HttpRequest &request)
+{
+    boost::json::error_code error;
+    const boost::json::value body = boost::json::parse(request.body, error);
+    if (error || !body.is_object()) {
+        return std::nullopt;
+    }
+    return body.get_object();
+}
+
+void takeOutageFaults(const boost::json::object &faults, bool &down, Duration &slow)
+{
+    if (const boost::json::value *value = faults.if_contains("down")) {
+        down = value->is_bool() && value->get_bool();
+    }
+    slow = milliseconds(
+        std::int64_t(numberMember(faults, "slowMs", double(slow / milliseconds(1)))));
+}
+
 asio::awaitable<void> sleepFor(asio::io_context &io, Duration duration)
 {
     asio::steady_timer timer(io, duration);
--- a/src/wigeonsill-standin/storestandin.cpp
+++ b/src/wigeonsill-standin/storestandin.cpp
@@ -92,17 +92,12 @@
 
     HttpResponse setFaults(const HttpRequest &request)
     {
-        json::error_code error;
-        const json::value body = json::parse(request.body, error);
-        if (error || !body.is_object()) {
+        const std::optional<json::object> body = objectBody(request);
+        if (!body) {
             return problemResponse(ResultCode::MalformedRequest);
         }
-        const json::object &faults = body.get_object();
-        if (const json::value *value = faults.if_contains("down")) {
-            this->down = value->is_bool() && value->get_bool();
-        }
-        this->slow = milliseconds(
-            std::int64_t(numberMember(faults, "slowMs", double(this->slow / milliseconds(1)))));
+        const json::object &faults = *body;
+        takeOutageFaults(faults, this->down, this->slow);
         this->loseAnswers
             = std::int64_t(numberMember(faults, "loseAnswers", double(this->loseAnswers)));
         this->callsPerSecond = numberMember(faults, "callsPerSecond", this->callsPerSecond);
