--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
 if [ "$#" -gt 0 ] && [ "$1" != "--fix" ]; then
     sources=("$@")
 else
-    mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' \
+    mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' \
         | grep -v '\.capnp\.h$' | sort)
 fi
 if [ "${1:-}" = "--fix" ]; then
--- a/src/cmake/CompilerSettings.cmake
+++ b/src/cmake/CompilerSettings.cmake
@@ -3,6 +3,7 @@
 set(CMAKE_CXX_STANDARD_REQUIRED ON)
 set(CMAKE_CXX_EXTENSIONS OFF)
 
+option(WIGEONSILL_TESTS "Build the tests, which need GoogleTest, RapidCheck and Google Benchmark" ON)
 option(WIGEONSILL_SANITIZE "Build with the address and undefined-behaviour sanitizers" OFF)
 
 find_program(CCACHE_PROGRAM ccache)
--- a/src/cmake/Dependencies.cmake
+++ b/src/cmake/Dependencies.cmake
@@ -1,9 +1,11 @@
 # Every library comes from Debian's packages; scripts/install-packages.sh lists them.
 find_package(Boost 1.81 REQUIRED COMPONENTS json)
 
-find_package(GTest REQUIRED)
-find_package(rapidcheck REQUIRED)
-find_package(benchmark REQUIRED)
+if(WIGEONSILL_TESTS)
+  find_package(GTest REQUIRED)
+  find_package(rapidcheck REQUIRED)
+  find_package(benchmark REQUIRED)
+endif()
 find_package(log4cplus REQUIRED)
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
--- a/src/cmake/WigeonsillTargets.cmake
+++ b/src/cmake/WigeonsillTargets.cmake
@@ -35,6 +35,9 @@
 
 # One test executable for each *_test.cpp, one benchmark for each *_bench.cpp.
 function(wigeonsill_tests library)
+  if(NOT WIGEONSILL_TESTS)
+    return()
+  endif()
   file(GLOB tests CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*_test.cpp")
   foreach(source ${tests})
     get_filename_component(base "${source}" NAME_WE)
--- a/src/include/wigeonsill/daemon.h
+++ b/src/include/wigeonsill/daemon.h
@@ -20,6 +20,9 @@
     virtual void drain() = 0;
     /// Whether nothing is in progress after drain().
     virtual bool isDrained() const = 0;
+    /// The settings file was read again without a fault after SIGHUP.
+    /// \param changed Whether its text differs from the one the process was started with.
+    virtual void settingsRead(bool changed) { static_cast<void>(changed); }
     /// State for people; answers /state.
     virtual boost::json::object dumpState() const = 0;
     /// Brings gauges and buffered counts up to date; called before each answer of /metrics.
@@ -44,6 +47,9 @@
     std::string version;
     std::string summary;
     std::string notes;
+    /// Environment variable that names the settings file where the command line does not; may be
+    /// empty.
+    std::string settingsVariable = {};
 };
 
 /// Reads the program's own settings and returns how to build the daemon from them.
--- a/src/libdaemon/rundaemon.cpp
+++ b/src/libdaemon/rundaemon.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace wigeonsill {
@@ -51,13 +52,15 @@
 class DaemonRunner
 {
 public:
-    DaemonRunner(const CommonSettings &common, const DaemonFactory &create)
-        : daemon(create({ this->io, this->metrics }))
+    DaemonRunner(const CommonSettings &common, const DaemonFactory &create,
+        std::function<std::optional<bool>()> readAgain)
+        : rereadSettings(std::move(readAgain))
+        , daemon(create({ this->io, this->metrics }))
         , admin(this->io, common.admin,
               [this](const HttpRequest &request, HttpResponder &responder) {
                   return this->answerAdmin(request, responder);
               })
-        , signals(this->io, SIGTERM, SIGINT)
+        , signals(this->io, SIGTERM, SIGINT, SIGHUP)
         , drainTimer(this->io)
     {
     }
@@ -86,10 +89,17 @@
 
     void waitForSignal()
     {
-        this->signals.async_wait([this](const boost::system::error_code &error, int) {
+        this->signals.async_wait([this](const boost::system::error_code &error, int signal) {
             if (error) {
                 return;
             }
+            if (signal == SIGHUP) {
+                if (const std::optional<bool> changed = this->rereadSettings()) {
+                    this->daemon->settingsRead(*changed);
+                }
+                this->waitForSignal();
+                return;
+            }
             if (this->draining) {
                 this->exitStatus = exitForced;
                 this->io.stop();
@@ -159,6 +169,8 @@
         co_await responder.respond(this->answer(request));
     }
 
+    /// Reads the settings file again; empty when it has faults, else whether it changed.
+    std::function<std::optional<bool>()> rereadSettings;
     asio::io_context io{ 1 };
     Metrics metrics;
     std::unique_ptr<Daemon> daemon;
@@ -169,6 +181,29 @@
     int exitStatus = 0;
 };
 
+int printProblems(const std::vector<SettingsProblem> &problems);
+
+/// Checks the settings file again and compares it with what was read at the start.
+std::optional<bool> rereadSettings(
+    const std::string &file, const JsonDocument &first, const SettingsStep &readSettings)
+{
+    const Result<JsonDocument> document = JsonDocument::load(file);
+    if (!document) {
+        printProblems({ { file, 0, {}, document.error().code, document.error().detail } });
+        return std::nullopt;
+    }
+    std::vector<SettingsProblem> problems;
+    SettingsReader reader(document.value(), problems);
+    readCommon(reader);
+    readSettings(reader);
+    reader.finish();
+    if (!problems.empty()) {
+        printProblems(problems);
+        return std::nullopt;
+    }
+    return document.value().value() != first.value();
+}
+
 int printProblems(const std::vector<SettingsProblem> &problems)
 {
     for (const SettingsProblem &problem : problems) {
@@ -217,6 +252,10 @@
     if (!arguments) {
         return arguments.error();
     }
+    if (settingsFile.empty() && !info.settingsVariable.empty()) {
+        const char *named = std::getenv(info.settingsVariable.c_str());
+        settingsFile = named != nullptr ? named : "";
+    }
     if (settingsFile.empty() || !arguments.value().empty()) {
         std::cerr << info.name << ": expected --settings=FILE and no other arguments\n";
         return exitUsage;
@@ -240,8 +279,11 @@
     }
     initializeLogging(common.log);
     std::signal(SIGPIPE, SIG_IGN);
+    const auto readAgain = [&]() -> std::optional<bool> {
+        return rereadSettings(settingsFile, document.value(), readSettings);
+    };
     try {
-        DaemonRunner runner(common, create);
+        DaemonRunner runner(common, create, readAgain);
         return runner.run();
     } catch (const std::exception &exception) {
         std::cerr << info.name << ": " << exception.what() << "\n";
--- /dev/null
+++ b/src/libforward/callclient.cpp
@@ -0,0 +1,117 @@
+/// \file callclient.cpp
+/// GET calls on kept connections.
+#include "targetpool.h"
+
+namespace wigeonsill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// The servers of such calls are asked nothing that names a request.
+class PlainDialect : public WireDialect
+{
+public:
+    Result<CallerRequest> decodeRequest(const MessageHead & /*head*/) const override
+    {
+        return CallerRequest{};
+    }
+    HttpFields encodeRequest(
+        const MessageHead &head, const ForwardContext & /*context*/) const override
+    {
+        return head.fields;
+    }
+    AnswerFacts decodeAnswer(const MessageHead & /*head*/) const override { return {}; }
+};
+
+/// One call; keeps itself alive until its end.
+class Call : public AnswerHandler, public std::enable_shared_from_this<Call>
+{
+public:
+    Call(asio::io_context &io, CallClient::Handler whenDone)
+        : handler(std::move(whenDone))
+        , timer(io)
+    {
+    }
+
+    void start(TargetPool &pool, const Target &server, OutgoingRequest request, Duration timeout)
+    {
+        this->self = this->shared_from_this();
+        this->timer.expires_after(timeout);
+        this->timer.async_wait(
+            [call = this->shared_from_this()](const boost::system::error_code &error) {
+                if (!error && call->self) {
+                    call->connection->cancel();
+                    call->finish(Error{ ResultCode::ConnectionClosed, "no answer in time" });
+                }
+            });
+        this->connection = pool.send(server, std::move(request), *this);
+    }
+
+private:
+    void onSent() override { }
+    void onAnswerHead(const MessageHead &head) override
+    {
+        this->response.status = head.status;
+        this->response.fields = head.fields;
+    }
+    void onAnswerBody(std::string_view bytes) override { this->response.body += bytes; }
+    void onAnswerEnd() override { this->finish(std::move(this->response)); }
+    void onAnswerFailed(TargetFailure failure) override
+    {
+        const ResultCode code = failure == TargetFailure::NotConnected
+            ? ResultCode::ConnectionFailed
+            : ResultCode::ConnectionClosed;
+        this->finish(Error{ code, std::string(enumName(targetFailureNames, failure)) });
+    }
+
+    void finish(Result<HttpResponse> result)
+    {
+        const auto keep = std::move(this->self);
+        this->self.reset();
+        this->timer.cancel();
+        this->handler(std::move(result));
+    }
+
+    CallClient::Handler handler;
+    asio::steady_timer timer;
+    std::shared_ptr<TargetConnection> connection;
+    HttpResponse response;
+    std::shared_ptr<Call> self; ///< Set while the call is pending.
+};
+
+} // namespace
+
+struct CallClient::Private
+{
+    Private(asio::io_context &context, Metrics &metrics)
+        : io(context)
+        , pool(context, metrics, this->dialect)
+    {
+    }
+
+    asio::io_context &io;
+    PlainDialect dialect;
+    TargetPool pool;
+    Target server;
+};
+
+CallClient::CallClient(
+    asio::io_context &io, Metrics &metrics, const asio::ip::tcp::endpoint &server)
+    : d(std::make_unique<Private>(io, metrics))
+{
+    this->d->server.id = toString(server);
+    this->d->server.address = this->d->server.id;
+}
+
+CallClient::~CallClient() = default;
+
+void CallClient::get(const std::string &target, Duration timeout, Handler handler)
+{
+    OutgoingRequest request;
+    request.bytes = "GET " + target + " HTTP/1.1\r\nHost: " + this->d->server.address + "\r\n\r\n";
+    std::make_shared<Call>(this->d->io, std::move(handler))
+        ->start(this->d->pool, this->d->server, std::move(request), timeout);
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libforward/entrystate.h
@@ -0,0 +1,58 @@
+/// \file entrystate.h
+/// What all connections and requests of one entry share.
+#pragma once
+
+#include "grantclient.h"
+#include "targetpool.h"
+
+namespace wigeonsill {
+
+class RequestFlow;
+
+/// Failures of a target that this entry saw lately.
+struct TargetHealth
+{
+    int failuresInRow = 0;
+    TimePoint avoidUntil;
+};
+
+struct EntryState
+{
+    EntryState(boost::asio::io_context &context, Metrics &metricsIn, DecisionLog &logIn,
+        const WireDialect &dialectIn, const ForwardEntrySettings &settingsIn);
+
+    /// Age of the newest confirmation that the configuration is the newest.
+    Duration configurationAge() const;
+    /// Whether keys may still be honoured.
+    bool areKeysCurrent() const;
+    /// Whether names that the configuration lacks may be refused for good.
+    bool isConfigurationCurrent() const;
+    void noteFailure(const std::string &targetId);
+    void noteSuccess(const std::string &targetId);
+    bool isFailing(const std::string &targetId, TimePoint now) const;
+    int &requestsAt(const std::string &targetId) { return this->ownRequests[targetId]; }
+
+    boost::asio::io_context &io;
+    Metrics &metrics;
+    DecisionLog &log;
+    const WireDialect &dialect;
+    ForwardEntrySettings settings;
+    TargetPool pool;
+    GrantClient grants;
+    RepeatBudget repeats;
+    QuotaLedger quotas;
+    TargetDirectory targets;
+    std::shared_ptr<const ServingConfiguration> configuration;
+    std::optional<Duration> confirmedAt; ///< On the boot clock.
+    Duration targetsReadAt = {}; ///< On the boot clock.
+    std::map<std::string, int, std::less<>> ownRequests;
+    std::map<std::string, TargetHealth, std::less<>> health;
+    std::set<RequestFlow *> flows;
+    std::mt19937_64 random;
+    bool draining = false;
+    TimePoint drainBegan;
+
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+};
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libforward/forwardentry.cpp
@@ -0,0 +1,333 @@
+/// \file forwardentry.cpp
+/// The entry: accepting, the state that its requests share, and its end.
+#include "callerconnection.h"
+#include "requestflow.h"
+
+#include <algorithm>
+#include <ctime>
+
+namespace wigeonsill {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// Pause between two reports of what the organisations used. The quota's window is 8 s; in a
+/// quarter of a second an entry admits about 3% of a window.
+constexpr Duration usageInterval = milliseconds(250);
+/// Agents that collect the reports; two, so that one may be lost.
+constexpr std::size_t hubCount = 2;
+/// Failures in a row after which a target is tried last.
+constexpr int failuresBeforeAvoiding = 3;
+/// How long it is tried last.
+constexpr Duration avoidTime = milliseconds(1'500);
+/// New connections are taken this long after SIGTERM: the platform notices after two questions,
+/// one a second, that the entry is not ready, and connections made meanwhile must be served.
+constexpr Duration acceptAfterStop = milliseconds(3'500);
+/// Before the end of the grace time, for the last answers to leave.
+constexpr Duration endMargin = milliseconds(400);
+/// A refused accept (no descriptors) is tried again after this.
+constexpr Duration acceptPause = milliseconds(50);
+constexpr Duration drainInterval = milliseconds(100);
+/// Taken off the time that a key works, for timers that fire late.
+constexpr Duration revocationMargin = milliseconds(150);
+
+} // namespace
+
+Duration bootTime()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::duration_cast<Duration>(
+        seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+EntryState::EntryState(asio::io_context &context, Metrics &metricsIn, DecisionLog &logIn,
+    const WireDialect &dialectIn, const ForwardEntrySettings &settingsIn)
+    : io(context)
+    , metrics(metricsIn)
+    , log(logIn)
+    , dialect(dialectIn)
+    , settings(settingsIn)
+    , pool(context, metricsIn, dialectIn)
+    , grants(context, metricsIn, settingsIn)
+    , repeats(settingsIn.repeats)
+    , quotas(settingsIn.quotaWindow)
+    , random(drawIncarnation().low)
+{
+}
+
+Duration EntryState::configurationAge() const
+{
+    return this->confirmedAt ? bootTime() - *this->confirmedAt : Duration::max();
+}
+
+bool EntryState::areKeysCurrent() const
+{
+    return !this->settings.strictRevocation
+        || this->configurationAge() < this->settings.revocation - revocationMargin;
+}
+
+bool EntryState::isConfigurationCurrent() const
+{
+    return this->configurationAge() < this->settings.configurationAge;
+}
+
+void EntryState::noteFailure(const std::string &targetId)
+{
+    TargetHealth &row = this->health[targetId];
+    if (++row.failuresInRow == failuresBeforeAvoiding) {
+        this->log.change(DecisionLine("entry", "target-avoided").text("target", targetId));
+    }
+    if (row.failuresInRow >= failuresBeforeAvoiding) {
+        row.avoidUntil = currentTime() + avoidTime;
+    }
+}
+
+void EntryState::noteSuccess(const std::string &targetId)
+{
+    this->health.erase(targetId);
+}
+
+bool EntryState::isFailing(const std::string &targetId, TimePoint now) const
+{
+    const auto found = this->health.find(targetId);
+    return found != this->health.end() && found->second.avoidUntil > now;
+}
+
+struct ForwardEntry::Private
+{
+    Private(asio::io_context &io, Metrics &metrics, DecisionLog &log, const WireDialect &dialect,
+        const ForwardEntrySettings &settings)
+        : state(io, metrics, log, dialect, settings)
+        , acceptor(io)
+        , acceptTimer(io)
+        , usageTimer(io)
+        , drainTimer(io)
+    {
+        this->acceptor.open(settings.listen.protocol());
+        this->acceptor.set_option(asio::socket_base::reuse_address(true));
+        this->acceptor.bind(settings.listen);
+        this->acceptor.listen();
+    }
+
+    void accept();
+    void reportUsage();
+    void continueDrain();
+    void forgetUnlisted();
+
+    EntryState state;
+    asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
+    asio::steady_timer usageTimer;
+    asio::steady_timer drainTimer;
+    std::vector<std::weak_ptr<CallerConnection>> connections;
+    bool drained = false;
+    bool ready = false;
+};
+
+void ForwardEntry::Private::accept()
+{
+    this->acceptor.async_accept([this](const error_code &error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            this->state.metrics.count("wigeonsill_accept_failures_total");
+            this->acceptTimer.expires_after(acceptPause);
+            this->acceptTimer.async_wait([this](const error_code &waitError) {
+                if (!waitError) {
+                    this->accept();
+                }
+            });
+            return;
+        }
+        const auto connection = std::make_shared<CallerConnection>(this->state, std::move(socket));
+        std::erase_if(this->connections, [](const auto &row) { return row.expired(); });
+        this->connections.push_back(connection);
+        this->state.metrics.count("wigeonsill_caller_connections_total");
+        connection->start();
+        this->accept();
+    });
+}
+
+void ForwardEntry::Private::reportUsage()
+{
+    this->usageTimer.expires_after(usageInterval);
+    this->usageTimer.async_wait([this](const error_code &error) {
+        if (error) {
+            return;
+        }
+        std::vector<const Target *> engines;
+        for (const auto &[id, target] : this->state.targets.all()) {
+            const ServiceProfile *service = this->state.configuration
+                ? this->state.configuration->findService(target.service)
+                : nullptr;
+            if (service != nullptr && service->isEngine) {
+                engines.push_back(&target);
+            }
+        }
+        std::sort(engines.begin(), engines.end(),
+            [](const Target *left, const Target *right) { return left->address < right->address; });
+        const auto uses = this->state.quotas.ownUse(currentTime());
+        for (std::size_t i = 0; i < std::min(hubCount, engines.size()); ++i) {
+            this->state.grants.reportUsage(*engines[i], uses);
+        }
+        this->reportUsage();
+    });
+}
+
+void ForwardEntry::Private::forgetUnlisted()
+{
+    std::erase_if(this->state.health,
+        [this](const auto &row) { return this->state.targets.find(row.first) == nullptr; });
+    std::erase_if(this->state.ownRequests, [this](const auto &row) {
+        return row.second == 0 && this->state.targets.find(row.first) == nullptr;
+    });
+}
+
+void ForwardEntry::Private::continueDrain()
+{
+    const Duration since = currentTime() - this->state.drainBegan;
+    if (since > acceptAfterStop) {
+        error_code ignored;
+        this->acceptor.close(ignored);
+        for (const auto &row : this->connections) {
+            if (const auto connection = row.lock()) {
+                connection->closeIfIdle();
+            }
+        }
+        this->drained = this->state.flows.empty();
+    }
+    if (since > this->state.settings.grace - endMargin) {
+        // A copy: ending a flow takes it out of the set.
+        const std::vector<RequestFlow *> rest(this->state.flows.begin(), this->state.flows.end());
+        for (RequestFlow *flow : rest) {
+            if (this->state.flows.contains(flow)) {
+                flow->endNow();
+            }
+        }
+        this->drained = true;
+    }
+    this->drainTimer.expires_after(drainInterval);
+    this->drainTimer.async_wait([this](const error_code &error) {
+        if (!error) {
+            this->continueDrain();
+        }
+    });
+}
+
+ForwardEntry::ForwardEntry(asio::io_context &io, Metrics &metrics, DecisionLog &log,
+    const WireDialect &dialect, const ForwardEntrySettings &settings)
+    : d(std::make_unique<Private>(io, metrics, log, dialect, settings))
+{
+}
+
+ForwardEntry::~ForwardEntry() = default;
+
+void ForwardEntry::start()
+{
+    this->d->state.grants.whenUsageReported
+        = [this](std::map<std::string, double> uses, int entries) {
+              this->d->state.quotas.takeReport(std::move(uses), entries, currentTime());
+          };
+    this->d->state.grants.start();
+    this->d->accept();
+    this->d->reportUsage();
+}
+
+void ForwardEntry::setConfiguration(std::shared_ptr<const ServingConfiguration> configuration)
+{
+    const auto &present = this->d->state.configuration;
+    if (present && configuration->version() <= present->version()) {
+        return;
+    }
+    DecisionLine line("entry", "configuration");
+    line.number("version", static_cast<double>(configuration->version()))
+        .number("routes", static_cast<double>(configuration->routeCount()));
+    this->d->state.log.change(line);
+    this->d->state.configuration = std::move(configuration);
+}
+
+void ForwardEntry::confirmConfiguration(Duration at)
+{
+    std::optional<Duration> &confirmed = this->d->state.confirmedAt;
+    confirmed = confirmed ? std::max(*confirmed, at) : at;
+}
+
+void ForwardEntry::setTargets(std::vector<Target> targets, bool suspect)
+{
+    EntryState &state = this->d->state;
+    std::map<std::string, bool, std::less<>> before;
+    for (const auto &[id, target] : state.targets.all()) {
+        before[id] = target.leaving;
+    }
+    state.targets.replace(std::move(targets), suspect);
+    state.targetsReadAt = bootTime();
+    for (const auto &[id, target] : state.targets.all()) {
+        const auto known = before.find(id);
+        if (known == before.end() || known->second != target.leaving) {
+            DecisionLine line("entry", target.leaving ? "target-leaving" : "target-listed");
+            state.log.change(line.text("target", id).text("service", target.service));
+        }
+        before.erase(id);
+    }
+    for (const auto &[id, leaving] : before) {
+        state.log.change(DecisionLine("entry", "target-gone").text("target", id));
+    }
+    state.pool.keepOnly(state.targets);
+    this->d->forgetUnlisted();
+}
+
+bool ForwardEntry::isReady() const
+{
+    const EntryState &state = this->d->state;
+    return !state.draining && state.configuration && state.targets.size() > 0;
+}
+
+void ForwardEntry::drain()
+{
+    this->d->state.draining = true;
+    this->d->state.drainBegan = currentTime();
+    this->d->state.log.change(
+        DecisionLine("entry", "stopping")
+            .number("in_progress", static_cast<double>(this->d->state.flows.size())));
+    this->d->continueDrain();
+}
+
+bool ForwardEntry::isDrained() const
+{
+    return this->d->drained;
+}
+
+boost::json::object ForwardEntry::dumpState() const
+{
+    const EntryState &state = this->d->state;
+    boost::json::array targets;
+    for (const auto &[id, target] : state.targets.all()) {
+        const AgentView agent = state.grants.view(target, currentTime());
+        const auto own = state.ownRequests.find(id);
+        boost::json::object row{ { "id", id }, { "service", target.service },
+            { "leaving", target.leaving }, { "agentSilent", agent.silent },
+            { "ownRequests", own == state.ownRequests.end() ? 0 : own->second } };
+        if (agent.load) {
+            row["prefillPerMs"] = agent.load->prefillPerMs;
+            row["startDelayMs"] = static_cast<double>(agent.load->startDelay.count()) / 1'000;
+        }
+        targets.push_back(std::move(row));
+    }
+    return {
+        { "requests", state.flows.size() },
+        { "configuration", state.configuration ? state.configuration->version() : 0 },
+        { "configurationAgeMs", state.confirmedAt ? state.configurationAge().count() / 1'000 : -1 },
+        { "targets", std::move(targets) },
+    };
+}
+
+std::uint16_t ForwardEntry::port() const
+{
+    return this->d->acceptor.local_endpoint().port();
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libforward/grantagent.cpp
@@ -0,0 +1,297 @@
+/// \file grantagent.cpp
+/// The agent beside a target: a socket and two timers round the admission.
+#include "grantmessage.h"
+#include "wigeonsill/forward.h"
+
+namespace wigeonsill {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// Pause between two looks at the target's own report. It is free from the same machine; each
+/// costs some 50 us of processor time.
+constexpr Duration reportInterval = milliseconds(400);
+/// Pause between two looks at requests whose waiting time is over.
+constexpr Duration expiryInterval = milliseconds(50);
+/// An entry that sent no usage for this long is taken as gone.
+constexpr Duration usageLapse = seconds(3);
+
+} // namespace
+
+struct GrantAgent::Private
+{
+    Private(asio::io_context &io, Metrics &counters, DecisionLog &decisions,
+        ReportDecoder reportDecoder, const GrantAgentSettings &agentSettings)
+        : metrics(counters)
+        , log(decisions)
+        , decoder(std::move(reportDecoder))
+        , settings(agentSettings)
+        , reports(io, counters, agentSettings.target)
+        , socket(io,
+              asio::ip::udp::endpoint(
+                  asio::ip::make_address(settings.grantAddress), settings.grantPort))
+        , reportTimer(io)
+        , expiryTimer(io)
+        , self(drawIncarnation().low)
+    {
+        this->socket.non_blocking(true);
+    }
+
+    void receive();
+    void handle(const GrantMessage &message);
+    void answerUsage(const GrantMessage &message);
+    void reply(GrantKind kind, const TicketProfile &profile);
+    void sendTo(const asio::ip::udp::endpoint &endpoint, GrantMessage message);
+    void grantAll();
+    void scheduleExpiry();
+    void scheduleReport();
+    void askReport();
+
+    void takeReport(const Result<HttpResponse> &response);
+
+    struct EntryUse
+    {
+        std::map<std::string, double> uses;
+        TimePoint at;
+    };
+
+    Metrics &metrics;
+    DecisionLog &log;
+    ReportDecoder decoder;
+    GrantAgentSettings settings;
+    CallClient reports;
+    asio::ip::udp::socket socket;
+    asio::steady_timer reportTimer;
+    asio::steady_timer expiryTimer;
+    std::uint64_t self;
+    TargetAdmission admission{ TargetAdmission::Limits{} };
+    std::array<char, 8'192> buffer;
+    asio::ip::udp::endpoint sender;
+    std::map<std::uint64_t, asio::ip::udp::endpoint> entries;
+    std::map<std::uint64_t, EntryUse> usage;
+    bool targetReachable = true;
+    bool expiryScheduled = false;
+};
+
+void GrantAgent::Private::receive()
+{
+    this->socket.async_receive_from(asio::buffer(this->buffer), this->sender,
+        [this](const error_code &error, std::size_t bytes) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                const auto message = decodeGrantMessage({ this->buffer.data(), bytes });
+                if (message) {
+                    this->entries[message->sender] = this->sender;
+                    this->handle(*message);
+                } else {
+                    this->metrics.count("wigeonsill_grant_datagrams_malformed_total");
+                }
+            }
+            this->receive();
+        });
+}
+
+void GrantAgent::Private::handle(const GrantMessage &message)
+{
+    const TimePoint now = currentTime();
+    TicketProfile profile = message.profile;
+    profile.ticket.entry = message.sender;
+    switch (message.kind) {
+    case GrantKind::Reserve: {
+        if (this->admission.isGranted(profile.ticket)) {
+            this->reply(GrantKind::Granted, profile);
+            return;
+        }
+        this->admission.reserve(profile, message.slots, now);
+        this->grantAll();
+        if (this->admission.isWaiting(profile.ticket)) {
+            this->reply(GrantKind::Queued, profile);
+            this->scheduleExpiry();
+        }
+        return;
+    }
+    case GrantKind::Release:
+        this->admission.release(profile.ticket, now);
+        this->grantAll();
+        return;
+    case GrantKind::Began:
+        this->admission.began(profile.ticket, now);
+        this->grantAll();
+        return;
+    case GrantKind::Usage:
+        this->answerUsage(message);
+        return;
+    default:
+        return;
+    }
+}
+
+void GrantAgent::Private::answerUsage(const GrantMessage &message)
+{
+    const TimePoint now = currentTime();
+    this->usage[message.sender] = EntryUse{ message.uses, now };
+    std::erase_if(this->usage, [now](const auto &row) { return now - row.second.at > usageLapse; });
+    GrantMessage answer;
+    answer.kind = GrantKind::OthersUsage;
+    answer.entries = static_cast<int>(this->usage.size());
+    for (const auto &[entry, use] : this->usage) {
+        if (entry == message.sender) {
+            continue;
+        }
+        for (const auto &[organisation, amount] : use.uses) {
+            answer.uses[organisation] += amount;
+        }
+    }
+    this->sendTo(this->sender, std::move(answer));
+}
+
+void GrantAgent::Private::reply(GrantKind kind, const TicketProfile &profile)
+{
+    const auto entry = this->entries.find(profile.ticket.entry);
+    if (entry == this->entries.end()) {
+        return;
+    }
+    GrantMessage message;
+    message.kind = kind;
+    message.profile.ticket = profile.ticket;
+    message.load = this->admission.load(currentTime());
+    this->sendTo(entry->second, std::move(message));
+}
+
+void GrantAgent::Private::sendTo(const asio::ip::udp::endpoint &endpoint, GrantMessage message)
+{
+    message.sender = this->self;
+    error_code error;
+    this->socket.send_to(asio::buffer(encode(message)), endpoint, 0, error);
+    if (error) {
+        this->metrics.count("wigeonsill_grant_datagrams_unsent_total");
+    }
+}
+
+void GrantAgent::Private::grantAll()
+{
+    for (const TicketProfile &profile : this->admission.grant(currentTime())) {
+        this->metrics.count("wigeonsill_grants_total");
+        DecisionLine line("agent", "granted");
+        line.text("request", profile.requestId)
+            .number("prompt_tokens", profile.promptTokens)
+            .number("running", static_cast<double>(this->admission.grantedCount()))
+            .number("waiting", static_cast<double>(this->admission.waitingCount()))
+            .number("prefill_per_ms", this->admission.load(currentTime()).prefillPerMs);
+        this->log.decision(line);
+        this->reply(GrantKind::Granted, profile);
+    }
+}
+
+void GrantAgent::Private::scheduleExpiry()
+{
+    if (this->expiryScheduled) {
+        return;
+    }
+    this->expiryScheduled = true;
+    this->expiryTimer.expires_after(expiryInterval);
+    this->expiryTimer.async_wait([this](const error_code &error) {
+        if (error) {
+            return;
+        }
+        this->expiryScheduled = false;
+        for (const TicketProfile &profile : this->admission.expire(currentTime())) {
+            this->metrics.count("wigeonsill_reservations_declined_total");
+            this->reply(GrantKind::Declined, profile);
+        }
+        this->grantAll();
+        if (this->admission.waitingCount() > 0) {
+            this->scheduleExpiry();
+        }
+    });
+}
+
+void GrantAgent::Private::scheduleReport()
+{
+    this->reportTimer.expires_after(reportInterval);
+    this->reportTimer.async_wait([this](const error_code &error) {
+        if (error) {
+            return;
+        }
+        this->admission.expire(currentTime());
+        this->askReport();
+        this->scheduleReport();
+    });
+}
+
+void GrantAgent::Private::askReport()
+{
+    this->reports.get(this->settings.reportPath, reportInterval,
+        [this](const Result<HttpResponse> &response) { this->takeReport(response); });
+}
+
+void GrantAgent::Private::takeReport(const Result<HttpResponse> &response)
+{
+    if (!response) {
+        this->metrics.count("wigeonsill_reports_failed_total");
+        if (this->targetReachable) {
+            this->targetReachable = false;
+            this->log.change(
+                DecisionLine("agent", "target-lost").text("why", response.error().detail));
+        }
+        return;
+    }
+    const auto report
+        = response.value().status == 200 ? this->decoder(response.value().body) : std::nullopt;
+    if (!report) {
+        this->metrics.count("wigeonsill_reports_malformed_total");
+        return;
+    }
+    if (!this->targetReachable) {
+        this->targetReachable = true;
+        this->log.change(DecisionLine("agent", "target-regained"));
+    }
+    this->admission.observe(report->running, report->waiting, currentTime());
+    this->grantAll();
+}
+
+GrantAgent::GrantAgent(asio::io_context &io, Metrics &metrics, DecisionLog &log,
+    ReportDecoder decoder, const GrantAgentSettings &settings)
+    : d(std::make_unique<Private>(io, metrics, log, std::move(decoder), settings))
+{
+}
+
+GrantAgent::~GrantAgent() = default;
+
+void GrantAgent::start()
+{
+    this->d->receive();
+    this->d->askReport();
+    this->d->scheduleReport();
+}
+
+void GrantAgent::drain()
+{
+    this->d->log.change(DecisionLine("agent", "stopping"));
+}
+
+bool GrantAgent::isDrained() const
+{
+    // No request passes through the agent; entries go on without it.
+    return true;
+}
+
+boost::json::object GrantAgent::dumpState() const
+{
+    const TargetLoad load = this->d->admission.load(currentTime());
+    return {
+        { "granted", this->d->admission.grantedCount() },
+        { "waiting", this->d->admission.waitingCount() },
+        { "freeSlots", load.freeSlots },
+        { "prefillPerMs", load.prefillPerMs },
+        { "decodePerMs", load.decodePerMs },
+        { "entries", this->d->usage.size() },
+        { "targetReachable", this->d->targetReachable },
+    };
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libforward/grantclient.h
@@ -0,0 +1,75 @@
+/// \file grantclient.h
+/// The entry's side of the datagrams: reservations at agents, and what their answers tell.
+#pragma once
+
+#include "grantmessage.h"
+#include "wigeonsill/forward.h"
+
+#include <unordered_map>
+
+namespace wigeonsill {
+
+/// Hears of one request's reservations.
+class GrantListener
+{
+public:
+    virtual ~GrantListener() = default;
+    virtual void onGranted(const std::string &targetId) = 0;
+    virtual void onQueued(const std::string &targetId) = 0;
+    virtual void onDeclined(const std::string &targetId) = 0;
+};
+
+/// What the entry knows of an agent.
+struct AgentView
+{
+    std::optional<TargetLoad> load;
+    Duration loadAge = {};
+    bool silent = false;
+};
+
+/// One socket for all agents. Every datagram may be lost: reservations are repeated by the caller,
+/// and an agent that misses a release finds out by its target's report.
+class GrantClient
+{
+public:
+    GrantClient(
+        boost::asio::io_context &io, Metrics &counters, const ForwardEntrySettings &settings);
+    void start();
+
+    /// Draws a ticket and names who hears of it until forget().
+    std::uint64_t open(GrantListener &listener);
+    void forget(std::uint64_t ticket);
+    void reserve(const Target &target, const TicketProfile &profile);
+    void release(const Target &target, std::uint64_t ticket);
+    void began(const Target &target, std::uint64_t ticket);
+    /// Tells an agent what this entry admitted, and asks for the others' use.
+    void reportUsage(const Target &hub, const std::map<std::string, double> &uses);
+    /// Called with each report of the others' use.
+    std::function<void(std::map<std::string, double>, int entries)> whenUsageReported;
+
+    AgentView view(const Target &target, TimePoint now) const;
+
+private:
+    struct Peer
+    {
+        std::optional<TargetLoad> load;
+        TimePoint loadAt;
+        std::optional<TimePoint> unansweredSince;
+    };
+    void send(const Target &target, GrantMessage message);
+    void receive();
+    void handle(const GrantMessage &message, const boost::asio::ip::udp::endpoint &from);
+
+    Metrics &metrics;
+    boost::asio::ip::udp::socket socket;
+    std::uint16_t port;
+    std::uint64_t self;
+    std::uint64_t nextTicket = 1;
+    std::array<char, 8'192> buffer;
+    boost::asio::ip::udp::endpoint sender;
+    std::map<boost::asio::ip::address, Peer> peers;
+    std::map<boost::asio::ip::address, std::string> targetByAddress;
+    std::unordered_map<std::uint64_t, GrantListener *> listeners;
+};
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libforward/grantmessage.cpp
@@ -0,0 +1,82 @@
+/// \file grantmessage.cpp
+/// Encodes and decodes the datagrams with Cap'n Proto.
+#include "grantmessage.h"
+
+#include "grant.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <cstring>
+
+namespace wigeonsill {
+
+std::string encode(const GrantMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<schema::GrantMessage>();
+    root.setKind(static_cast<schema::GrantKind>(message.kind));
+    root.setSender(message.sender);
+    root.setTicket(message.profile.ticket.number);
+    root.setRequestId(message.profile.requestId.c_str());
+    root.setPromptTokens(message.profile.promptTokens);
+    root.setOutputTokens(message.profile.outputTokens);
+    root.setPriority(message.profile.priority);
+    root.setLatencyLeftUs(message.profile.latencyLeft.count());
+    root.setWaitLeftUs(message.profile.waitLeft.count());
+    root.setSlots(static_cast<std::uint32_t>(message.slots));
+    root.setFreeSlots(static_cast<std::uint32_t>(message.load.freeSlots));
+    root.setWaiting(static_cast<std::uint32_t>(message.load.waiting));
+    root.setStartDelayUs(message.load.startDelay.count());
+    root.setPrefillPerMs(message.load.prefillPerMs);
+    root.setDecodePerMs(message.load.decodePerMs);
+    root.setEntries(static_cast<std::uint32_t>(message.entries));
+    auto uses = root.initUses(static_cast<unsigned>(message.uses.size()));
+    unsigned index = 0;
+    for (const auto &[organisation, amount] : message.uses) {
+        uses[index].setOrganisation(organisation.c_str());
+        uses[index].setAmount(amount);
+        ++index;
+    }
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asChars();
+    return { bytes.begin(), bytes.size() };
+}
+
+std::optional<GrantMessage> decodeGrantMessage(std::string_view bytes)
+{
+    if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0) {
+        return std::nullopt;
+    }
+    const auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    std::memcpy(const_cast<capnp::word *>(words.begin()), bytes.data(), bytes.size());
+    try {
+        capnp::FlatArrayMessageReader reader(words);
+        const auto root = reader.getRoot<schema::GrantMessage>();
+        GrantMessage message;
+        message.kind = static_cast<GrantKind>(root.getKind());
+        message.sender = root.getSender();
+        message.profile.ticket.number = root.getTicket();
+        message.profile.requestId = root.getRequestId().cStr();
+        message.profile.promptTokens = root.getPromptTokens();
+        message.profile.outputTokens = root.getOutputTokens();
+        message.profile.priority = root.getPriority();
+        message.profile.latencyLeft = Duration(root.getLatencyLeftUs());
+        message.profile.waitLeft = Duration(root.getWaitLeftUs());
+        message.slots = static_cast<int>(root.getSlots());
+        message.load.freeSlots = static_cast<int>(root.getFreeSlots());
+        message.load.waiting = static_cast<int>(root.getWaiting());
+        message.load.startDelay = Duration(root.getStartDelayUs());
+        message.load.prefillPerMs = root.getPrefillPerMs();
+        message.load.decodePerMs = root.getDecodePerMs();
+        message.entries = static_cast<int>(root.getEntries());
+        for (const auto &use : root.getUses()) {
+            message.uses[use.getOrganisation().cStr()] = use.getAmount();
+        }
+        return message;
+    } catch (const kj::Exception &) {
+        return std::nullopt; // The caller counts and logs datagrams that it cannot read.
+    }
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libforward/messagereader.h
@@ -0,0 +1,127 @@
+/// \file messagereader.h
+/// Reads HTTP/1.1 messages piece by piece with Beast's parser.
+#pragma once
+
+#include "wigeonsill/forward.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace wigeonsill {
+
+/// Reads one message. Body bytes collect in body() until taken. Not thread-safe.
+template <bool isRequest>
+class MessageReader : private boost::beast::http::basic_parser<isRequest>
+{
+    using Base = boost::beast::http::basic_parser<isRequest>;
+    using ErrorCode = boost::beast::error_code;
+    using View = boost::beast::string_view;
+
+public:
+    MessageReader(std::uint32_t headerLimit, std::uint64_t bodyLimit)
+    {
+        this->eager(true);
+        this->header_limit(headerLimit);
+        this->body_limit(bodyLimit);
+    }
+
+    /// Reads as much as it can and returns how many bytes it took. An incomplete head is not
+    /// taken; the caller presents it again with more bytes.
+    std::size_t consume(std::string_view bytes, ErrorCode &error)
+    {
+        error = {};
+        std::size_t taken = 0;
+        while (taken < bytes.size() && !this->is_done()) {
+            const boost::asio::const_buffer rest(bytes.data() + taken, bytes.size() - taken);
+            const std::size_t step = this->put(rest, error);
+            taken += step;
+            if (error == boost::beast::http::error::need_more) {
+                error = {};
+                if (step == 0) {
+                    break;
+                }
+                continue;
+            }
+            if (error || step == 0) {
+                break;
+            }
+        }
+        return taken;
+    }
+
+    /// The peer closed. Errors: the message is not complete.
+    void consumeEnd(ErrorCode &error)
+    {
+        error = {};
+        this->put_eof(error);
+    }
+
+    /// The answer has no body whatever its fields say. \pre nothing was read.
+    void expectNoBody() { this->skip(true); }
+    bool isHeadComplete() const { return this->is_header_done(); }
+    bool isComplete() const { return this->is_done(); }
+    bool hasStarted() const { return this->got_some(); }
+    const MessageHead &head() const { return this->message; }
+    std::string &body() { return this->content; }
+
+private:
+    void on_request_impl(boost::beast::http::verb /*verb*/, View method, View target, int version,
+        ErrorCode & /*error*/) override
+    {
+        this->message.method.assign(method.data(), method.size());
+        this->message.target.assign(target.data(), target.size());
+        this->message.httpVersion = version;
+    }
+    void on_response_impl(int status, View reason, int version, ErrorCode & /*error*/) override
+    {
+        this->message.status = status;
+        this->message.reason.assign(reason.data(), reason.size());
+        this->message.httpVersion = version;
+    }
+    void on_field_impl(
+        boost::beast::http::field /*field*/, View name, View value, ErrorCode & /*error*/) override
+    {
+        this->message.fields.push_back(
+            { { name.data(), name.size() }, { value.data(), value.size() } });
+    }
+    void on_header_impl(ErrorCode & /*error*/) override
+    {
+        this->message.chunked = this->chunked();
+        if (const auto length = this->content_length()) {
+            this->message.length = *length;
+        }
+        this->message.keepAlive = this->keep_alive();
+        this->message.endsWithConnection = !isRequest && this->need_eof();
+    }
+    void on_body_init_impl(
+        const boost::optional<std::uint64_t> & /*length*/, ErrorCode & /*error*/) override
+    {
+    }
+    std::size_t on_body_impl(View bytes, ErrorCode & /*error*/) override
+    {
+        this->content.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    void on_chunk_header_impl(
+        std::uint64_t /*size*/, View /*extensions*/, ErrorCode & /*error*/) override
+    {
+    }
+    std::size_t on_chunk_body_impl(
+        std::uint64_t /*remain*/, View bytes, ErrorCode & /*error*/) override
+    {
+        this->content.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    void on_finish_impl(ErrorCode & /*error*/) override { }
+
+    MessageHead message;
+    std::string content;
+};
+
+using RequestReader = MessageReader<true>;
+using AnswerReader = MessageReader<false>;
+
+/// Whether the raw head of a request uses a form that intermediaries read differently: a folded
+/// line, a bare line feed, or a zero byte. \param head Up to and with the empty line.
+bool isAmbiguousHead(std::string_view head);
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libforward/targetpool.cpp
@@ -0,0 +1,322 @@
+/// \file targetpool.cpp
+/// Connections to targets: connecting, reuse, and reading of one answer at a time.
+#include "targetpool.h"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace wigeonsill {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// Longest time until a target accepts a connection; the platform's own bound for callers.
+constexpr Duration connectTime = milliseconds(1'000);
+/// A kept connection is not used after this much idle time where the target states none. Targets
+/// may close sooner than they say, and a request that is lost so cannot always be sent again.
+constexpr Duration defaultIdleTime = seconds(3);
+/// Taken off the idle time that a target states in whole seconds.
+constexpr Duration idleMargin = milliseconds(1'000);
+/// Limits on what a target may answer; beyond them the answer counts as malformed.
+constexpr std::uint32_t answerHeadLimit = 65'536;
+constexpr std::uint64_t answerBodyLimit = 268'435'456;
+/// Idle connections kept for each target.
+constexpr std::size_t idleLimit = 16;
+
+} // namespace
+
+struct TargetPool::Private
+{
+    asio::io_context &io;
+    Metrics &metrics;
+    const WireDialect &dialect;
+    std::map<std::string, std::vector<std::shared_ptr<TargetConnection>>, std::less<>> idle = {};
+};
+
+TargetPool::TargetPool(asio::io_context &io, Metrics &metrics, const WireDialect &dialect)
+    : d(std::make_unique<Private>(io, metrics, dialect))
+{
+}
+
+TargetPool::~TargetPool() = default;
+
+std::shared_ptr<TargetConnection> TargetPool::send(
+    const Target &target, OutgoingRequest request, AnswerHandler &handler)
+{
+    std::vector<std::shared_ptr<TargetConnection>> &kept = this->d->idle[target.id];
+    const TimePoint now = currentTime();
+    while (!kept.empty()) {
+        std::shared_ptr<TargetConnection> connection = std::move(kept.back());
+        kept.pop_back();
+        if (connection->idleUntil > now && connection->socket.is_open()) {
+            connection->begin(std::move(request), handler);
+            return connection;
+        }
+        connection->close();
+    }
+    const auto endpoint = parseEndpoint(target.address);
+    auto connection = std::make_shared<TargetConnection>(
+        *this->d, target.id, endpoint ? endpoint.value() : asio::ip::tcp::endpoint());
+    this->d->metrics.count("wigeonsill_target_connections_total");
+    connection->begin(std::move(request), handler);
+    return connection;
+}
+
+void TargetPool::keepOnly(const TargetDirectory &directory)
+{
+    for (auto row = this->d->idle.begin(); row != this->d->idle.end();) {
+        if (directory.find(row->first) == nullptr) {
+            for (const auto &connection : row->second) {
+                connection->close();
+            }
+            row = this->d->idle.erase(row);
+        } else {
+            ++row;
+        }
+    }
+}
+
+TargetConnection::TargetConnection(
+    TargetPool::Private &owner, std::string id, const asio::ip::tcp::endpoint &address)
+    : pool(owner)
+    , targetId(std::move(id))
+    , endpoint(address)
+    , socket(owner.io)
+    , connectTimer(owner.io)
+{
+}
+
+void TargetConnection::begin(OutgoingRequest outgoing, AnswerHandler &answerHandler)
+{
+    this->request = std::move(outgoing);
+    this->handler = &answerHandler;
+    this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
+    if (this->request.isHead) {
+        this->reader->expectNoBody();
+    }
+    this->headSeen = false;
+    this->foreign = false;
+    this->sent = false;
+    if (this->connected) {
+        this->write();
+    } else {
+        this->connect();
+    }
+}
+
+void TargetConnection::connect()
+{
+    const auto self = this->shared_from_this();
+    this->connectTimer.expires_after(connectTime);
+    this->connectTimer.async_wait([self](const error_code &error) {
+        if (!error && !self->connected) {
+            self->fail(TargetFailure::NotConnected);
+        }
+    });
+    this->socket.async_connect(this->endpoint, [self](const error_code &error) {
+        self->connectTimer.cancel();
+        if (self->handler == nullptr) {
+            return;
+        }
+        if (error) {
+            self->fail(TargetFailure::NotConnected);
+            return;
+        }
+        self->connected = true;
+        tuneSocket(self->socket);
+        self->write();
+    });
+}
+
+void TargetConnection::write()
+{
+    const auto self = this->shared_from_this();
+    this->handler->onSent();
+    if (this->handler == nullptr) {
+        return;
+    }
+    this->sent = true;
+    this->writing = true;
+    asio::async_write(this->socket, asio::buffer(this->request.bytes),
+        [self](const error_code &error, std::size_t) {
+            self->writing = false;
+            // A failed write shows at the read as well, which may still find an early answer.
+            if (error) {
+                self->reusable = false;
+            }
+            self->request.bytes.clear();
+        });
+    this->read();
+}
+
+void TargetConnection::read()
+{
+    if (this->reading || !this->socket.is_open()) {
+        return;
+    }
+    this->reading = true;
+    const auto self = this->shared_from_this();
+    this->socket.async_read_some(
+        asio::buffer(this->chunk), [self](const error_code &error, std::size_t bytes) {
+            self->reading = false;
+            self->onReadable(error, bytes);
+        });
+}
+
+void TargetConnection::onReadable(const error_code &error, std::size_t bytes)
+{
+    if (this->handler == nullptr) {
+        // Nothing is expected on an idle connection: its end, or bytes of no request.
+        this->close();
+        return;
+    }
+    if (!error) {
+        this->inbox.append(this->chunk.data(), bytes);
+        if (this->parse()) {
+            this->read();
+        }
+        return;
+    }
+    error_code endError;
+    const bool cleanEnd = error == asio::error::eof;
+    if (cleanEnd && this->headSeen && !this->foreign) {
+        this->reader->consumeEnd(endError);
+        if (!endError && this->reader->isComplete()) {
+            this->reusable = false;
+            this->finish();
+            return;
+        }
+    }
+    this->fail(this->headSeen ? TargetFailure::BrokenOff : TargetFailure::ClosedWithoutAnswer);
+}
+
+bool TargetConnection::parse()
+{
+    const auto self = this->shared_from_this();
+    while (!this->inbox.empty()) {
+        error_code error;
+        const std::size_t before = this->inbox.size();
+        if (!this->parseOnce(error)) {
+            return false;
+        }
+        if (error) {
+            this->fail(this->headSeen ? TargetFailure::BrokenOff : TargetFailure::Malformed);
+            return false;
+        }
+        if (this->inbox.size() == before) {
+            break;
+        }
+    }
+    return true;
+}
+
+bool TargetConnection::parseOnce(error_code &error)
+{
+    const std::size_t taken = this->reader->consume(this->inbox, error);
+    this->inbox.erase(0, taken);
+    if (this->reader->isHeadComplete() && !this->headSeen && !this->foreign) {
+        const MessageHead &head = this->reader->head();
+        const AnswerFacts facts = this->pool.dialect.decodeAnswer(head);
+        const bool informational = head.status >= 100 && head.status < 200;
+        this->foreign
+            = informational || (!facts.requestId.empty() && facts.requestId != this->request.id);
+        if (!this->foreign) {
+            this->headSeen = true;
+            this->noteKeepAlive(head);
+            this->handler->onAnswerHead(head);
+        }
+    }
+    if (this->handler == nullptr) {
+        return false;
+    }
+    if (!this->reader->body().empty()) {
+        const std::string bytes = std::move(this->reader->body());
+        this->reader->body().clear();
+        if (!this->foreign) {
+            this->handler->onAnswerBody(bytes);
+            if (this->handler == nullptr) {
+                return false;
+            }
+        }
+    }
+    if (!this->reader->isComplete() || error) {
+        return true;
+    }
+    if (this->foreign) {
+        this->pool.metrics.count("wigeonsill_foreign_answers_total");
+        this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
+        this->foreign = false;
+        return true;
+    }
+    this->finish();
+    return false;
+}
+
+void TargetConnection::noteKeepAlive(const MessageHead &head)
+{
+    Duration idleTime = defaultIdleTime;
+    const std::string_view keepAlive = fieldValue(head.fields, "Keep-Alive");
+    constexpr std::string_view marker = "timeout=";
+    const std::size_t at = keepAlive.find(marker);
+    if (at != std::string_view::npos) {
+        int stated = 0;
+        const std::string_view digits = keepAlive.substr(at + marker.size());
+        std::from_chars(digits.data(), digits.data() + digits.size(), stated);
+        idleTime = std::min<Duration>(idleTime, seconds(stated) - idleMargin);
+    }
+    this->idleUntil = currentTime() + idleTime;
+    this->reusable = this->reusable && head.keepAlive && idleTime > Duration::zero();
+}
+
+void TargetConnection::finish()
+{
+    const auto self = this->shared_from_this();
+    AnswerHandler *ended = this->handler;
+    this->handler = nullptr;
+    // Bytes behind a complete answer belong to no request, and a target that answered before it
+    // had read the whole body would take the next request for the rest of it.
+    if (!this->reusable || !this->inbox.empty() || this->writing) {
+        this->close();
+    } else {
+        auto &kept = this->pool.idle[this->targetId];
+        if (kept.size() < idleLimit) {
+            kept.push_back(self);
+            this->read();
+        } else {
+            this->close();
+        }
+    }
+    ended->onAnswerEnd();
+}
+
+void TargetConnection::fail(TargetFailure failure)
+{
+    const auto self = this->shared_from_this();
+    AnswerHandler *ended = this->handler;
+    this->handler = nullptr;
+    this->close();
+    if (ended != nullptr) {
+        ended->onAnswerFailed(failure);
+    }
+}
+
+void TargetConnection::cancel()
+{
+    this->handler = nullptr;
+    this->close();
+}
+
+void TargetConnection::close()
+{
+    this->connectTimer.cancel();
+    if (this->socket.is_open()) {
+        error_code ignored;
+        this->socket.close(ignored);
+    }
+}
+
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libgateway/sharedlimits.cpp
@@ -0,0 +1,125 @@
+/// \file sharedlimits.cpp
+/// Limits that bind all entries together: second sends and the organisations' quotas.
+#include "wigeonsill/gateway.h"
+
+#include <algorithm>
+
+namespace wigeonsill {
+
+void RepeatBudget::forgetOld(Window &window, TimePoint now) const
+{
+    const auto forget = [this, now](std::deque<TimePoint> &times) {
+        while (!times.empty() && now - times.front() > this->limits.window) {
+            times.pop_front();
+        }
+    };
+    forget(window.arrivals);
+    forget(window.repeats);
+}
+
+void RepeatBudget::arrived(const std::string &service, TimePoint now)
+{
+    Window &window = this->windows[service];
+    window.arrivals.push_back(now);
+    this->forgetOld(window, now);
+}
+
+bool RepeatBudget::take(const std::string &service, TimePoint now)
+{
+    Window &window = this->windows[service];
+    this->forgetOld(window, now);
+    const double allowed
+        = this->limits.spare + this->limits.ratio * static_cast<double>(window.arrivals.size());
+    if (static_cast<double>(window.repeats.size()) + 1 > allowed) {
+        return false;
+    }
+    window.repeats.push_back(now);
+    return true;
+}
+
+namespace {
+
+/// Without a report for this long the entry keeps to an even share. Reports come four times a
+/// second.
+constexpr Duration reportLapse = seconds(2);
+/// Entries may admit this much more than an even part of what is left between two reports: their
+/// traffic is uneven, and the quota's slack covers one round of it.
+constexpr double unevenShare = 1.5;
+
+} // namespace
+
+QuotaLedger::Account &QuotaLedger::accountOf(const std::string &name, TimePoint now)
+{
+    Account &account = this->accounts[name];
+    while (!account.admitted.empty() && now - account.admitted.front().first > this->window) {
+        account.own -= account.admitted.front().second;
+        account.admitted.pop_front();
+    }
+    return account;
+}
+
+std::optional<Duration> QuotaLedger::admit(
+    const OrganisationAccount &organisation, double cost, TimePoint now)
+{
+    Account &account = this->accountOf(organisation.name, now);
+    if (organisation.ratePerSecond > 0) {
+        const double windowSeconds = std::chrono::duration<double>(this->window).count();
+        const double allowed = organisation.ratePerSecond * windowSeconds + organisation.burst;
+        const bool reported
+            = this->reportedAt != TimePoint{} && now - this->reportedAt < reportLapse;
+        double room = allowed / this->sharers - account.own;
+        if (reported) {
+            const double left = allowed - account.others - (account.own - account.sinceReport);
+            room = std::max(left, 0.0) / this->sharers * unevenShare - account.sinceReport;
+            room = std::min(room, left - account.sinceReport);
+        }
+        // A request larger than the whole quota would never be admitted otherwise.
+        const bool alone = account.own <= 0 && account.others <= 0;
+        if (cost > room && !alone) {
+            const double wait = std::min((cost - room) / organisation.ratePerSecond, windowSeconds);
+            return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+        }
+    }
+    account.admitted.emplace_back(now, cost);
+    account.own += cost;
+    account.sinceReport += cost;
+    return std::nullopt;
+}
+
+void QuotaLedger::giveBack(const std::string &organisation, double cost, TimePoint now)
+{
+    Account &account = this->accountOf(organisation, now);
+    for (auto row = account.admitted.rbegin(); row != account.admitted.rend(); ++row) {
+        if (row->second == cost) {
+            account.own -= cost;
+            account.sinceReport = std::max(0.0, account.sinceReport - cost);
+            account.admitted.erase(std::next(row).base());
+            return;
+        }
+    }
+}
+
+std::map<std::string, double> QuotaLedger::ownUse(TimePoint now)
+{
+    std::map<std::string, double> result;
+    for (auto &[name, account] : this->accounts) {
+        result[name] = this->accountOf(name, now).own;
+    }
+    return result;
+}
+
+void QuotaLedger::takeReport(
+    const std::map<std::string, double> &othersUse, int entries, TimePoint now)
+{
+    this->sharers = std::max(entries, 1);
+    this->reportedAt = now;
+    for (auto &[name, account] : this->accounts) {
+        account.others = 0;
+        account.sinceReport = 0;
+    }
+    for (const auto &[name, use] : othersUse) {
+        this->accounts[name].others = use;
+    }
+}
+
+} // namespace wigeonsill
