Admission by worth and learned speed; leaving targets, quotas after kills, end of a process

A request that may outlast the process is refused from 2.7 s on, as not run. - DRAIN: a target missing from the list after an outage was kept for 2.2 s though it had been listed in between, or though only this process had been cut off. Now only what no list has shown since is kept, and only when the store's revision shows that the heartbeats stopped. - QUOTA: all entries were killed at once and their counts with them.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -152,6 +152,7 @@
     Duration configurationAge = milliseconds(2'500); ///< Older, and unknown names get no 4xx.
     Duration grace = seconds(8); ///< From SIGTERM to the end of the process.
     RepeatBudget::Limits repeats;
+    WaitPolicy wait;
     Duration quotaWindow = seconds(8);
     int logLinesPerSecond = 400;
 };
@@ -172,8 +173,8 @@
     void setConfiguration(std::shared_ptr<const ServingConfiguration> configuration);
     /// The platform confirmed at this point of the boot clock that no newer revision exists.
     void confirmConfiguration(Duration bootTime);
-    /// A complete list of targets. \param suspect See TargetDirectory::replace.
-    void setTargets(std::vector<Target> targets, bool suspect);
+    /// A complete list of targets. \param mayHaveLapsed See TargetDirectory::replace.
+    void setTargets(std::vector<Target> targets, bool mayHaveLapsed);
     bool isReady() const;
     void drain();
     bool isDrained() const;
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -199,10 +199,11 @@
 class TargetDirectory
 {
 public:
-    /// Takes a complete list that was read at a time.
-    /// \param suspect Entries may have lapsed though their targets live (the store was away); known
-    /// targets that are missing are then kept until a list comes that is not suspect.
-    void replace(std::vector<Target> targets, bool suspect);
+    /// Takes a complete list.
+    /// \param mayHaveLapsed Entries may be missing though their targets live, since the store was
+    /// away. Known targets that no list has shown since then are kept until a list comes for which
+    /// this is false; one that was shown and is missing now is gone.
+    void replace(std::vector<Target> listed, bool mayHaveLapsed);
     /// The targets of a service that take new work.
     std::vector<const Target *> usable(std::string_view service) const;
     /// nullptr when it is not listed.
@@ -212,6 +213,32 @@
 
 private:
     std::map<std::string, Target, std::less<>> targets;
+    std::set<std::string, std::less<>> shown; ///< Since the store was last away.
+};
+
+/// Tells whether the store was away for all, so that entries of live targets may have lapsed, or
+/// only for this process. While the store serves, each target rewrites its entry at every
+/// heartbeat, and the store's revision grows by as much.
+class OutageJudge
+{
+public:
+    explicit OutageJudge(Duration heartbeatInterval)
+        : heartbeat(heartbeatInterval)
+    {
+    }
+    /// A list was read. \param revision Of the store. \param entries Number of them.
+    void listed(std::uint64_t revision, std::size_t entries, TimePoint now);
+    /// Whether entries may be missing from the list that was just read.
+    bool mayHaveLapsed(TimePoint now) const { return now < this->lapsedUntil; }
+    /// When a list can be trusted again; the list should be read at that moment.
+    TimePoint trustedFrom() const { return this->lapsedUntil; }
+
+private:
+    Duration heartbeat;
+    std::uint64_t lastRevision = 0;
+    std::size_t lastEntries = 0;
+    std::optional<TimePoint> lastListed;
+    TimePoint lapsedUntil;
 };
 
 // ---------------------------------------------------------------------------------------------
@@ -250,6 +277,14 @@
     std::map<std::string, Window, std::less<>> windows;
 };
 
+/// What the entries of a deployment used of the quotas, as one collector heard it.
+struct UsageReport
+{
+    std::map<std::string, double> othersUse; ///< In the window, by organisation.
+    int entries = 1; ///< Entries that share the quotas, the asking one included.
+    Duration memory = {}; ///< How long the collector has been collecting.
+};
+
 /// Keeps the organisations within their quotas over a sliding window. Each entry counts what it
 /// admitted itself and what the others last reported, and shares what is left with them, since all
 /// of them admit at once between two reports.
@@ -270,9 +305,10 @@
     void giveBack(const std::string &organisation, double cost, TimePoint now);
     /// What this entry admitted in the window, by organisation.
     std::map<std::string, double> ownUse(TimePoint now);
-    /// Takes a report of the others' use in the window. \param entries Entries that share the
-    /// quotas, this one included, at least 1.
-    void takeReport(const std::map<std::string, double> &othersUse, int entries, TimePoint now);
+    /// Takes a report of the others' use in the window. A report whose collector remembers less
+    /// than the window is passed over while there is a fuller one; where there is none, only the
+    /// part of the quota that has accrued since the collector began is given out.
+    void takeReport(const UsageReport &report, TimePoint now);
 
 private:
     struct Account
@@ -288,6 +324,57 @@
     std::map<std::string, Account, std::less<>> accounts;
     int sharers = 1;
     TimePoint reportedAt;
+    Duration memory = {}; ///< Of the collector of the last report taken.
+};
+
+// ---------------------------------------------------------------------------------------------
+// Fairness between kinds and sizes
+
+/// Tells which requests were served too seldom of late, so that they go first for a while.
+/// Answers long overload, in which an order by worth alone would never serve the least worthy kind
+/// or the largest requests of a kind.
+class ServedShares
+{
+public:
+    /// A request got its final answer. \param size Prompt and output in tokens, weighted.
+    void note(int priority, double size, bool served, TimePoint now);
+    /// Factor of the request's rank: 1, or more where its kind or its size lags behind.
+    double boost(int priority, double size, TimePoint now);
+    /// Size against the mean of the kind; 1 while that is not known.
+    double relativeSize(int priority, double size) const;
+
+private:
+    struct Share
+    {
+        double asked = 0;
+        double served = 0;
+        TimePoint at;
+    };
+    struct Kind
+    {
+        Share whole;
+        std::array<Share, 3> bySize; ///< Up to the mean, up to twice the mean, larger.
+        double meanSize = 0;
+    };
+    static void decay(Share &share, TimePoint now);
+    static std::size_t sizeClass(const Kind &kind, double size);
+
+    std::map<int, Kind> kinds;
+    Share all;
+};
+
+/// Size of a generation as the users weigh it: prompt tokens and ten for each output token.
+double generationSize(std::uint32_t promptTokens, std::uint32_t outputTokens);
+
+/// Worth of a request on time, against others: by the operator's ranks and by its size.
+/// \param relativeSize Against the mean of its kind.
+double requestWorth(int routePriority, int organisationPriority, double relativeSize);
+
+/// How long requests wait for room before they are refused.
+struct WaitPolicy
+{
+    double objectiveShare = 0.6; ///< Of the route's objective, at least.
+    double limitShare = 0; ///< Of the time until the answer must be there, at least.
 };
 
 // ---------------------------------------------------------------------------------------------
@@ -308,7 +395,8 @@
     std::string requestId; ///< For the log.
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; ///< Likely number.
-    int priority = 0;
+    double worth = 1; ///< Of an answer on time, against other requests.
+    double lateShare = 0.3; ///< Part of it that a late answer is worth.
     Duration latencyLeft = {}; ///< Until the first event would be late; may be negative.
     Duration waitLeft = {}; ///< How long the request may wait here.
     bool operator==(const TicketProfile &) const = default;
@@ -345,8 +433,9 @@
 
     /// Puts a request in the queue; a repeated reservation changes nothing.
     void reserve(const TicketProfile &profile, int slots, TimePoint now);
-    /// The request went elsewhere or was given up, waiting, granted or running.
-    void release(const Ticket &ticket, TimePoint now);
+    /// The request went elsewhere, was given up, or ended. \param generated Output tokens of a
+    /// request that ended here.
+    void release(const Ticket &ticket, std::uint32_t generated, TimePoint now);
     /// Its first event arrived.
     void began(const Ticket &ticket, TimePoint now);
     /// Takes the requests that may be sent now out of the queue, best first.
@@ -373,20 +462,21 @@
         TicketProfile profile;
         TimePoint at;
         std::optional<TimePoint> begun;
-        double backlogAtGrant = 0; ///< Prompt tokens ahead of its first token, its own included.
+        bool alone = false; ///< Nothing was ahead of its prompt.
     };
 
-    double prefillAhead() const;
+    /// Time until the target has read the prompts that it was granted.
+    double prefillAheadMs(TimePoint now) const;
     int occupied() const;
-    double rankOf(const Waiting &waiting, TimePoint now) const;
-    bool canBeOnTime(const Waiting &waiting, double ahead, TimePoint now) const;
+    double rankOf(const Waiting &row, double aheadMs, TimePoint now) const;
 
     Limits limits;
     int slots = 1;
     std::map<Ticket, Waiting> waiting;
     std::map<Ticket, Granted> granted;
     double prefillPerMs = 60; ///< First guess: half of the users' published rate.
-    double decodePerMs = 0.15; ///< First guess: a token each 6.7 ms.
+    double decodedTokens = 150; ///< Recent output; first guess: a token each 5 ms.
+    double decodedMs = 750; ///< Time that one request needed for it.
     int strangers = 0; ///< Requests at the target that were not granted here.
     int missing = 0; ///< Reports in a row that showed fewer requests than were granted.
 };
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -41,6 +41,7 @@
     GrantClient grants;
     RepeatBudget repeats;
     QuotaLedger quotas;
+    ServedShares served;
     TargetDirectory targets;
     std::shared_ptr<const ServingConfiguration> configuration;
     std::optional<Duration> confirmedAt; ///< On the boot clock.
@@ -48,6 +49,7 @@
     std::map<std::string, int, std::less<>> ownRequests;
     std::map<std::string, TargetHealth, std::less<>> health;
     std::set<RequestFlow *> flows;
+    std::map<std::string, Duration, std::less<>> usualDeadline; ///< Longest seen, by route.
     std::mt19937_64 random;
     bool draining = false;
     TimePoint drainBegan;
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -228,10 +228,9 @@
 
 void ForwardEntry::start()
 {
-    this->d->state.grants.whenUsageReported
-        = [this](std::map<std::string, double> uses, int entries) {
-              this->d->state.quotas.takeReport(std::move(uses), entries, currentTime());
-          };
+    this->d->state.grants.whenUsageReported = [this](const UsageReport &report) {
+        this->d->state.quotas.takeReport(report, currentTime());
+    };
     this->d->state.grants.start();
     this->d->accept();
     this->d->reportUsage();
@@ -256,14 +255,14 @@
     confirmed = confirmed ? std::max(*confirmed, at) : at;
 }
 
-void ForwardEntry::setTargets(std::vector<Target> targets, bool suspect)
+void ForwardEntry::setTargets(std::vector<Target> targets, bool mayHaveLapsed)
 {
     EntryState &state = this->d->state;
     std::map<std::string, bool, std::less<>> before;
     for (const auto &[id, target] : state.targets.all()) {
         before[id] = target.leaving;
     }
-    state.targets.replace(std::move(targets), suspect);
+    state.targets.replace(std::move(targets), mayHaveLapsed);
     state.targetsReadAt = bootTime();
     for (const auto &[id, target] : state.targets.all()) {
         const auto known = before.find(id);
--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -28,7 +28,7 @@
   requestId @3 :Text;
   promptTokens @4 :UInt32;
   outputTokens @5 :UInt32;
-  priority @6 :Int32;
+  generated @6 :UInt32;     # in release: output tokens of a request that ended
   latencyLeftUs @7 :Int64;
   waitLeftUs @8 :Int64;
   slots @9 :UInt32;
@@ -39,4 +39,7 @@
   decodePerMs @14 :Float64;
   uses @15 :List(OrganisationUse);
   entries @16 :UInt32;      # in othersUsage: entries that reported lately
+  memoryUs @17 :Int64;      # in othersUsage: how long the agent has been collecting
+  worth @18 :Float64;
+  lateShare @19 :Float64;
 }
--- a/src/libforward/grant.capnp.h
+++ b/src/libforward/grant.capnp.h
@@ -62,7 +62,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b9a071f0f57561ad, 11, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b9a071f0f57561ad, 14, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -187,7 +187,7 @@
 
   inline  ::uint32_t getOutputTokens() const;
 
-  inline  ::int32_t getPriority() const;
+  inline  ::uint32_t getGenerated() const;
 
   inline  ::int64_t getLatencyLeftUs() const;
 
@@ -210,6 +210,12 @@
 
   inline  ::uint32_t getEntries() const;
 
+  inline  ::int64_t getMemoryUs() const;
+
+  inline double getWorth() const;
+
+  inline double getLateShare() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -260,8 +266,8 @@
   inline  ::uint32_t getOutputTokens();
   inline void setOutputTokens( ::uint32_t value);
 
-  inline  ::int32_t getPriority();
-  inline void setPriority( ::int32_t value);
+  inline  ::uint32_t getGenerated();
+  inline void setGenerated( ::uint32_t value);
 
   inline  ::int64_t getLatencyLeftUs();
   inline void setLatencyLeftUs( ::int64_t value);
@@ -297,6 +303,15 @@
   inline  ::uint32_t getEntries();
   inline void setEntries( ::uint32_t value);
 
+  inline  ::int64_t getMemoryUs();
+  inline void setMemoryUs( ::int64_t value);
+
+  inline double getWorth();
+  inline void setWorth(double value);
+
+  inline double getLateShare();
+  inline void setLateShare(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -477,17 +492,17 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t GrantMessage::Reader::getPriority() const {
-  return _reader.getDataField< ::int32_t>(
+inline  ::uint32_t GrantMessage::Reader::getGenerated() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t GrantMessage::Builder::getPriority() {
-  return _builder.getDataField< ::int32_t>(
+inline  ::uint32_t GrantMessage::Builder::getGenerated() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void GrantMessage::Builder::setPriority( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
+inline void GrantMessage::Builder::setGenerated( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
@@ -651,6 +666,48 @@
       ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t GrantMessage::Reader::getMemoryUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GrantMessage::Builder::getMemoryUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setMemoryUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline double GrantMessage::Reader::getWorth() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline double GrantMessage::Builder::getWorth() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setWorth(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline double GrantMessage::Reader::getLateShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline double GrantMessage::Builder::getLateShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setLateShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -15,8 +15,10 @@
 constexpr Duration reportInterval = milliseconds(400);
 /// Pause between two looks at requests whose waiting time is over.
 constexpr Duration expiryInterval = milliseconds(50);
-/// An entry that sent no usage for this long is taken as gone.
+/// An entry that sent no usage for this long no longer shares the quotas.
 constexpr Duration usageLapse = seconds(3);
+/// Its last report counts this long: the users' quota window.
+constexpr Duration usageMemory = seconds(8);
 
 } // namespace
 
@@ -71,6 +73,7 @@
     asio::ip::udp::endpoint sender;
     std::map<std::uint64_t, asio::ip::udp::endpoint> entries;
     std::map<std::uint64_t, EntryUse> usage;
+    TimePoint startedAt = currentTime();
     bool targetReachable = true;
     bool expiryScheduled = false;
 };
@@ -115,7 +118,7 @@
         return;
     }
     case GrantKind::Release:
-        this->admission.release(profile.ticket, now);
+        this->admission.release(profile.ticket, message.generated, now);
         this->grantAll();
         return;
     case GrantKind::Began:
@@ -133,17 +136,21 @@
 void GrantAgent::Private::answerUsage(const GrantMessage &message)
 {
     const TimePoint now = currentTime();
-    this->usage[message.sender] = EntryUse{ message.uses, now };
-    std::erase_if(this->usage, [now](const auto &row) { return now - row.second.at > usageLapse; });
+    this->usage[message.sender] = EntryUse{ message.usage.othersUse, now };
+    // What an entry used before it was killed counts for the rest of the window.
+    std::erase_if(
+        this->usage, [now](const auto &row) { return now - row.second.at > usageMemory; });
     GrantMessage answer;
     answer.kind = GrantKind::OthersUsage;
-    answer.entries = static_cast<int>(this->usage.size());
+    answer.usage.entries = 0;
+    answer.usage.memory = now - this->startedAt;
     for (const auto &[entry, use] : this->usage) {
+        answer.usage.entries += now - use.at < usageLapse ? 1 : 0;
         if (entry == message.sender) {
             continue;
         }
         for (const auto &[organisation, amount] : use.uses) {
-            answer.uses[organisation] += amount;
+            answer.usage.othersUse[organisation] += amount;
         }
     }
     this->sendTo(this->sender, std::move(answer));
@@ -179,6 +186,7 @@
         DecisionLine line("agent", "granted");
         line.text("request", profile.requestId)
             .number("prompt_tokens", profile.promptTokens)
+            .number("worth", profile.worth)
             .number("running", static_cast<double>(this->admission.grantedCount()))
             .number("waiting", static_cast<double>(this->admission.waitingCount()))
             .number("prefill_per_ms", this->admission.load(currentTime()).prefillPerMs);
--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -61,10 +61,11 @@
     this->send(target, std::move(message));
 }
 
-void GrantClient::release(const Target &target, std::uint64_t ticket)
+void GrantClient::release(const Target &target, std::uint64_t ticket, std::uint32_t generated)
 {
     GrantMessage message;
     message.kind = GrantKind::Release;
+    message.generated = generated;
     message.profile.ticket.number = ticket;
     this->send(target, std::move(message));
 }
@@ -81,7 +82,7 @@
 {
     GrantMessage message;
     message.kind = GrantKind::Usage;
-    message.uses = uses;
+    message.usage.othersUse = uses;
     this->send(hub, std::move(message));
 }
 
@@ -143,7 +144,7 @@
     peer.unansweredSince.reset();
     if (message.kind == GrantKind::OthersUsage) {
         if (this->whenUsageReported) {
-            this->whenUsageReported(message.uses, message.entries);
+            this->whenUsageReported(message.usage);
         }
         return;
     }
--- a/src/libforward/grantclient.h
+++ b/src/libforward/grantclient.h
@@ -40,12 +40,12 @@
     std::uint64_t open(GrantListener &listener);
     void forget(std::uint64_t ticket);
     void reserve(const Target &target, const TicketProfile &profile);
-    void release(const Target &target, std::uint64_t ticket);
+    void release(const Target &target, std::uint64_t ticket, std::uint32_t generated = 0);
     void began(const Target &target, std::uint64_t ticket);
     /// Tells an agent what this entry admitted, and asks for the others' use.
     void reportUsage(const Target &hub, const std::map<std::string, double> &uses);
     /// Called with each report of the others' use.
-    std::function<void(std::map<std::string, double>, int entries)> whenUsageReported;
+    std::function<void(const UsageReport &)> whenUsageReported;
 
     AgentView view(const Target &target, TimePoint now) const;
 
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -21,7 +21,7 @@
     root.setRequestId(message.profile.requestId.c_str());
     root.setPromptTokens(message.profile.promptTokens);
     root.setOutputTokens(message.profile.outputTokens);
-    root.setPriority(message.profile.priority);
+    root.setGenerated(message.generated);
     root.setLatencyLeftUs(message.profile.latencyLeft.count());
     root.setWaitLeftUs(message.profile.waitLeft.count());
     root.setSlots(static_cast<std::uint32_t>(message.slots));
@@ -30,10 +30,13 @@
     root.setStartDelayUs(message.load.startDelay.count());
     root.setPrefillPerMs(message.load.prefillPerMs);
     root.setDecodePerMs(message.load.decodePerMs);
-    root.setEntries(static_cast<std::uint32_t>(message.entries));
-    auto uses = root.initUses(static_cast<unsigned>(message.uses.size()));
+    root.setWorth(message.profile.worth);
+    root.setLateShare(message.profile.lateShare);
+    root.setEntries(static_cast<std::uint32_t>(message.usage.entries));
+    root.setMemoryUs(message.usage.memory.count());
+    auto uses = root.initUses(static_cast<unsigned>(message.usage.othersUse.size()));
     unsigned index = 0;
-    for (const auto &[organisation, amount] : message.uses) {
+    for (const auto &[organisation, amount] : message.usage.othersUse) {
         uses[index].setOrganisation(organisation.c_str());
         uses[index].setAmount(amount);
         ++index;
@@ -60,7 +63,7 @@
         message.profile.requestId = root.getRequestId().cStr();
         message.profile.promptTokens = root.getPromptTokens();
         message.profile.outputTokens = root.getOutputTokens();
-        message.profile.priority = root.getPriority();
+        message.generated = root.getGenerated();
         message.profile.latencyLeft = Duration(root.getLatencyLeftUs());
         message.profile.waitLeft = Duration(root.getWaitLeftUs());
         message.slots = static_cast<int>(root.getSlots());
@@ -69,9 +72,12 @@
         message.load.startDelay = Duration(root.getStartDelayUs());
         message.load.prefillPerMs = root.getPrefillPerMs();
         message.load.decodePerMs = root.getDecodePerMs();
-        message.entries = static_cast<int>(root.getEntries());
+        message.profile.worth = root.getWorth();
+        message.profile.lateShare = root.getLateShare();
+        message.usage.entries = static_cast<int>(root.getEntries());
+        message.usage.memory = Duration(root.getMemoryUs());
         for (const auto &use : root.getUses()) {
-            message.uses[use.getOrganisation().cStr()] = use.getAmount();
+            message.usage.othersUse[use.getOrganisation().cStr()] = use.getAmount();
         }
         return message;
     } catch (const kj::Exception &) {
--- a/src/libforward/grantmessage.h
+++ b/src/libforward/grantmessage.h
@@ -24,10 +24,10 @@
     GrantKind kind = GrantKind::Reserve;
     std::uint64_t sender = 0;
     TicketProfile profile; ///< ticket.entry is not on the wire: it is the entry's sender number.
+    std::uint32_t generated = 0; ///< In Release: output tokens of a request that ended.
     int slots = 1;
     TargetLoad load;
-    std::map<std::string, double> uses;
-    int entries = 0;
+    UsageReport usage; ///< In Usage, othersUse holds the sender's own.
 };
 
 std::string encode(const GrantMessage &message);
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -22,13 +22,22 @@
 constexpr std::size_t askLimit = 4;
 /// Requests that an entry sends past a silent agent to its target at the same time.
 constexpr int directLimit = 2;
-/// Share of the objective that a request waits for room; later it would come late anyway.
-constexpr double patienceShare = 0.6;
+/// After SIGTERM, a request that may last to the end of the process is refused from here on. The
+/// balancer sends no new connections after two missed questions, one a second.
+constexpr Duration refuseLongAfterStop = milliseconds(2'700);
 /// A resumable stream that is silent this long goes on elsewhere. Callers wait two seconds.
 constexpr Duration streamSilence = milliseconds(1'300);
 /// No second send with less than this left: it could not be answered.
 constexpr Duration leastTimeLeft = milliseconds(100);
 
+/// Worth of a late answer against one on time, as the users weigh it.
+constexpr double freshLateShare = 0.3;
+/// The same of a request that came back after a refusal: nothing is left to its caller after a
+/// second one, which the users weigh as much again.
+constexpr double returnedLateShare = 0.6;
+/// A caller that has this much less time than usual on the route has been here before.
+constexpr Duration returnThreshold = milliseconds(50);
+
 std::string fractionalSeconds(Duration duration)
 {
     const auto ms = std::chrono::duration_cast<milliseconds>(duration).count();
@@ -103,19 +112,14 @@
     }
     this->request = std::move(decoded.value());
     this->configuration = this->state.configuration;
-    if (this->checkConfiguration() && this->checkRoute() && this->checkKey()
-        && this->checkQuota()) {
+    if (this->checkConfiguration() && this->checkRoute() && this->checkTimeToEnd()
+        && this->checkKey() && this->checkQuota()) {
         this->place();
     }
 }
 
 bool RequestFlow::checkConfiguration()
 {
-    if (this->state.draining
-        && currentTime() - this->state.drainBegan > this->state.settings.grace / 2) {
-        this->refuse(ResultCode::Draining, "the process is stopping", milliseconds(100));
-        return false;
-    }
     if (!this->configuration) {
         this->refuse(ResultCode::NoConfiguration, "no configuration yet", milliseconds(500));
         return false;
@@ -123,6 +127,19 @@
     return true;
 }
 
+bool RequestFlow::checkTimeToEnd()
+{
+    if (!this->state.draining) {
+        return true;
+    }
+    const Duration since = currentTime() - this->state.drainBegan;
+    if (since > refuseLongAfterStop && since + this->limit > this->state.settings.grace) {
+        this->refuse(ResultCode::Draining, "the process is stopping", milliseconds(100));
+        return false;
+    }
+    return true;
+}
+
 bool RequestFlow::checkRoute()
 {
     const std::string_view path
@@ -140,6 +157,9 @@
     this->limit = this->route->timeout;
     if (this->request.deadline) {
         this->limit = std::min(this->limit, *this->request.deadline);
+        Duration &usual = this->state.usualDeadline[this->route->name];
+        usual = std::max(usual, *this->request.deadline);
+        this->spentBefore = usual - *this->request.deadline;
     }
     this->service = this->configuration->findService(drawService(*this->route, this->state.draw()));
     if (this->service == nullptr) {
@@ -193,8 +213,7 @@
 void RequestFlow::place()
 {
     this->state.repeats.arrived(this->service->name, this->arrived);
-    this->patience = std::min(this->limit,
-        std::chrono::duration_cast<Duration>(this->route->targetLatency * patienceShare));
+    this->patience = this->waitFrom(Duration::zero());
     if (this->service->isEngine) {
         this->placeByAgents();
     } else {
@@ -202,6 +221,39 @@
     }
 }
 
+Duration RequestFlow::waitFrom(Duration start) const
+{
+    const WaitPolicy &policy = this->state.settings.wait;
+    const auto byObjective
+        = std::chrono::duration_cast<Duration>(this->route->targetLatency * policy.objectiveShare);
+    const auto byLimit = std::chrono::duration_cast<Duration>(this->limit * policy.limitShare);
+    return std::min(this->limit, start + std::max(byObjective, byLimit));
+}
+
+double RequestFlow::size() const
+{
+    return generationSize(this->request.promptTokens, this->request.likelyOutput());
+}
+
+TicketProfile RequestFlow::profile() const
+{
+    TicketProfile result;
+    result.ticket.number = this->ticket;
+    result.requestId = this->request.id;
+    result.promptTokens = this->request.promptTokens;
+    result.outputTokens = this->request.likelyOutput();
+    const int rank = this->route->priority;
+    const int organisationRank
+        = this->organisation != nullptr ? this->organisation->priority.value_or(0) : 0;
+    result.worth
+        = requestWorth(rank, organisationRank, this->state.served.relativeSize(rank, this->size()));
+    result.worth *= this->state.served.boost(rank, this->size(), currentTime());
+    result.lateShare = this->spentBefore > returnThreshold ? returnedLateShare : freshLateShare;
+    result.latencyLeft = this->route->targetLatency - this->spentBefore - this->elapsed();
+    result.waitLeft = this->patience - this->elapsed();
+    return result;
+}
+
 std::vector<TargetView> RequestFlow::views() const
 {
     const TimePoint now = currentTime();
@@ -268,17 +320,7 @@
         ask.askedAt = currentTime();
         ask.sends = 1;
         ++this->state.requestsAt(ask.target.id);
-        TicketProfile profile;
-        profile.ticket.number = this->ticket;
-        profile.requestId = this->request.id;
-        profile.promptTokens = this->request.promptTokens;
-        profile.outputTokens = this->request.likelyOutput();
-        profile.priority = this->organisation != nullptr && this->organisation->priority
-            ? *this->organisation->priority
-            : this->route->priority;
-        profile.latencyLeft = this->route->targetLatency - this->elapsed();
-        profile.waitLeft = this->patience - this->elapsed();
-        this->state.grants.reserve(ask.target, profile);
+        this->state.grants.reserve(ask.target, this->profile());
         this->asks.push_back(std::move(ask));
     }
 }
@@ -310,15 +352,7 @@
             if (ask.state == AskState::Asked && now - ask.askedAt >= repeatAsk) {
                 ask.askedAt = now;
                 ++ask.sends;
-                TicketProfile profile;
-                profile.ticket.number = this->ticket;
-                profile.requestId = this->request.id;
-                profile.promptTokens = this->request.promptTokens;
-                profile.outputTokens = this->request.likelyOutput();
-                profile.priority = this->route->priority;
-                profile.latencyLeft = this->route->targetLatency - this->elapsed();
-                profile.waitLeft = this->patience - this->elapsed();
-                this->state.grants.reserve(ask.target, profile);
+                this->state.grants.reserve(ask.target, this->profile());
             }
         }
         if (!answered) {
@@ -436,7 +470,10 @@
         return;
     }
     if (this->ticket != 0) {
-        this->state.grants.release(*this->target, this->ticket);
+        const std::uint64_t generated
+            = this->events.count() * static_cast<std::uint64_t>(this->service->tokensPerEvent);
+        this->state.grants.release(
+            *this->target, this->ticket, static_cast<std::uint32_t>(generated));
     }
     --this->state.requestsAt(this->target->id);
     this->asks.clear();
@@ -696,9 +733,7 @@
     }
     if (this->service->isEngine) {
         // The wait for the second target is counted from now.
-        this->patience = std::min(this->limit,
-            this->elapsed()
-                + std::chrono::duration_cast<Duration>(this->route->targetLatency * patienceShare));
+        this->patience = this->waitFrom(this->elapsed());
         this->placeByAgents();
     } else {
         this->placeDirectly();
@@ -726,11 +761,11 @@
 
 Duration RequestFlow::returnDelay() const
 {
-    // Callers honour up to a third of their time left; the spread keeps them from returning as a
-    // wave.
+    // Callers honour up to a third of their time left. A burst lasts seconds, so an early return
+    // would find it again; the spread keeps the returns from being a wave.
     const double third = static_cast<double>(this->timeLeft().count()) / 3;
-    const double share = 0.3 + 0.6 * this->state.draw();
-    constexpr double longest = 2'500'000;
+    const double share = 0.6 + 0.39 * this->state.draw();
+    constexpr double longest = 5'000'000;
     const double wait = std::clamp(third * share, 100'000.0, longest);
     return Duration(static_cast<std::int64_t>(wait));
 }
@@ -820,6 +855,10 @@
             .ms("configuration_age_ms", this->state.configurationAge());
     }
     this->state.log.decision(line);
+    if (this->service != nullptr && this->service->isEngine && outcome != "caller-gone") {
+        this->state.served.note(
+            this->route->priority, this->size(), outcome == "answered", currentTime());
+    }
     this->state.metrics.count("wigeonsill_requests_total",
         "outcome=\"" + std::string(outcome) + "\",status=\"" + std::to_string(status) + "\"");
     this->state.metrics.sample(
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -58,6 +58,7 @@
     // Decisions before a target is chosen; each returns false when it gave the final answer.
     bool checkConfiguration();
     bool checkRoute();
+    bool checkTimeToEnd();
     bool checkKey();
     bool checkQuota();
 
@@ -68,6 +69,10 @@
     void onTick();
     void tryWithoutAgents();
     std::vector<TargetView> views() const;
+    /// End of the wait for room that begins at a time after the arrival.
+    Duration waitFrom(Duration start) const;
+    double size() const;
+    TicketProfile profile() const;
     void sendTo(const Target &target);
     void withdraw(const std::string &exceptTarget);
     void releaseTarget();
@@ -110,6 +115,7 @@
     Duration limit = {}; ///< From arrival until the final answer.
     Duration patience = {}; ///< From arrival until it is refused if no target has room.
     double quotaTaken = 0;
+    Duration spentBefore = {}; ///< Of the caller's time, on earlier attempts.
 
     Phase phase = Phase::Deciding;
     boost::asio::steady_timer tick;
--- a/src/libgateway/sharedlimits.cpp
+++ b/src/libgateway/sharedlimits.cpp
@@ -42,6 +42,8 @@
 /// Without a report for this long the entry keeps to an even share. Reports come four times a
 /// second.
 constexpr Duration reportLapse = seconds(2);
+/// Given out at once after all counts were lost; the quota's slack covers it.
+constexpr Duration restartAllowance = seconds(1);
 /// Entries may admit this much more than an even part of what is left between two reports: their
 /// traffic is uneven, and the quota's slack covers one round of it.
 constexpr double unevenShare = 1.5;
@@ -64,9 +66,15 @@
     Account &account = this->accountOf(organisation.name, now);
     if (organisation.ratePerSecond > 0) {
         const double windowSeconds = std::chrono::duration<double>(this->window).count();
-        const double allowed = organisation.ratePerSecond * windowSeconds + organisation.burst;
+        double allowed = organisation.ratePerSecond * windowSeconds + organisation.burst;
         const bool reported
             = this->reportedAt != TimePoint{} && now - this->reportedAt < reportLapse;
+        if (reported && this->memory < this->window) {
+            // All processes may have been killed just now, with their counts.
+            const Duration accrued = this->memory + restartAllowance;
+            const double part = std::chrono::duration<double>(accrued).count() / windowSeconds;
+            allowed *= std::min(part, 1.0);
+        }
         double room = allowed / this->sharers - account.own;
         if (reported) {
             const double left = allowed - account.others - (account.own - account.sinceReport);
@@ -108,16 +116,20 @@
     return result;
 }
 
-void QuotaLedger::takeReport(
-    const std::map<std::string, double> &othersUse, int entries, TimePoint now)
+void QuotaLedger::takeReport(const UsageReport &report, TimePoint now)
 {
-    this->sharers = std::max(entries, 1);
+    const bool recent = this->reportedAt != TimePoint{} && now - this->reportedAt < reportLapse;
+    if (recent && report.memory < std::min(this->memory, this->window)) {
+        return;
+    }
+    this->sharers = std::max(report.entries, 1);
     this->reportedAt = now;
+    this->memory = report.memory;
     for (auto &[name, account] : this->accounts) {
         account.others = 0;
         account.sinceReport = 0;
     }
-    for (const auto &[name, use] : othersUse) {
+    for (const auto &[name, use] : report.othersUse) {
         this->accounts[name].others = use;
     }
 }
--- a/src/libgateway/targetadmission.cpp
+++ b/src/libgateway/targetadmission.cpp
@@ -15,12 +15,14 @@
 /// A first token that comes within this part of the time left counts as on time; the rest covers
 /// the way back and a busy entry.
 constexpr double onTimeShare = 0.85;
-/// Worth of a late answer against one on time, as the users weigh it.
-constexpr double lateWorth = 0.3;
-/// Worth of a rank against the next less urgent one.
-constexpr double priorityRatio = 4;
-/// Smoothing of the learned speeds.
+/// Smoothing of the learned prefill speed.
 constexpr double learnShare = 0.15;
+/// Taken off the time to a first token: the first step, and the way of the messages.
+constexpr double firstTokenOverheadMs = 8;
+/// Prompts shorter than this measure the network and the step in progress, not the prefill.
+constexpr double measurableTokens = 1'200;
+/// Part of the decode speed's past that each answer replaces.
+constexpr double decodeForget = 0.05;
 /// Reports in a row that must show free room before grants are taken as ended.
 constexpr int reportsBeforeRelease = 3;
 /// Grants younger than this may not show in a report yet.
@@ -51,17 +53,16 @@
     }
 }
 
-void TargetAdmission::release(const Ticket &ticket, TimePoint now)
+void TargetAdmission::release(const Ticket &ticket, std::uint32_t generated, TimePoint now)
 {
     this->waiting.erase(ticket);
     const auto found = this->granted.find(ticket);
     if (found == this->granted.end()) {
         return;
     }
-    const Granted &row = found->second;
-    if (row.begun && now - *row.begun > milliseconds(100) && row.profile.outputTokens > 0) {
-        const double rate = row.profile.outputTokens / toMs(now - *row.begun);
-        this->decodePerMs += learnShare * (std::min(rate, 1.0) - this->decodePerMs);
+    if (found->second.begun && generated > 0) {
+        this->decodedTokens += generated - decodeForget * this->decodedTokens;
+        this->decodedMs += toMs(now - *found->second.begun) - decodeForget * this->decodedMs;
     }
     this->granted.erase(found);
 }
@@ -74,24 +75,26 @@
     }
     Granted &row = found->second;
     row.begun = now;
-    const double tookMs = std::max(toMs(now - row.at), 1.0);
-    const double rate = std::min(row.backlogAtGrant / tookMs, 400.0);
-    // Short prompts measure the network and the step in progress, not the prefill.
-    constexpr double measurableTokens = 1'500;
-    if (row.backlogAtGrant >= measurableTokens) {
-        this->prefillPerMs += learnShare * (rate - this->prefillPerMs);
+    // Behind other prompts the time also holds a part of theirs, which is not known.
+    const double work = prefillWork(row.profile.promptTokens);
+    if (row.alone && work >= measurableTokens) {
+        const double tookMs = std::max(toMs(now - row.at) - firstTokenOverheadMs, 1.0);
+        this->prefillPerMs += learnShare * (std::min(work / tookMs, 400.0) - this->prefillPerMs);
     }
 }
 
-double TargetAdmission::prefillAhead() const
+double TargetAdmission::prefillAheadMs(TimePoint now) const
 {
-    double tokens = 0;
+    double work = 0;
+    TimePoint oldest = now;
     for (const auto &[ticket, row] : this->granted) {
         if (!row.begun) {
-            tokens += prefillWork(row.profile.promptTokens);
+            work += prefillWork(row.profile.promptTokens);
+            oldest = std::min(oldest, row.at);
         }
     }
-    return tokens;
+    const double firstMs = toMs(now - oldest);
+    return std::max(work / this->prefillPerMs - firstMs, work > 0 ? 1.0 : 0.0);
 }
 
 int TargetAdmission::occupied() const
@@ -99,49 +102,39 @@
     return static_cast<int>(this->granted.size()) + this->strangers;
 }
 
-bool TargetAdmission::canBeOnTime(const Waiting &row, double ahead, TimePoint now) const
-{
-    const Duration left = row.profile.latencyLeft - (now - row.arrived);
-    const double needed = (ahead + prefillWork(row.profile.promptTokens)) / this->prefillPerMs;
-    return needed < onTimeShare * toMs(left);
-}
-
-double TargetAdmission::rankOf(const Waiting &row, TimePoint now) const
+double TargetAdmission::rankOf(const Waiting &row, double aheadMs, TimePoint now) const
 {
     const TicketProfile &profile = row.profile;
     const double prefillMs = prefillWork(profile.promptTokens) / this->prefillPerMs;
-    const double decodeMs = profile.outputTokens / this->decodePerMs;
-    // Prefill stalls every other stream of the batch, so it costs more than one slot's time.
-    const double cost = 20 + decodeMs + prefillMs * this->slots / 2;
-    const double size = 0.3 + (profile.promptTokens + 10.0 * profile.outputTokens) / 8'000;
-    const double worth = std::pow(priorityRatio, -profile.priority) * size;
-    const bool onTime = this->canBeOnTime(row, this->prefillAhead(), now);
-    return worth / cost * (onTime ? 1 : lateWorth);
+    const double decodeMs = profile.outputTokens * this->decodedMs / this->decodedTokens;
+    // A step that reads a prompt holds up every other request of the batch, so prefill costs more
+    // than one slot's time; a short request costs its messages at least.
+    constexpr double leastMs = 20;
+    const double cost = leastMs + decodeMs + prefillMs * this->slots / 2;
+    const double leftMs = toMs(profile.latencyLeft - (now - row.arrived));
+    const bool onTime = aheadMs + prefillMs < onTimeShare * leftMs;
+    return profile.worth / cost * (onTime ? 1 : profile.lateShare);
 }
 
 std::vector<TicketProfile> TargetAdmission::grant(TimePoint now)
 {
     std::vector<TicketProfile> result;
     while (!this->waiting.empty() && this->occupied() < this->slots) {
-        const double ahead = this->prefillAhead();
+        const double aheadMs = this->prefillAheadMs(now);
+        if (aheadMs > toMs(this->limits.prefillBacklog)) {
+            break;
+        }
         auto best = this->waiting.end();
         double bestRank = -1;
         for (auto row = this->waiting.begin(); row != this->waiting.end(); ++row) {
-            const double work = ahead + prefillWork(row->second.profile.promptTokens);
-            const bool fits
-                = ahead <= 0 || work / this->prefillPerMs <= toMs(this->limits.prefillBacklog);
-            const double rank = fits ? this->rankOf(row->second, now) : -1;
+            const double rank = this->rankOf(row->second, aheadMs, now);
             if (rank > bestRank) {
                 best = row;
                 bestRank = rank;
             }
         }
-        if (best == this->waiting.end()) {
-            break;
-        }
         const TicketProfile profile = best->second.profile;
-        const double backlog = ahead + prefillWork(profile.promptTokens);
-        this->granted.emplace(profile.ticket, Granted{ profile, now, std::nullopt, backlog });
+        this->granted.emplace(profile.ticket, Granted{ profile, now, std::nullopt, aheadMs <= 0 });
         this->waiting.erase(best);
         result.push_back(profile);
     }
@@ -196,19 +189,19 @@
     result.freeSlots = std::max(0, this->slots - this->occupied());
     result.waiting = static_cast<int>(this->waiting.size());
     result.prefillPerMs = this->prefillPerMs;
-    result.decodePerMs = this->decodePerMs;
-    double delayMs = this->prefillAhead() / this->prefillPerMs;
+    result.decodePerMs = this->decodedTokens / this->decodedMs;
+    double delayMs = this->prefillAheadMs(now);
     double waitingWork = 0;
     for (const auto &[ticket, row] : this->waiting) {
         waitingWork += prefillWork(row.profile.promptTokens) / this->prefillPerMs;
-        waitingWork += row.profile.outputTokens / this->decodePerMs / this->slots;
+        waitingWork += row.profile.outputTokens / result.decodePerMs / this->slots;
     }
     delayMs += waitingWork;
     if (result.freeSlots == 0) {
         // Time until the first of the running requests is likely to end.
         double soonest = 2'000;
         for (const auto &[ticket, row] : this->granted) {
-            const double lasts = row.profile.outputTokens / this->decodePerMs;
+            const double lasts = row.profile.outputTokens / result.decodePerMs;
             soonest = std::min(soonest, std::max(lasts - toMs(now - row.at), 20.0));
         }
         delayMs += soonest;
--- a/src/libgateway/targetdirectory.cpp
+++ b/src/libgateway/targetdirectory.cpp
@@ -6,18 +6,24 @@
 
 namespace wigeonsill {
 
-void TargetDirectory::replace(std::vector<Target> listed, bool suspect)
+void TargetDirectory::replace(std::vector<Target> listed, bool mayHaveLapsed)
 {
+    if (!mayHaveLapsed) {
+        this->shown.clear();
+    }
     std::map<std::string, Target, std::less<>> next;
     for (Target &target : listed) {
         std::string id = target.id;
+        if (mayHaveLapsed) {
+            this->shown.insert(id);
+        }
         next.insert_or_assign(std::move(id), std::move(target));
     }
-    if (suspect) {
+    if (mayHaveLapsed) {
         for (const auto &[id, target] : this->targets) {
             const bool addressTaken = std::any_of(next.begin(), next.end(),
                 [&target](const auto &row) { return row.second.address == target.address; });
-            if (!addressTaken) {
+            if (!addressTaken && !this->shown.contains(id)) {
                 next.try_emplace(id, target);
             }
         }
@@ -44,6 +50,34 @@
 
 namespace {
 
+/// Entries that lapsed are back within about two seconds of the store's return.
+constexpr Duration returnTime = seconds(2);
+/// An entry lapses after three silent heartbeats, the first up to one heartbeat old.
+constexpr int heartbeatsToLapse = 2;
+/// Part of the expected growth of the revision that shows that the targets' heartbeats arrived.
+constexpr double servedPart = 0.6;
+
+} // namespace
+
+void OutageJudge::listed(std::uint64_t revision, std::size_t entries, TimePoint now)
+{
+    if (this->lastListed) {
+        const Duration gap = now - *this->lastListed;
+        const double beats = static_cast<double>(gap.count())
+            / static_cast<double>(std::max<Duration>(this->heartbeat, milliseconds(1)).count());
+        const double expected = beats * static_cast<double>(this->lastEntries);
+        const double grown = static_cast<double>(revision - this->lastRevision);
+        if (beats > heartbeatsToLapse && grown < servedPart * expected) {
+            this->lapsedUntil = now + returnTime;
+        }
+    }
+    this->lastRevision = revision;
+    this->lastEntries = entries;
+    this->lastListed = now;
+}
+
+namespace {
+
 /// Milliseconds that a request to another failure domain loses against one to the own: the round
 /// trip of 1.8 ms, and the price of its bytes.
 constexpr double otherDomainMs = 6;
