Grants that are not used are given back

Cause: a late 'queued' after the request had been sent made the entry reserve at further agents, and a grant that came when the request was elsewhere was ignored. Ruled out: slow releases between regions (4% of a slot's time at most); too short patience (1.2 and 2 objectives: no gain). Two more requests ahead of the slots had only hidden it.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -208,6 +208,7 @@
     std::uint16_t grantPort = 0;
     boost::asio::ip::tcp::endpoint target;
     std::string reportPath;
+    TargetAdmission::Limits admission;
     int logLinesPerSecond = 200;
 };
 
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -423,6 +423,9 @@
         /// Prompt work that may lie at the target before its first token. A quarter of the
         /// shortest first-event objective of the users' services, 300 ms, leaves room for decode.
         Duration prefillBacklog = milliseconds(120);
+        /// Requests beyond the slots that may wait at the target, so that a slot does not stay
+        /// empty for the round trip of the messages.
+        int queueAhead = 0;
         /// A granted request of which nothing is heard is taken as ended after this.
         Duration grantLapse = seconds(16);
     };
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -31,6 +31,7 @@
         , decoder(std::move(reportDecoder))
         , settings(agentSettings)
         , reports(io, counters, agentSettings.target)
+        , admission(agentSettings.admission)
         , socket(io,
               asio::ip::udp::endpoint(
                   asio::ip::make_address(settings.grantAddress), settings.grantPort))
@@ -64,11 +65,11 @@
     ReportDecoder decoder;
     GrantAgentSettings settings;
     CallClient reports;
+    TargetAdmission admission;
     asio::ip::udp::socket socket;
     asio::steady_timer reportTimer;
     asio::steady_timer expiryTimer;
     std::uint64_t self;
-    TargetAdmission admission{ TargetAdmission::Limits{} };
     std::array<char, 8'192> buffer;
     asio::ip::udp::endpoint sender;
     std::map<std::uint64_t, asio::ip::udp::endpoint> entries;
--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -111,7 +111,21 @@
     if (!endpoint) {
         return;
     }
-    const asio::ip::udp::endpoint agent(endpoint.value().address(), this->port);
+    this->sendTo({ endpoint.value().address(), this->port }, message);
+}
+
+void GrantClient::giveBack(const GrantMessage &granted, const asio::ip::udp::endpoint &agent)
+{
+    GrantMessage message;
+    message.kind = GrantKind::Release;
+    message.sender = this->self;
+    message.profile.ticket.number = granted.profile.ticket.number;
+    this->metrics.count("wigeonsill_grants_given_back_total");
+    this->sendTo(agent, message);
+}
+
+void GrantClient::sendTo(const asio::ip::udp::endpoint &agent, const GrantMessage &message)
+{
     boost::system::error_code error;
     this->socket.send_to(asio::buffer(encode(message)), agent, 0, error);
     if (error) {
@@ -152,12 +166,17 @@
     peer.loadAt = currentTime();
     const auto listener = this->listeners.find(message.profile.ticket.number);
     if (listener == this->listeners.end()) {
+        if (message.kind == GrantKind::Granted) {
+            this->giveBack(message, from);
+        }
         return;
     }
     const std::string targetId = this->targetByAddress[from.address()];
     switch (message.kind) {
     case GrantKind::Granted:
-        listener->second->onGranted(targetId);
+        if (!listener->second->onGranted(targetId)) {
+            this->giveBack(message, from);
+        }
         break;
     case GrantKind::Queued:
         listener->second->onQueued(targetId);
--- a/src/libforward/grantclient.h
+++ b/src/libforward/grantclient.h
@@ -14,7 +14,8 @@
 {
 public:
     virtual ~GrantListener() = default;
-    virtual void onGranted(const std::string &targetId) = 0;
+    /// Returns whether the room is used; if not, it is given back.
+    virtual bool onGranted(const std::string &targetId) = 0;
     virtual void onQueued(const std::string &targetId) = 0;
     virtual void onDeclined(const std::string &targetId) = 0;
 };
@@ -57,6 +58,8 @@
         std::optional<TimePoint> unansweredSince;
     };
     void send(const Target &target, GrantMessage message);
+    void giveBack(const GrantMessage &granted, const boost::asio::ip::udp::endpoint &agent);
+    void sendTo(const boost::asio::ip::udp::endpoint &agent, const GrantMessage &message);
     void receive();
     void handle(const GrantMessage &message, const boost::asio::ip::udp::endpoint &from);
 
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -409,6 +409,9 @@
 void RequestFlow::onQueued(const std::string &targetId)
 {
     const auto self = this->shared_from_this();
+    if (this->phase != Phase::Reserving) {
+        return;
+    }
     for (Ask &ask : this->asks) {
         if (ask.target.id == targetId) {
             ask.state = AskState::Queued;
@@ -420,6 +423,9 @@
 void RequestFlow::onDeclined(const std::string &targetId)
 {
     const auto self = this->shared_from_this();
+    if (this->phase != Phase::Reserving) {
+        return;
+    }
     for (Ask &ask : this->asks) {
         if (ask.target.id == targetId) {
             ask.state = AskState::Declined;
@@ -428,22 +434,26 @@
     this->askNext(1);
 }
 
-void RequestFlow::onGranted(const std::string &targetId)
+bool RequestFlow::onGranted(const std::string &targetId)
 {
     const auto self = this->shared_from_this();
+    if (this->target && this->target->id == targetId) {
+        return true; // The grant was repeated.
+    }
     const auto ask = std::find_if(this->asks.begin(), this->asks.end(),
         [&targetId](const Ask &row) { return row.target.id == targetId; });
     if (ask == this->asks.end() || this->phase != Phase::Reserving) {
-        return;
+        return false;
     }
     const Target *listed = this->state.targets.find(targetId);
     if (listed == nullptr || listed->leaving) {
-        return;
+        return false;
     }
     const Target chosen = *listed;
     this->withdraw(targetId);
     this->granted = true;
     this->sendTo(chosen);
+    return true;
 }
 
 void RequestFlow::withdraw(const std::string &exceptTarget)
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -86,7 +86,7 @@
     void onAnswerBody(std::string_view bytes) override;
     void onAnswerEnd() override;
     void onAnswerFailed(TargetFailure failure) override;
-    void onGranted(const std::string &targetId) override;
+    bool onGranted(const std::string &targetId) override;
     void onQueued(const std::string &targetId) override;
     void onDeclined(const std::string &targetId) override;
 
--- a/src/libgateway/targetadmission.cpp
+++ b/src/libgateway/targetadmission.cpp
@@ -119,7 +119,7 @@
 std::vector<TicketProfile> TargetAdmission::grant(TimePoint now)
 {
     std::vector<TicketProfile> result;
-    while (!this->waiting.empty() && this->occupied() < this->slots) {
+    while (!this->waiting.empty() && this->occupied() < this->slots + this->limits.queueAhead) {
         const double aheadMs = this->prefillAheadMs(now);
         if (aheadMs > toMs(this->limits.prefillBacklog)) {
             break;
