Tests of the gateway's decisions; folded headers and senseless output wishes are refused

The raw head is looked at before it is parsed, by the same function as in the forwarding entry; a wish that is no positive whole number is a 400.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -104,7 +104,7 @@
 public:
     virtual ~WireDialect() = default;
     /// Reads what the caller states. Errors: MalformedRequest.
-    virtual Result<CallerRequest> decodeRequest(const MessageHead &head) const = 0;
+    virtual Result<RequestFacts> decodeRequest(const MessageHead &head) const = 0;
     /// The fields for the target: the caller's without those of one connection, without the key
     /// and without those that only the system sets, and with the system's own.
     virtual HttpFields encodeRequest(const MessageHead &head, const ForwardContext &context) const
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -161,7 +161,7 @@
 };
 
 /// What a caller states about its request, decoded from the wire once.
-struct CallerRequest
+struct RequestFacts
 {
     std::string id; ///< Of this attempt of the caller.
     std::string key; ///< Empty when it brought none.
@@ -178,7 +178,7 @@
 };
 
 /// Amount that a request takes from an organisation's quota.
-double quotaCost(const OrganisationAccount &organisation, const CallerRequest &request);
+double quotaCost(const OrganisationAccount &organisation, const RequestFacts &request);
 
 // ---------------------------------------------------------------------------------------------
 // Targets
@@ -509,6 +509,6 @@
 /// Orders the targets of a service from the best to the worst for a request.
 /// \param draw Uniform in [0, 1); breaks ties differently in each call.
 std::vector<const TargetView *> rankTargets(const std::vector<TargetView> &views,
-    const CallerRequest &request, const EntryPlace &place, std::uint64_t draw);
+    const RequestFacts &request, const EntryPlace &place, std::uint64_t draw);
 
 } // namespace wigeonsill
--- a/src/include/wigeonsill/http.h
+++ b/src/include/wigeonsill/http.h
@@ -29,6 +29,11 @@
 /// \param connection Value of the message's Connection field, which may name more of them.
 bool isHopByHop(std::string_view name, std::string_view connection);
 
+/// Whether the raw head of a request uses a form that intermediaries read differently, so that a
+/// second request could hide in it: a folded line, a bare line feed, or a zero byte. Thread-safe.
+/// \param head Any part of the message up to and with the empty line.
+bool isAmbiguousHead(std::string_view head);
+
 struct HttpRequest
 {
     std::string method = "GET";
--- a/src/libforward/callclient.cpp
+++ b/src/libforward/callclient.cpp
@@ -12,9 +12,9 @@
 class PlainDialect : public WireDialect
 {
 public:
-    Result<CallerRequest> decodeRequest(const MessageHead & /*head*/) const override
+    Result<RequestFacts> decodeRequest(const MessageHead & /*head*/) const override
     {
-        return CallerRequest{};
+        return RequestFacts{};
     }
     HttpFields encodeRequest(
         const MessageHead &head, const ForwardContext & /*context*/) const override
--- a/src/libforward/messagereader.h
+++ b/src/libforward/messagereader.h
@@ -120,8 +120,4 @@
 using RequestReader = MessageReader<true>;
 using AnswerReader = MessageReader<false>;
 
-/// Whether the raw head of a request uses a form that intermediaries read differently: a folded
-/// line, a bare line feed, or a zero byte. \param head Up to and with the empty line.
-bool isAmbiguousHead(std::string_view head);
-
 } // namespace wigeonsill
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -105,7 +105,7 @@
 
 void RequestFlow::start()
 {
-    Result<CallerRequest> decoded = this->state.dialect.decodeRequest(this->head);
+    Result<RequestFacts> decoded = this->state.dialect.decodeRequest(this->head);
     if (!decoded) {
         this->refuse(decoded.error().code, decoded.error().detail);
         return;
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -106,7 +106,7 @@
     CallerConnection *caller;
     MessageHead head;
     std::string body;
-    CallerRequest request;
+    RequestFacts request;
     std::shared_ptr<const ServingConfiguration> configuration;
     const Route *route = nullptr;
     const OrganisationAccount *organisation = nullptr;
--- a/src/libgateway/servingconfiguration.cpp
+++ b/src/libgateway/servingconfiguration.cpp
@@ -129,7 +129,7 @@
     return route.services.front().service;
 }
 
-std::uint32_t CallerRequest::likelyOutput() const
+std::uint32_t RequestFacts::likelyOutput() const
 {
     if (this->expectedOutput) {
         return std::min(*this->expectedOutput, std::max(this->outputTokens, 1U));
@@ -137,7 +137,7 @@
     return this->outputTokens;
 }
 
-double quotaCost(const OrganisationAccount &organisation, const CallerRequest &request)
+double quotaCost(const OrganisationAccount &organisation, const RequestFacts &request)
 {
     if (!organisation.countsTokens) {
         return 1;
--- /dev/null
+++ b/src/libgateway/sharedlimits_test.cpp
@@ -0,0 +1,168 @@
+/// \file sharedlimits_test.cpp
+/// Quotas and repeat budgets that several entries share.
+#include "wigeonsill/gateway.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wigeonsill {
+namespace {
+
+constexpr Duration window = seconds(8);
+constexpr double rate = 1'000;
+
+OrganisationAccount account()
+{
+    OrganisationAccount result;
+    result.name = "hot";
+    result.ratePerSecond = rate;
+    result.burst = rate;
+    result.countsTokens = true;
+    return result;
+}
+
+double allowed()
+{
+    return rate * 8 + rate;
+}
+
+TEST(RepeatBudget, boundsRepeatsByTheArrivalsOfTheWindow)
+{
+    RepeatBudget budget({ 0.2, 1, seconds(10) });
+    TimePoint now{ seconds(1) };
+    for (int i = 0; i < 50; ++i) {
+        budget.arrived("engines", now);
+    }
+    int taken = 0;
+    while (budget.take("engines", now)) {
+        ++taken;
+    }
+    EXPECT_EQ(taken, 11);
+    EXPECT_FALSE(budget.take("engines", now + seconds(9)));
+    EXPECT_TRUE(budget.take("engines", now + seconds(11)));
+}
+
+/// Entries that all get many times the quota and exchange their use each quarter of a second.
+/// Returns the most that any window held.
+double mostInAWindow(int entries, int perStep, double cost)
+{
+    std::vector<QuotaLedger> ledgers(static_cast<std::size_t>(entries), QuotaLedger(window));
+    std::vector<std::pair<TimePoint, double>> admitted;
+    const OrganisationAccount organisation = account();
+    TimePoint now{ seconds(100) };
+    for (int step = 0; step < 400; ++step, now += milliseconds(50)) {
+        for (QuotaLedger &ledger : ledgers) {
+            for (int i = 0; i < perStep; ++i) {
+                if (!ledger.admit(organisation, cost, now)) {
+                    admitted.emplace_back(now, cost);
+                }
+            }
+        }
+        if (step % 5 != 0) {
+            continue;
+        }
+        for (std::size_t self = 0; self < ledgers.size(); ++self) {
+            UsageReport report;
+            report.entries = entries;
+            report.memory = window;
+            for (std::size_t other = 0; other < ledgers.size(); ++other) {
+                if (other != self) {
+                    report.othersUse["hot"] += ledgers[other].ownUse(now)["hot"];
+                }
+            }
+            ledgers[self].takeReport(report, now);
+        }
+    }
+    double most = 0;
+    for (std::size_t first = 0; first < admitted.size(); ++first) {
+        double sum = 0;
+        for (std::size_t i = first; i < admitted.size(); ++i) {
+            if (admitted[i].first - admitted[first].first <= window) {
+                sum += admitted[i].second;
+            }
+        }
+        most = std::max(most, sum);
+    }
+    return most;
+}
+
+TEST(QuotaLedger, entriesTogetherKeepTheQuotaUnderManyTimesTheLoad)
+{
+    // A tenth over the quota is what the operator accepts, beside a slack in tokens.
+    EXPECT_LE(mostInAWindow(4, 10, 20), allowed() * 1.1);
+    EXPECT_GE(mostInAWindow(4, 10, 20), allowed() * 0.8) << "the quota is not given away";
+}
+
+TEST(QuotaLedger, countsThatWereLostWithAllProcessesAreNotGivenOutAgain)
+{
+    QuotaLedger ledger(window);
+    const TimePoint now{ seconds(100) };
+    UsageReport report;
+    report.memory = milliseconds(500); // The collector was killed as well.
+    ledger.takeReport(report, now);
+    double admitted = 0;
+    while (!ledger.admit(account(), 10, now)) {
+        admitted += 10;
+    }
+    EXPECT_LE(admitted, allowed() * 1.5 / 8 + 10);
+}
+
+TEST(QuotaLedger, passesOverACollectorThatRemembersLess)
+{
+    QuotaLedger ledger(window);
+    const TimePoint now{ seconds(100) };
+    ledger.takeReport({ { { "hot", allowed() } }, 2, seconds(20) }, now);
+    ledger.takeReport({ {}, 2, seconds(1) }, now);
+    EXPECT_TRUE(ledger.admit(account(), 10, now)) << "the fuller report says that all is used";
+}
+
+RC_GTEST_PROP(QuotaLedger, aloneNeverExceedsTheQuota, ())
+{
+    QuotaLedger ledger(window);
+    const OrganisationAccount organisation = account();
+    TimePoint now{ seconds(100) };
+    std::vector<std::pair<TimePoint, double>> admitted;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 500), rc::gen::inRange(1, 3'000)));
+    for (const auto &[pause, cost] : steps) {
+        now += milliseconds(pause);
+        if (!ledger.admit(organisation, cost, now)) {
+            admitted.emplace_back(now, cost);
+        }
+        double sum = 0;
+        for (const auto &[at, amount] : admitted) {
+            sum += now - at <= window ? amount : 0;
+        }
+        RC_ASSERT(sum <= allowed());
+    }
+}
+
+TEST(ServedShares, helpsTheSizeThatLagsBehind)
+{
+    ServedShares shares;
+    const TimePoint now{ seconds(10) };
+    for (int i = 0; i < 100; ++i) {
+        shares.note(0, 1'000, true, now);
+    }
+    for (int i = 0; i < 10; ++i) {
+        shares.note(0, 20'000, i < 3, now);
+    }
+    EXPECT_EQ(shares.boost(0, 1'000, now), 1);
+    EXPECT_GT(shares.boost(0, 20'000, now), 1);
+    EXPECT_EQ(shares.boost(0, 20'000, now + seconds(60)), 1) << "the past is forgotten";
+}
+
+TEST(ServedShares, helpsTheKindThatLagsBehind)
+{
+    ServedShares shares;
+    const TimePoint now{ seconds(10) };
+    for (int i = 0; i < 100; ++i) {
+        shares.note(0, 1'000, true, now);
+        shares.note(2, 1'000, i < 20, now);
+    }
+    EXPECT_EQ(shares.boost(0, 1'000, now), 1);
+    EXPECT_GT(shares.boost(2, 1'000, now), 1);
+}
+
+} // namespace
+} // namespace wigeonsill
--- /dev/null
+++ b/src/libgateway/targetadmission_test.cpp
@@ -0,0 +1,156 @@
+/// \file targetadmission_test.cpp
+/// Admission at one target, replaying the loads that it answers.
+#include "wigeonsill/gateway.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wigeonsill {
+namespace {
+
+constexpr int slots = 8;
+
+TicketProfile ticket(std::uint64_t number, std::uint32_t prompt, double worth,
+    Duration latencyLeft = milliseconds(600))
+{
+    TicketProfile result;
+    result.ticket = { 1, number };
+    result.promptTokens = prompt;
+    result.outputTokens = 100;
+    result.worth = worth;
+    result.latencyLeft = latencyLeft;
+    result.waitLeft = milliseconds(360);
+    return result;
+}
+
+TEST(TargetAdmission, keepsThePromptBacklogShortInABurst)
+{
+    TargetAdmission admission(TargetAdmission::Limits{ milliseconds(120), 0, seconds(16) });
+    const TimePoint now{ seconds(1) };
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        admission.reserve(ticket(i, 6'000, 1), slots, now);
+    }
+    // 6,000 tokens are 100 ms at the first guess of the speed: the third would lie behind 200 ms.
+    EXPECT_EQ(admission.grant(now).size(), 2U);
+    EXPECT_TRUE(admission.grant(now).empty());
+    admission.began({ 1, 0 }, now + milliseconds(100));
+    EXPECT_FALSE(admission.grant(now + milliseconds(100)).empty());
+}
+
+TEST(TargetAdmission, worthPerTimeGoesFirstAmongThoseOnTime)
+{
+    TargetAdmission admission({});
+    const TimePoint now{ seconds(1) };
+    admission.reserve(ticket(1, 600, 0.2), 1, now);
+    admission.reserve(ticket(2, 6'000, 4), 1, now);
+    admission.reserve(ticket(3, 600, 5, milliseconds(1)), 1, now); // Can only come late.
+    const auto granted = admission.grant(now);
+    ASSERT_EQ(granted.size(), 1U);
+    EXPECT_EQ(granted.front().ticket.number, 2U);
+}
+
+TEST(TargetAdmission, aPromptLargerThanTheBacklogIsGrantedWhenNothingIsAhead)
+{
+    TargetAdmission admission({});
+    const TimePoint now{ seconds(1) };
+    admission.reserve(ticket(1, 54'000, 4), slots, now);
+    EXPECT_EQ(admission.grant(now).size(), 1U);
+}
+
+TEST(TargetAdmission, roomThatIsGivenBackIsGrantedAgain)
+{
+    TargetAdmission admission({});
+    const TimePoint now{ seconds(1) };
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        admission.reserve(ticket(i, 10, 1), slots, now);
+    }
+    const auto first = admission.grant(now);
+    ASSERT_EQ(first.size(), static_cast<std::size_t>(slots));
+    for (const TicketProfile &profile : first) {
+        admission.release(profile.ticket, 0, now);
+    }
+    EXPECT_EQ(admission.grant(now).size(), static_cast<std::size_t>(slots));
+}
+
+TEST(TargetAdmission, grantsThatTheTargetNeverSawEndByItsReports)
+{
+    TargetAdmission admission({});
+    TimePoint now{ seconds(1) };
+    for (std::uint64_t i = 0; i < slots; ++i) {
+        admission.reserve(ticket(i, 10, 1), slots, now);
+    }
+    ASSERT_EQ(admission.grant(now).size(), static_cast<std::size_t>(slots));
+    for (int report = 0; report < 4; ++report) {
+        now += milliseconds(400);
+        admission.observe(5, 0, now);
+    }
+    EXPECT_EQ(admission.grantedCount(), 5U);
+}
+
+TEST(TargetAdmission, requestsPastTheAgentTakeSlots)
+{
+    TargetAdmission admission({});
+    const TimePoint now{ seconds(1) };
+    admission.observe(slots - 1, 0, now);
+    admission.reserve(ticket(1, 10, 1), slots, now);
+    admission.reserve(ticket(2, 10, 1), slots, now);
+    EXPECT_EQ(admission.grant(now).size(), 1U);
+}
+
+TEST(TargetAdmission, learnsTheSpeedFromPromptsThatHadNothingAhead)
+{
+    TargetAdmission admission({});
+    TimePoint now{ seconds(1) };
+    // A target that reads 30 tokens a millisecond.
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        admission.reserve(ticket(i, 6'000, 1), slots, now);
+        admission.grant(now);
+        now += milliseconds(200 + 8);
+        admission.began({ 1, i }, now);
+        admission.release({ 1, i }, 0, now);
+    }
+    EXPECT_NEAR(admission.load(now).prefillPerMs, 30, 4);
+}
+
+TEST(TargetAdmission, waitingEndsWithItsTime)
+{
+    TargetAdmission admission({});
+    const TimePoint now{ seconds(1) };
+    admission.observe(slots, 0, now);
+    admission.reserve(ticket(1, 10, 1), slots, now);
+    EXPECT_TRUE(admission.expire(now + milliseconds(359)).empty());
+    EXPECT_EQ(admission.expire(now + milliseconds(360)).size(), 1U);
+    EXPECT_EQ(admission.waitingCount(), 0U);
+}
+
+RC_GTEST_PROP(TargetAdmission, neverGrantsBeyondTheSlotsNorTwice, ())
+{
+    TargetAdmission admission({});
+    std::set<std::uint64_t> granted;
+    std::set<std::uint64_t> running;
+    TimePoint now{ seconds(1) };
+    std::uint64_t next = 0;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0, 50)));
+    for (const auto &[action, number] : steps) {
+        now += milliseconds(number);
+        const auto prompt = static_cast<std::uint32_t>(number * 300);
+        if (action < 2) {
+            admission.reserve(ticket(next++, prompt, 1 + number), slots, now);
+        } else if (!running.empty()) {
+            const std::uint64_t ended = *std::next(
+                running.begin(), static_cast<std::ptrdiff_t>(number) % std::ssize(running));
+            admission.release({ 1, ended }, 0, now);
+            running.erase(ended);
+        }
+        admission.expire(now);
+        for (const TicketProfile &profile : admission.grant(now)) {
+            RC_ASSERT(granted.insert(profile.ticket.number).second);
+            running.insert(profile.ticket.number);
+        }
+        RC_ASSERT(running.size() <= static_cast<std::size_t>(slots));
+    }
+}
+
+} // namespace
+} // namespace wigeonsill
--- a/src/libgateway/targetdirectory.cpp
+++ b/src/libgateway/targetdirectory.cpp
@@ -96,7 +96,7 @@
 /// Gain of a target that has read the same session's prompt before.
 constexpr double prefixGainMs = 15;
 
-double costOf(const TargetView &view, const CallerRequest &request, const EntryPlace &place)
+double costOf(const TargetView &view, const RequestFacts &request, const EntryPlace &place)
 {
     double cost = 0;
     if (view.target->region != place.region) {
@@ -124,7 +124,7 @@
 } // namespace
 
 std::vector<const TargetView *> rankTargets(const std::vector<TargetView> &views,
-    const CallerRequest &request, const EntryPlace &place, std::uint64_t draw)
+    const RequestFacts &request, const EntryPlace &place, std::uint64_t draw)
 {
     std::vector<std::pair<double, const TargetView *>> scored;
     scored.reserve(views.size());
--- a/src/libhttp/httpsession.cpp
+++ b/src/libhttp/httpsession.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t firstReadSize = 1'024;
+constexpr std::size_t headReadSize = 4'096;
 constexpr std::size_t pipelinedLimit = 16'384; ///< Bytes read ahead while an answer is going out.
 constexpr std::size_t discardPiece = 16'384;
 constexpr std::size_t discardLimit = 16'777'216;
@@ -113,6 +114,29 @@
     co_return true;
 }
 
+asio::awaitable<error_code> HttpSession::readRawHead()
+{
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    while (true) {
+        const std::string_view raw(
+            static_cast<const char *>(this->buffer.data().data()), this->buffer.size());
+        const std::size_t end = raw.find(headEnd);
+        const bool whole = end != std::string_view::npos;
+        if (isAmbiguousHead(whole ? raw.substr(0, end + headEnd.size()) : raw)) {
+            co_return http::make_error_code(http::error::bad_field);
+        }
+        if (whole || raw.size() > this->limits.headerBytes) {
+            co_return error_code(); // The parser refuses a head that is too large.
+        }
+        auto [error, size]
+            = co_await this->stream.async_read_some(this->buffer.prepare(headReadSize), useTuple);
+        if (error) {
+            co_return error;
+        }
+        this->buffer.commit(size);
+    }
+}
+
 asio::awaitable<std::optional<HttpRequest>> HttpSession::readRequest()
 {
     const bool begun = co_await this->readFirstBytes();
@@ -124,8 +148,12 @@
     parser.body_limit(this->limits.bodyBytes);
     this->headOnly = false;
     this->limitReading(this->limits.headerTime);
-    auto [headError, headSize]
-        = co_await http::async_read_header(this->stream, this->buffer, parser, useTuple);
+    // Beast joins folded lines, so the raw bytes are looked at before it parses them.
+    error_code headError = co_await this->readRawHead();
+    if (!headError) {
+        std::tie(headError, std::ignore)
+            = co_await http::async_read_header(this->stream, this->buffer, parser, useTuple);
+    }
     this->endReadLimit();
     if (headError) {
         co_await this->refuse(headError);
--- a/src/libhttp/httpsession.h
+++ b/src/libhttp/httpsession.h
@@ -57,6 +57,8 @@
 private:
     asio::awaitable<bool> readFirstBytes();
     asio::awaitable<std::optional<HttpRequest>> readRequest();
+    /// Reads up to the end of the head and refuses forms that other readers take differently.
+    asio::awaitable<error_code> readRawHead();
     asio::awaitable<void> refuse(error_code error);
     asio::awaitable<void> discardInput();
     asio::awaitable<void> end();
--- a/src/wigeonsill-entry/requestreader.cpp
+++ b/src/wigeonsill-entry/requestreader.cpp
@@ -144,14 +144,23 @@
 }
 
 /// Sets the engine's model name and the limit of output tokens.
-std::uint32_t limitOutput(json::object &body, const ServiceDefinition &service)
+/// Most output tokens: the caller's wish within the service's limit. A wish that is no positive
+/// whole number is refused, since it would otherwise run to the limit.
+Result<std::uint32_t> limitOutput(json::object &body, const ServiceDefinition &service)
 {
     std::int64_t tokens = service.maximumOutputTokens;
     for (const std::string_view name : { "max_tokens", "max_completion_tokens" }) {
         const json::value *wanted = body.if_contains(name);
-        if (wanted != nullptr && wanted->is_int64() && wanted->get_int64() > 0) {
-            tokens = std::min(tokens, wanted->get_int64());
+        if (wanted == nullptr || wanted->is_null()) {
+            continue;
         }
+        json::error_code error;
+        const auto count = wanted->to_number<std::int64_t>(error);
+        if (error || count <= 0) {
+            return Error{ ResultCode::MalformedRequest,
+                std::string(name) + " must be a positive whole number" };
+        }
+        tokens = std::min(tokens, count);
     }
     body.erase("max_completion_tokens");
     body["max_tokens"] = tokens;
@@ -186,7 +195,7 @@
     BOOST_OUTCOME_TRY(result.idempotencyKey, readKey(*service, request));
     result.profile.promptTokens = static_cast<std::uint32_t>(prompt.size() / bytesPerToken + 1);
     result.profile.prefixHashes = prefixHashesOf(prompt);
-    result.profile.outputTokens = limitOutput(body, *service);
+    BOOST_OUTCOME_TRY(result.profile.outputTokens, limitOutput(body, *service));
     body["model"] = pool->second.model;
     result.request.method = "POST";
     result.request.path = request.target;
--- a/testsuite/bad-input/run.py
+++ b/testsuite/bad-input/run.py
@@ -64,6 +64,12 @@
         ("no HTTP", "hello there\r\n\r\n", 400, 1001),
         ("a NUL in the target", "GET /\0 HTTP/1.1\r\n\r\n", 400, 1001),
         ("a bad field", "GET / HTTP/1.1\r\nno colon\r\n\r\n", 400, 1001),
+        (
+            "folded header",
+            "GET / HTTP/1.1\r\nHost: x\r\nIdempotency-Key: a\r\n b\r\n\r\n",
+            400,
+            1001,
+        ),
         ("header too large", "GET / HTTP/1.1\r\nX: %s\r\n\r\n" % ("x" * 20_000), 431, 1002),
         ("body too large", "POST / HTTP/1.1\r\nContent-Length: 8388609\r\n\r\n", 413, 1003),
         (
