--- a/src/libforward/callerconnection.cpp
+++ b/src/libforward/callerconnection.cpp
@@ -30,7 +30,8 @@
 } // namespace
 
 CallerConnection::CallerConnection(EntryState &shared, asio::ip::tcp::socket accepted)
-    : state(shared)
+    : keepState(shared.shared_from_this())
+    , state(shared)
     , socket(std::move(accepted))
     , timer(shared.io)
 {
--- a/src/libforward/callerconnection.h
+++ b/src/libforward/callerconnection.h
@@ -10,7 +10,7 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-    /// \pre shared outlives the connection.
+    /// \pre shared is owned by a shared pointer.
     CallerConnection(EntryState &shared, boost::asio::ip::tcp::socket accepted);
     ~CallerConnection();
     void start();
@@ -46,6 +46,7 @@
     void closeGracefully();
     void close();
 
+    std::shared_ptr<EntryState> keepState;
     EntryState &state;
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer timer;
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -16,7 +16,9 @@
     TimePoint avoidUntil;
 };
 
-struct EntryState
+/// Owned by the entry and by each of its connections and requests, since their handlers may be
+/// destroyed after the entry, with the io_context.
+struct EntryState : public std::enable_shared_from_this<EntryState>
 {
     EntryState(boost::asio::io_context &context, Metrics &metricsIn, DecisionLog &logIn,
         const WireDialect &dialectIn, const ForwardEntrySettings &settingsIn);
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -100,7 +100,8 @@
 {
     Private(asio::io_context &io, Metrics &metrics, DecisionLog &log, const WireDialect &dialect,
         const ForwardEntrySettings &settings)
-        : state(io, metrics, log, dialect, settings)
+        : shared(std::make_shared<EntryState>(io, metrics, log, dialect, settings))
+        , state(*this->shared)
         , acceptor(io)
         , acceptTimer(io)
         , usageTimer(io)
@@ -117,7 +118,8 @@
     void continueDrain();
     void forgetUnlisted();
 
-    EntryState state;
+    std::shared_ptr<EntryState> shared;
+    EntryState &state;
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer acceptTimer;
     asio::steady_timer usageTimer;
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -75,7 +75,8 @@
 
 RequestFlow::RequestFlow(
     EntryState &shared, CallerConnection &from, MessageHead requestHead, std::string requestBody)
-    : state(shared)
+    : keepState(shared.shared_from_this())
+    , state(shared)
     , caller(&from)
     , head(std::move(requestHead))
     , body(std::move(requestBody))
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -33,7 +33,8 @@
                     private GrantListener
 {
 public:
-    /// \pre shared outlives the flow; from lives until it called callerGone() or got its answer.
+    /// \pre shared is owned by a shared pointer; from lives until it called callerGone() or got its
+    /// answer.
     RequestFlow(EntryState &shared, CallerConnection &from, MessageHead requestHead,
         std::string requestBody);
     ~RequestFlow() override;
@@ -102,6 +103,7 @@
     Duration timeLeft() const;
     Duration returnDelay() const;
 
+    std::shared_ptr<EntryState> keepState;
     EntryState &state;
     CallerConnection *caller;
     MessageHead head;
--- a/testsuite/platform-path/run.py
+++ b/testsuite/platform-path/run.py
@@ -83,7 +83,7 @@
         self.folder = folder
         self.store = Store()
         self.nodes = []
-        self.engines = [Engine("i-%d" % i, slots=2) for i in (1, 2, 3)]
+        self.engines = [Engine("i-%d" % i, slots=2) for i in range(1, 7)]
         self.plain = [Engine("p-%d" % i) for i in (1, 2)]
         self.store.put("op/config", configuration(1, ["key-1", "key-2"]))
         # Engines are registered behind forwarders at 127.0.0.x, where their agents listen.
@@ -319,7 +319,8 @@
 
 def stop(path):
     client = Client(path.entry)
-    path.engines[0].count = path.engines[1].count = path.engines[2].count = 12
+    for engine in path.engines:
+        engine.count = 12
     request = client.send("/ask/slow")
     time.sleep(0.3)
     path.entry.popen.send_signal(signal.SIGHUP)
