--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -289,6 +289,47 @@
     Duration memory = {}; ///< How long the collector has been collecting.
 };
 
+/// What one entry admitted for an organisation.
+struct UsageEntry
+{
+    double inWindow = 0; ///< In the quota's window.
+    double total = 0; ///< Since the entry's start.
+};
+using UsageByOrganisation = std::map<std::string, UsageEntry>;
+
+/// Adds up the entries' reports. An entry that was killed cannot report what leaves the window, so
+/// the collector keeps the reports of a window.
+class UsageCollector
+{
+public:
+    /// \param now When the collecting begins.
+    UsageCollector(Duration slidingWindow, TimePoint now)
+        : window(slidingWindow)
+        , startedAt(now)
+    {
+    }
+
+    /// \param entry Number drawn at the entry's start.
+    void take(std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now);
+    /// What all entries but one used in the window.
+    UsageReport reportFor(std::uint64_t entry, TimePoint now);
+    std::size_t entryCount() const { return this->entries.size(); }
+
+private:
+    struct Sample
+    {
+        TimePoint at;
+        std::map<std::string, double> totals;
+    };
+    /// Oldest first. The first sample holds what was used before the window.
+    using Samples = std::deque<Sample>;
+    void forgetOld(TimePoint now);
+
+    Duration window;
+    TimePoint startedAt;
+    std::map<std::uint64_t, Samples> entries;
+};
+
 /// Keeps the organisations within their quotas over a sliding window. Each entry counts what it
 /// admitted itself and what the others last reported, and shares what is left with them, since all
 /// of them admit at once between two reports.
@@ -307,8 +348,8 @@
         const OrganisationAccount &organisation, double cost, TimePoint now);
     /// Returns a cost that was admitted and not used.
     void giveBack(const std::string &organisation, double cost, TimePoint now);
-    /// What this entry admitted in the window, by organisation.
-    std::map<std::string, double> ownUse(TimePoint now);
+    /// What this entry admitted, by organisation.
+    UsageByOrganisation ownUse(TimePoint now);
     /// Takes a report of the others' use in the window. A report whose collector remembers less
     /// than the window is passed over while there is a fuller one; where there is none, only the
     /// part of the quota that has accrued since the collector began is given out.
@@ -319,16 +360,20 @@
     {
         std::deque<std::pair<TimePoint, double>> admitted;
         double own = 0; ///< Sum of what is in admitted.
+        double total = 0; ///< Since the start.
         double others = 0;
         double sinceReport = 0; ///< Admitted here since the last report.
     };
     Account &accountOf(const std::string &name, TimePoint now);
 
+    /// Assumed at first, since all entries may have been started at this moment: as many as the
+    /// largest deployment has.
+    static constexpr int mostSharers = 30;
+
     Duration window;
     std::map<std::string, Account, std::less<>> accounts;
-    /// Until the first report as many as the largest deployment has, since all of them may have
-    /// been started at this moment.
-    int sharers = 30;
+    int sharers = mostSharers;
+    std::optional<TimePoint> firstReport;
     TimePoint reportedAt;
     Duration memory = {}; ///< Of the collector of the last report taken.
 };
--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -18,7 +18,8 @@
 
 struct OrganisationUse {
   organisation @0 :Text;
-  amount @1 :Float64;
+  amount @1 :Float64; # in the quota's window
+  total @2 :Float64;  # in usage: since the entry's start
 }
 
 struct GrantMessage {
--- a/src/libforward/grant.capnp.h
+++ b/src/libforward/grant.capnp.h
@@ -47,7 +47,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b59ce14b905da5ed, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b59ce14b905da5ed, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -93,6 +93,8 @@
 
   inline double getAmount() const;
 
+  inline double getTotal() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -131,6 +133,9 @@
   inline double getAmount();
   inline void setAmount(double value);
 
+  inline double getTotal();
+  inline void setTotal(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -388,6 +393,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline double OrganisationUse::Reader::getTotal() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double OrganisationUse::Builder::getTotal() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Builder::setTotal(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::wigeonsill::schema::GrantKind GrantMessage::Reader::getKind() const {
   return _reader.getDataField< ::wigeonsill::schema::GrantKind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -15,10 +15,8 @@
 constexpr Duration reportInterval = milliseconds(400);
 /// Pause between two looks at requests whose waiting time is over.
 constexpr Duration expiryInterval = milliseconds(50);
-/// An entry that sent no usage for this long no longer shares the quotas.
-constexpr Duration usageLapse = seconds(3);
-/// Its last report counts this long: the users' quota window.
-constexpr Duration usageMemory = seconds(8);
+/// The users' quota window.
+constexpr Duration quotaWindow = seconds(8);
 
 } // namespace
 
@@ -54,12 +52,6 @@
 
     void takeReport(const Result<HttpResponse> &response);
 
-    struct EntryUse
-    {
-        std::map<std::string, double> uses;
-        TimePoint at;
-    };
-
     Metrics &metrics;
     DecisionLog &log;
     ReportDecoder decoder;
@@ -73,8 +65,7 @@
     std::array<char, 8'192> buffer;
     asio::ip::udp::endpoint sender;
     std::map<std::uint64_t, asio::ip::udp::endpoint> entries;
-    std::map<std::uint64_t, EntryUse> usage;
-    TimePoint startedAt = currentTime();
+    UsageCollector usage{ quotaWindow, currentTime() };
     bool targetReachable = true;
     bool expiryScheduled = false;
 };
@@ -137,27 +128,10 @@
 void GrantAgent::Private::answerUsage(const GrantMessage &message)
 {
     const TimePoint now = currentTime();
-    this->usage[message.sender] = EntryUse{ message.usage.othersUse, now };
-    // What an entry used before it was killed counts for the rest of the window.
-    std::erase_if(
-        this->usage, [now](const auto &row) { return now - row.second.at > usageMemory; });
+    this->usage.take(message.sender, message.ownUse, now);
     GrantMessage answer;
     answer.kind = GrantKind::OthersUsage;
-    answer.usage.entries = 0;
-    answer.usage.memory = now - this->startedAt;
-    for (const auto &[entry, use] : this->usage) {
-        answer.usage.entries += now - use.at < usageLapse ? 1 : 0;
-        if (entry == message.sender) {
-            continue;
-        }
-        // Of a living entry's report this takes off next to nothing; what a killed one used leaves
-        // the window little by little.
-        const double age = std::chrono::duration<double>(now - use.at).count();
-        const double left = 1 - age / std::chrono::duration<double>(usageMemory).count();
-        for (const auto &[organisation, amount] : use.uses) {
-            answer.usage.othersUse[organisation] += amount * left;
-        }
-    }
+    answer.usage = this->usage.reportFor(message.sender, now);
     this->sendTo(this->sender, std::move(answer));
 }
 
@@ -305,7 +279,7 @@
         { "freeSlots", load.freeSlots },
         { "prefillPerMs", load.prefillPerMs },
         { "decodePerMs", load.decodePerMs },
-        { "entries", this->d->usage.size() },
+        { "entries", this->d->usage.entryCount() },
         { "targetReachable", this->d->targetReachable },
     };
 }
--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -78,11 +78,11 @@
     this->send(target, std::move(message));
 }
 
-void GrantClient::reportUsage(const Target &hub, const std::map<std::string, double> &uses)
+void GrantClient::reportUsage(const Target &hub, const UsageByOrganisation &uses)
 {
     GrantMessage message;
     message.kind = GrantKind::Usage;
-    message.usage.othersUse = uses;
+    message.ownUse = uses;
     this->send(hub, std::move(message));
 }
 
--- a/src/libforward/grantclient.h
+++ b/src/libforward/grantclient.h
@@ -44,7 +44,7 @@
     void release(const Target &target, std::uint64_t ticket, std::uint32_t generated = 0);
     void began(const Target &target, std::uint64_t ticket);
     /// Tells an agent what this entry admitted, and asks for the others' use.
-    void reportUsage(const Target &hub, const std::map<std::string, double> &uses);
+    void reportUsage(const Target &hub, const UsageByOrganisation &uses);
     /// Called with each report of the others' use.
     std::function<void(const UsageReport &)> whenUsageReported;
 
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -34,8 +34,15 @@
     root.setLateShare(message.profile.lateShare);
     root.setEntries(static_cast<std::uint32_t>(message.usage.entries));
     root.setMemoryUs(message.usage.memory.count());
-    auto uses = root.initUses(static_cast<unsigned>(message.usage.othersUse.size()));
+    const std::size_t count = message.ownUse.size() + message.usage.othersUse.size();
+    auto uses = root.initUses(static_cast<unsigned>(count));
     unsigned index = 0;
+    for (const auto &[organisation, use] : message.ownUse) {
+        uses[index].setOrganisation(organisation.c_str());
+        uses[index].setAmount(use.inWindow);
+        uses[index].setTotal(use.total);
+        ++index;
+    }
     for (const auto &[organisation, amount] : message.usage.othersUse) {
         uses[index].setOrganisation(organisation.c_str());
         uses[index].setAmount(amount);
@@ -77,7 +84,12 @@
         message.usage.entries = static_cast<int>(root.getEntries());
         message.usage.memory = Duration(root.getMemoryUs());
         for (const auto &use : root.getUses()) {
-            message.usage.othersUse[use.getOrganisation().cStr()] = use.getAmount();
+            const std::string organisation = use.getOrganisation().cStr();
+            if (message.kind == GrantKind::Usage) {
+                message.ownUse[organisation] = { use.getAmount(), use.getTotal() };
+            } else {
+                message.usage.othersUse[organisation] = use.getAmount();
+            }
         }
         return message;
     } catch (const kj::Exception &) {
--- a/src/libforward/grantmessage.h
+++ b/src/libforward/grantmessage.h
@@ -27,7 +27,8 @@
     std::uint32_t generated = 0; ///< In Release: output tokens of a request that ended.
     int slots = 1;
     TargetLoad load;
-    UsageReport usage; ///< In Usage, othersUse holds the sender's own.
+    UsageByOrganisation ownUse; ///< In Usage.
+    UsageReport usage; ///< In OthersUsage.
 };
 
 std::string encode(const GrantMessage &message);
--- a/src/libgateway/sharedlimits.cpp
+++ b/src/libgateway/sharedlimits.cpp
@@ -42,11 +42,14 @@
 /// Without a report for this long the entry keeps to an even share. Reports come four times a
 /// second.
 constexpr Duration reportLapse = seconds(2);
+/// From its first report on, an entry waits this long before it believes how many share the
+/// quotas: four rounds of reports.
+constexpr Duration settleTime = seconds(1);
 /// Given out at once after all counts were lost; the quota's slack covers it.
 constexpr Duration restartAllowance = seconds(1);
-/// Entries may admit this much more than an even part of what is left between two reports: their
-/// traffic is uneven, and the quota's slack covers one round of it.
-constexpr double unevenShare = 1.5;
+/// Part of what is left that all entries together may admit between two reports. What the others
+/// admitted since their last report is not known, and may be as much again.
+constexpr double partEachRound = 0.5;
 
 } // namespace
 
@@ -78,7 +81,7 @@
         double room = allowed / this->sharers - account.own;
         if (reported) {
             const double left = allowed - account.others - (account.own - account.sinceReport);
-            room = std::max(left, 0.0) / this->sharers * unevenShare - account.sinceReport;
+            room = std::max(left, 0.0) / this->sharers * partEachRound - account.sinceReport;
             room = std::min(room, left - account.sinceReport);
         }
         // A request larger than the whole quota would never be admitted otherwise.
@@ -90,6 +93,7 @@
     }
     account.admitted.emplace_back(now, cost);
     account.own += cost;
+    account.total += cost;
     account.sinceReport += cost;
     return std::nullopt;
 }
@@ -100,6 +104,7 @@
     for (auto row = account.admitted.rbegin(); row != account.admitted.rend(); ++row) {
         if (row->second == cost) {
             account.own -= cost;
+            account.total -= cost;
             account.sinceReport = std::max(0.0, account.sinceReport - cost);
             account.admitted.erase(std::next(row).base());
             return;
@@ -107,11 +112,11 @@
     }
 }
 
-std::map<std::string, double> QuotaLedger::ownUse(TimePoint now)
+UsageByOrganisation QuotaLedger::ownUse(TimePoint now)
 {
-    std::map<std::string, double> result;
+    UsageByOrganisation result;
     for (auto &[name, account] : this->accounts) {
-        result[name] = this->accountOf(name, now).own;
+        result[name] = { this->accountOf(name, now).own, account.total };
     }
     return result;
 }
@@ -122,7 +127,12 @@
     if (recent && report.memory < std::min(this->memory, this->window)) {
         return;
     }
-    this->sharers = std::max(report.entries, 1);
+    if (!this->firstReport) {
+        this->firstReport = now;
+    }
+    // The others may not have reported yet.
+    const bool settled = now - *this->firstReport >= settleTime;
+    this->sharers = std::max(report.entries, settled ? 1 : mostSharers);
     this->reportedAt = now;
     this->memory = report.memory;
     for (auto &[name, account] : this->accounts) {
