--- /dev/null
+++ b/src/libforward/eventsplitter.h
@@ -0,0 +1,31 @@
+/// \file eventsplitter.h
+/// Whole events of a stream.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace wigeonsill {
+
+/// Splits a body of events so that only whole events are passed on.
+class EventSplitter
+{
+public:
+    /// Takes bytes and returns the whole events that they complete.
+    std::string take(std::string_view bytes);
+    /// Id of the last whole event; empty before the first.
+    const std::string &lastId() const { return this->id; }
+    std::uint64_t count() const { return this->events; }
+    /// Bytes behind the last whole event; they are handed out at the end of a whole answer.
+    const std::string &rest() const { return this->partial; }
+    /// Forgets the bytes of an event that will not be completed.
+    void dropPartial() { this->partial.clear(); }
+
+private:
+    std::string partial;
+    std::string id;
+    std::uint64_t events = 0;
+};
+
+} // namespace wigeonsill
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -3,31 +3,13 @@
 #pragma once
 
 #include "entrystate.h"
+#include "eventsplitter.h"
 
 namespace wigeonsill {
 
 class CallerConnection;
 
-/// Splits a body of events so that only whole events are passed on.
-class EventSplitter
-{
-public:
-    /// Takes bytes and returns the whole events that they complete.
-    std::string take(std::string_view bytes);
-    /// Id of the last whole event; empty before the first.
-    const std::string &lastId() const { return this->id; }
-    std::uint64_t count() const { return this->events; }
-    /// Bytes behind the last whole event; they are handed out at the end of a whole answer.
-    const std::string &rest() const { return this->partial; }
-    /// Forgets the bytes of an event that will not be completed.
-    void dropPartial() { this->partial.clear(); }
-
-private:
-    std::string partial;
-    std::string id;
-    std::uint64_t events = 0;
-};
-
+/// Decides and acts for one request; the decisions stand in the gateway library.
 class RequestFlow : public std::enable_shared_from_this<RequestFlow>,
                     private AnswerHandler,
                     private GrantListener
@@ -104,6 +86,9 @@
     Duration returnDelay() const;
 
     std::shared_ptr<EntryState> keepState;
+    /// No second send with less than this left: it could not be answered.
+    static constexpr Duration leastTimeLeft = milliseconds(100);
+
     EntryState &state;
     CallerConnection *caller;
     MessageHead head;
