Quotas: a fraction of requests, whatever their size, in place of an even part of what is left

Cause: an entry gave out half of an even part of what a quota had left in each round of reports.

Change: entries also report what they were asked for. Each admits the fraction of its requests that uses up what is left over 0.6 s, by count and not by size. A quarter of the operator's slack and half of the accepted excess are used on purpose. The agent's window is a setting now.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -155,7 +155,7 @@
     Duration grace = seconds(8); ///< From SIGTERM to the end of the process.
     RepeatBudget::Limits repeats;
     WaitPolicy wait;
-    Duration quotaWindow = seconds(8);
+    QuotaLedger::Limits quotas;
     int logLinesPerSecond = 400;
 };
 
@@ -211,6 +211,7 @@
     boost::asio::ip::tcp::endpoint target;
     std::string reportPath;
     TargetAdmission::Limits admission;
+    Duration quotaWindow = seconds(8);
     int logLinesPerSecond = 200;
 };
 
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -287,6 +287,7 @@
     std::map<std::string, double> othersUse; ///< In the window, by organisation.
     int entries = 1; ///< Entries that share the quotas, the asking one included.
     Duration memory = {}; ///< How long the collector has been collecting.
+    std::map<std::string, double> othersDemand; ///< Asked for each second, by organisation.
 };
 
 /// What one entry admitted for an organisation.
@@ -294,6 +295,7 @@
 {
     double inWindow = 0; ///< In the quota's window.
     double total = 0; ///< Since the entry's start.
+    double demand = 0; ///< Asked for each second of late, admitted or not.
 };
 using UsageByOrganisation = std::map<std::string, UsageEntry>;
 
@@ -320,6 +322,7 @@
     {
         TimePoint at;
         std::map<std::string, double> totals;
+        std::map<std::string, double> demands;
     };
     /// Oldest first. The first sample holds what was used before the window.
     using Samples = std::deque<Sample>;
@@ -330,15 +333,23 @@
     std::map<std::uint64_t, Samples> entries;
 };
 
-/// Keeps the organisations within their quotas over a sliding window. Each entry counts what it
-/// admitted itself and what the others last reported, and shares what is left with them, since all
-/// of them admit at once between two reports.
+/// Keeps the organisations within their quotas over a sliding window. Each entry knows what the
+/// quota had left at the last report and what all entries together are asked for, and admits the
+/// fraction of its own requests that uses up what is left over a short horizon.
 /// Answers the load in which one organisation sends many times its usual rate through all entries.
+/// The fraction does not depend on a request's size, so that an organisation near its quota still
+/// gets its longest prompts through however many entries share it.
 class QuotaLedger
 {
 public:
-    explicit QuotaLedger(Duration slidingWindow)
-        : window(slidingWindow)
+    struct Limits
+    {
+        Duration window = seconds(8); ///< Sliding window of the quota.
+        double slack = 0; ///< What the operator accepts beyond a quota in a window.
+        double excess = 0; ///< The same as a part of the quota.
+    };
+    explicit QuotaLedger(const Limits &bounds)
+        : limits(bounds)
     {
     }
 
@@ -362,15 +373,24 @@
         double own = 0; ///< Sum of what is in admitted.
         double total = 0; ///< Since the start.
         double others = 0;
-        double sinceReport = 0; ///< Admitted here since the last report.
+        double othersDemand = 0; ///< For each second.
+        double asked = 0; ///< Sum of costs asked for; older ones weigh less.
+        std::optional<TimePoint> firstAsked;
+        TimePoint askedAt;
+        double credit = 0; ///< Requests that may be admitted; grows by a fraction with each.
     };
     Account &accountOf(const std::string &name, TimePoint now);
+    static void noteDemand(Account &account, double cost, TimePoint now);
+    static double demandOf(const Account &account, TimePoint now);
+    /// What all entries may use in a window.
+    double allowance(const OrganisationAccount &organisation, TimePoint now) const;
+    bool hasReport(TimePoint now) const;
 
     /// Assumed at first, since all entries may have been started at this moment: as many as the
     /// largest deployment has.
     static constexpr int mostSharers = 30;
 
-    Duration window;
+    Limits limits;
     std::map<std::string, Account, std::less<>> accounts;
     int sharers = mostSharers;
     std::optional<TimePoint> firstReport;
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -53,7 +53,7 @@
     , pool(context, metricsIn, dialectIn)
     , grants(context, metricsIn, settingsIn)
     , repeats(settingsIn.repeats)
-    , quotas(settingsIn.quotaWindow)
+    , quotas(settingsIn.quotas)
     , random(drawIncarnation().low)
 {
 }
--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -20,6 +20,7 @@
   organisation @0 :Text;
   amount @1 :Float64; # in the quota's window
   total @2 :Float64;  # in usage: since the entry's start
+  demand @3 :Float64; # asked for each second of late
 }
 
 struct GrantMessage {
--- a/src/libforward/grant.capnp.h
+++ b/src/libforward/grant.capnp.h
@@ -47,7 +47,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b59ce14b905da5ed, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b59ce14b905da5ed, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -95,6 +95,8 @@
 
   inline double getTotal() const;
 
+  inline double getDemand() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -136,6 +138,9 @@
   inline double getTotal();
   inline void setTotal(double value);
 
+  inline double getDemand();
+  inline void setDemand(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -407,6 +412,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline double OrganisationUse::Reader::getDemand() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double OrganisationUse::Builder::getDemand() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Builder::setDemand(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::wigeonsill::schema::GrantKind GrantMessage::Reader::getKind() const {
   return _reader.getDataField< ::wigeonsill::schema::GrantKind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -15,8 +15,6 @@
 constexpr Duration reportInterval = milliseconds(400);
 /// Pause between two looks at requests whose waiting time is over.
 constexpr Duration expiryInterval = milliseconds(50);
-/// The users' quota window.
-constexpr Duration quotaWindow = seconds(8);
 
 } // namespace
 
@@ -36,6 +34,7 @@
         , reportTimer(io)
         , expiryTimer(io)
         , self(drawIncarnation().low)
+        , usage(agentSettings.quotaWindow, currentTime())
     {
         this->socket.non_blocking(true);
     }
@@ -65,7 +64,7 @@
     std::array<char, 8'192> buffer;
     asio::ip::udp::endpoint sender;
     std::map<std::uint64_t, asio::ip::udp::endpoint> entries;
-    UsageCollector usage{ quotaWindow, currentTime() };
+    UsageCollector usage;
     bool targetReachable = true;
     bool expiryScheduled = false;
 };
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -41,11 +41,14 @@
         uses[index].setOrganisation(organisation.c_str());
         uses[index].setAmount(use.inWindow);
         uses[index].setTotal(use.total);
+        uses[index].setDemand(use.demand);
         ++index;
     }
     for (const auto &[organisation, amount] : message.usage.othersUse) {
         uses[index].setOrganisation(organisation.c_str());
         uses[index].setAmount(amount);
+        const auto demand = message.usage.othersDemand.find(organisation);
+        uses[index].setDemand(demand == message.usage.othersDemand.end() ? 0 : demand->second);
         ++index;
     }
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
@@ -86,9 +89,11 @@
         for (const auto &use : root.getUses()) {
             const std::string organisation = use.getOrganisation().cStr();
             if (message.kind == GrantKind::Usage) {
-                message.ownUse[organisation] = { use.getAmount(), use.getTotal() };
+                message.ownUse[organisation]
+                    = { use.getAmount(), use.getTotal(), use.getDemand() };
             } else {
                 message.usage.othersUse[organisation] = use.getAmount();
+                message.usage.othersDemand[organisation] = use.getDemand();
             }
         }
         return message;
--- a/src/libgateway/sharedlimits_test.cpp
+++ b/src/libgateway/sharedlimits_test.cpp
@@ -53,13 +53,13 @@
     const auto number = [](std::size_t self, int lives) {
         return static_cast<std::uint64_t>(self) + 1'000U * static_cast<std::uint64_t>(lives);
     };
-    std::vector<QuotaLedger> ledgers(static_cast<std::size_t>(entries), QuotaLedger(window));
+    std::vector<QuotaLedger> ledgers(static_cast<std::size_t>(entries), QuotaLedger({ window }));
     std::vector<std::pair<TimePoint, double>> admitted;
     const OrganisationAccount organisation = account();
     TimePoint now{ seconds(100) };
     for (int step = 0; step < 400; ++step, now += milliseconds(50)) {
         if (step == killAt) {
-            ledgers.assign(ledgers.size(), QuotaLedger(window));
+            ledgers.assign(ledgers.size(), QuotaLedger({ window }));
             ++killed;
         }
         if (killed > 0 && step < killAt + 20) {
@@ -100,6 +100,48 @@
     EXPECT_GE(mostInAWindow(4, 3, 20), allowed() * 0.8) << "the quota is not given away";
 }
 
+/// Thirty entries that share the requests of one organisation, a part of them long prompts.
+/// Returns the share of the long ones that is admitted.
+/// \param load Tokens asked for, as a part of the quota.
+double longPromptsAdmitted(double load)
+{
+    constexpr std::size_t entries = 30;
+    constexpr double tokens = 40'000; // For each second; the least quota of the users' sites.
+    constexpr double longPrompt = 9'000;
+    constexpr double shortPrompt = 1'000;
+    OrganisationAccount organisation = account();
+    organisation.ratePerSecond = tokens;
+    organisation.burst = 0;
+    UsageCollector collector(window, TimePoint{ seconds(80) });
+    std::vector<QuotaLedger> ledgers(entries, QuotaLedger({ window }));
+    TimePoint now{ seconds(100) };
+    double owed = 0;
+    int asked = 0;
+    int admitted = 0;
+    std::size_t next = 0;
+    for (int step = 0; step < 600; ++step, now += milliseconds(50)) {
+        for (owed += tokens * load * 0.05; owed > 0; owed -= longPrompt + 3 * shortPrompt) {
+            next = (next + 7) % entries;
+            ++asked;
+            admitted += ledgers[next].admit(organisation, longPrompt, now) ? 0 : 1;
+            for (std::size_t i = 1; i <= 3; ++i) {
+                ledgers[(next + i) % entries].admit(organisation, shortPrompt, now);
+            }
+        }
+        for (std::size_t self = 0; step % 5 == 0 && self < entries; ++self) {
+            collector.take(self, ledgers[self].ownUse(now), now);
+            ledgers[self].takeReport(collector.reportFor(self, now), now);
+        }
+    }
+    return static_cast<double>(admitted) / asked;
+}
+
+TEST(QuotaLedger, longPromptsWithinTheQuotaAreAdmittedByManyEntries)
+{
+    EXPECT_GE(longPromptsAdmitted(0.8), 0.95) << "nothing is beyond the quota";
+    EXPECT_GE(longPromptsAdmitted(2), 0.4) << "half of what is asked for fits";
+}
+
 TEST(QuotaLedger, entriesThatAreKilledTogetherKeepTheQuota)
 {
     // Entries report four times a second, so a twentieth of the window may go unreported.
@@ -125,7 +167,7 @@
 
 TEST(QuotaLedger, countsThatWereLostWithAllProcessesAreNotGivenOutAgain)
 {
-    QuotaLedger ledger(window);
+    QuotaLedger ledger({ window });
     const TimePoint now{ seconds(100) };
     UsageReport report;
     report.memory = milliseconds(500); // The collector was killed as well.
@@ -139,7 +181,7 @@
 
 TEST(QuotaLedger, anEntryThatHeardNothingYetTakesASmallShare)
 {
-    QuotaLedger ledger(window);
+    QuotaLedger ledger({ window });
     const TimePoint now{ seconds(100) };
     double admitted = 0;
     while (!ledger.admit(account(), 10, now)) {
@@ -150,16 +192,16 @@
 
 TEST(QuotaLedger, passesOverACollectorThatRemembersLess)
 {
-    QuotaLedger ledger(window);
+    QuotaLedger ledger({ window });
     const TimePoint now{ seconds(100) };
-    ledger.takeReport({ { { "hot", allowed() } }, 2, seconds(20) }, now);
-    ledger.takeReport({ {}, 2, seconds(1) }, now);
+    ledger.takeReport({ { { "hot", allowed() } }, 2, seconds(20), {} }, now);
+    ledger.takeReport({ {}, 2, seconds(1), {} }, now);
     EXPECT_TRUE(ledger.admit(account(), 10, now)) << "the fuller report says that all is used";
 }
 
 RC_GTEST_PROP(QuotaLedger, aloneNeverExceedsTheQuota, ())
 {
-    QuotaLedger ledger(window);
+    QuotaLedger ledger({ window });
     const OrganisationAccount organisation = account();
     TimePoint now{ seconds(100) };
     std::vector<std::pair<TimePoint, double>> admitted;
--- a/src/libgateway/usagecollector.cpp
+++ b/src/libgateway/usagecollector.cpp
@@ -20,10 +20,11 @@
 void UsageCollector::take(std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now)
 {
     Samples &samples = this->entries[entry];
-    Sample latest{ now, {} };
-    Sample before{ now - this->window, {} };
+    Sample latest{ now, {}, {} };
+    Sample before{ now - this->window, {}, {} };
     for (const auto &[organisation, use] : usage) {
         latest.totals[organisation] = use.total;
+        latest.demands[organisation] = use.demand;
         before.totals[organisation] = use.total - use.inWindow;
     }
     if (samples.empty()) {
@@ -52,13 +53,17 @@
     report.entries = 0;
     report.memory = now - this->startedAt;
     for (const auto &[other, samples] : this->entries) {
-        report.entries += now - samples.back().at < reportLapse ? 1 : 0;
+        const bool reports = now - samples.back().at < reportLapse;
+        report.entries += reports ? 1 : 0;
         if (other == entry) {
             continue;
         }
         for (const auto &[organisation, total] : samples.back().totals) {
             report.othersUse[organisation] += total - valueOf(samples.front().totals, organisation);
         }
+        for (const auto &[organisation, demand] : samples.back().demands) {
+            report.othersDemand[organisation] += reports ? demand : 0;
+        }
     }
     return report;
 }
