--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -81,6 +81,7 @@
 
     def __init__(self):
         self.items = {}
+        self.removed = {}
         self.revision = 1
         self.changed = threading.Condition()
         self.mode = "ok"
@@ -91,12 +92,14 @@
             self.revision += 1
             text = value if isinstance(value, str) else json.dumps(value)
             self.items[key] = (base64.b64encode(text.encode()).decode(), self.revision)
+            self.removed.pop(key, None)
             self.changed.notify_all()
 
     def remove(self, key):
         with self.changed:
             self.revision += 1
-            self.items.pop(key, None)
+            if self.items.pop(key, None) is not None:
+                self.removed[key] = self.revision
             self.changed.notify_all()
 
     def rows(self, prefix, after=0):
@@ -106,9 +109,16 @@
             if key.startswith(prefix) and revision > after
         ]
 
+    def changes(self, prefix, after):
+        return self.rows(prefix, after) + [
+            {"key": key, "rev": revision, "removed": True}
+            for key, revision in sorted(self.removed.items())
+            if key.startswith(prefix) and revision > after
+        ]
+
     def reply(self, target):
         url = urllib.parse.urlparse(target)
-        query = dict(urllib.parse.parse_qsl(url.query))
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         with self.changed:
             if url.path == "/kv-key":
                 rows = self.rows(query["key"])
@@ -120,7 +130,7 @@
                 return 200, {"entries": rows, "hasMore": False, "currentRev": self.revision}
             end = time.monotonic() + int(query["waitMs"]) / 1000
             while True:
-                rows = self.rows(query["prefix"], int(query["after"]))
+                rows = self.changes(query["prefix"], int(query["after"]))
                 left = end - time.monotonic()
                 if rows or left <= 0:
                     return 200, {"events": rows, "currentRev": self.revision}
