The youngest target of an address is used; long answers go where they can be complete; any answer counts

Small requests of the less urgent ranks were refused while room went to few large ones.

Change: an entry of the list counts only if no younger one stands at its address. The choice of targets adds what an answer would take beyond half of its caller's time.

Tests: TargetDirectory.youngestTargetOfAnAddressIsUsed, RankTargets.longAnswersGoWhereTheyCanBeCompleteInTime.

--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -198,9 +198,12 @@
     std::string region;
     int slots = 1; ///< Requests that it runs at once.
     bool leaving = false;
+    std::int64_t startedMs = 0; ///< Unix time of this incarnation's start; 0 when it states none.
 };
 
-/// The targets that may be sent to, and since when. Pure bookkeeping.
+/// The targets that may be sent to. Pure bookkeeping.
+/// Answers the load after many targets lost power at once: their entries outlive them by seconds
+/// while new incarnations are listed at the same addresses.
 class TargetDirectory
 {
 public:
@@ -220,8 +223,11 @@
     const std::map<std::string, Target, std::less<>> &all() const { return this->targets; }
 
 private:
+    void findOutdated();
+
     std::map<std::string, Target, std::less<>> targets;
     std::set<std::string, std::less<>> shown; ///< Since the store was last away.
+    std::set<std::string, std::less<>> outdated; ///< A younger one is listed at the same address.
     std::map<std::string, std::string, std::less<>> replaced; ///< Address by id.
 };
 
@@ -442,9 +448,17 @@
 /// Size of a generation as the users weigh it: prompt tokens and ten for each output token.
 double generationSize(std::uint32_t promptTokens, std::uint32_t outputTokens);
 
-/// Worth of a request on time, against others: by the operator's ranks and by its size.
-/// \param relativeSize Against the mean of its kind.
-double requestWorth(int routePriority, int organisationPriority, double relativeSize);
+/// What the answer to a request is worth, against other requests.
+struct AnswerWorth
+{
+    double onTime = 1;
+    double lateShare = 0.3; ///< Part of it that a late answer is worth.
+};
+/// By the operator's ranks and by its size, and a part that every answer is worth.
+/// \param relativeSize Against the mean of its kind. \param returned Whether its caller was refused
+/// before, and has nothing left after a second refusal.
+AnswerWorth answerWorth(
+    int routePriority, int organisationPriority, double relativeSize, bool returned);
 
 /// How long requests wait for room before they are refused.
 struct WaitPolicy
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -20,12 +20,6 @@
 constexpr int directLimit = 2;
 /// A resumable stream that is silent this long goes on elsewhere. Callers wait two seconds.
 constexpr Duration streamSilence = milliseconds(1'300);
-/// Worth of a late answer against one on time, as the users weigh it.
-constexpr double freshLateShare = 0.3;
-/// The same of a request that came back after a refusal: nothing is left to its caller after a
-/// second one, which the users weigh as much again.
-constexpr double returnedLateShare = 0.6;
-
 } // namespace
 
 Duration RequestFlow::waitFrom(Duration start) const
@@ -52,10 +46,11 @@
     const int rank = this->route->priority;
     const int organisationRank
         = this->organisation != nullptr ? this->organisation->priority.value_or(0) : 0;
-    result.worth
-        = requestWorth(rank, organisationRank, this->state.served.relativeSize(rank, this->size()));
-    result.worth *= this->state.served.boost(rank, this->size(), currentTime());
-    result.lateShare = this->spentBefore > Duration::zero() ? returnedLateShare : freshLateShare;
+    const double relativeSize = this->state.served.relativeSize(rank, this->size());
+    const bool returned = this->spentBefore > Duration::zero();
+    const AnswerWorth worth = answerWorth(rank, organisationRank, relativeSize, returned);
+    result.worth = worth.onTime * this->state.served.boost(rank, this->size(), currentTime());
+    result.lateShare = worth.lateShare;
     result.latencyLeft = this->route->targetLatency - this->spentBefore - this->elapsed();
     result.waitLeft = this->patience - this->elapsed();
     result.timeLeft = this->timeLeft();
--- a/src/libgateway/servedshares.cpp
+++ b/src/libgateway/servedshares.cpp
@@ -25,6 +25,14 @@
 /// The same of an organisation's rank. It decides between like requests only: every organisation
 /// must be served at least a quarter as often as all.
 constexpr double organisationRatio = 1.3;
+/// Worth of any answer, whatever its kind and size, against one of mean size of the first rank: a
+/// caller that is served at all.
+constexpr double anyAnswer = 0.04;
+/// Worth of a late answer against one on time, as the users weigh it.
+constexpr double freshLateShare = 0.3;
+/// The same of a request that came back after a refusal: nothing is left to its caller after a
+/// second one, which the users weigh as much again.
+constexpr double returnedLateShare = 0.6;
 /// The users weigh a generation by 0.3 and 0.7 times its size against the mean, up to 4.
 constexpr double fixedWorth = 0.3;
 constexpr double largestWorth = 4;
@@ -41,11 +49,16 @@
     return static_cast<double>(promptTokens) + 10.0 * outputTokens;
 }
 
-double requestWorth(int routePriority, int organisationPriority, double relativeSize)
+AnswerWorth answerWorth(
+    int routePriority, int organisationPriority, double relativeSize, bool returned)
 {
     const double bySize = std::min(fixedWorth + (1 - fixedWorth) * relativeSize, largestWorth);
-    return bySize * std::pow(routeRatio, -routePriority)
-        * std::pow(organisationRatio, -organisationPriority);
+    const double byRank = bySize * std::pow(routeRatio, -routePriority);
+    const double late = byRank * (returned ? returnedLateShare : freshLateShare);
+    AnswerWorth result;
+    result.onTime = (byRank + anyAnswer) * std::pow(organisationRatio, -organisationPriority);
+    result.lateShare = (late + anyAnswer) / (byRank + anyAnswer);
+    return result;
 }
 
 double ServedShares::relativeSize(int priority, double size) const
--- a/src/libgateway/targetdirectory.cpp
+++ b/src/libgateway/targetdirectory.cpp
@@ -33,12 +33,33 @@
         const Target *target = this->find(row.first);
         return target == nullptr || target->address != row.second;
     });
+    this->findOutdated();
+}
+
+void TargetDirectory::findOutdated()
+{
+    std::map<std::string_view, const Target *> youngest;
+    this->outdated.clear();
+    for (const auto &[id, target] : this->targets) {
+        if (this->replaced.contains(id)) {
+            continue;
+        }
+        const Target *&known = youngest[target.address];
+        if (known == nullptr) {
+            known = &target;
+            continue;
+        }
+        const bool younger = target.startedMs > known->startedMs;
+        this->outdated.insert(younger ? known->id : id);
+        known = younger ? &target : known;
+    }
 }
 
 void TargetDirectory::replacedAtItsAddress(const std::string &id)
 {
     if (const Target *target = this->find(id)) {
         this->replaced[id] = target->address;
+        this->findOutdated();
     }
 }
 
@@ -46,7 +67,8 @@
 {
     std::vector<const Target *> result;
     for (const auto &[id, target] : this->targets) {
-        if (target.service == service && !target.leaving && !this->replaced.contains(id)) {
+        const bool present = !this->replaced.contains(id) && !this->outdated.contains(id);
+        if (target.service == service && !target.leaving && present) {
             result.push_back(&target);
         }
     }
@@ -104,6 +126,9 @@
 constexpr Duration usefulLoadAge = milliseconds(1'000);
 /// Share of the decode time that counts against a slow target: its slot is held longer.
 constexpr double decodeWeight = 0.03;
+/// An answer should take at most this part of its caller's time: estimates of the output are right
+/// at the median only.
+constexpr double answerShare = 0.5;
 /// Gain of a target that has read the same session's prompt before.
 constexpr double prefixGainMs = 15;
 
@@ -125,7 +150,12 @@
         cost += request.promptTokens / view.load->prefillPerMs;
     }
     if (view.load && view.load->decodePerMs > 0) {
-        cost += decodeWeight * request.likelyOutput() / view.load->decodePerMs;
+        const double decodeMs = request.likelyOutput() / view.load->decodePerMs;
+        cost += decodeWeight * decodeMs;
+        if (request.deadline) {
+            const double timeMs = static_cast<double>(request.deadline->count()) / 1'000;
+            cost += std::max(decodeMs - answerShare * timeMs, 0.0);
+        }
     }
     // Without a load the entry's own share of the slots is the best sign of a queue.
     const double perRequestMs = view.load ? 4 : 30;
--- a/src/libgateway/targetdirectory_test.cpp
+++ b/src/libgateway/targetdirectory_test.cpp
@@ -73,6 +73,24 @@
     return judge.mayHaveLapsed(now);
 }
 
+/// All targets lost power; the entries of the old incarnations lapse seconds later.
+TEST(TargetDirectory, youngestTargetOfAnAddressIsUsed)
+{
+    TargetDirectory directory;
+    Target before = target("i1");
+    before.startedMs = 1'000;
+    Target after = target("i0", before.address);
+    after.startedMs = 9'000;
+    Target elsewhere = target("i2");
+    directory.replace({ before, after, elsewhere }, false);
+    ASSERT_EQ(directory.usable("engines").size(), 2U);
+    EXPECT_EQ(directory.usable("engines").front()->id, "i0");
+    // Its clock was wrong: the other one answers there.
+    directory.replacedAtItsAddress("i0");
+    ASSERT_EQ(directory.usable("engines").size(), 2U);
+    EXPECT_EQ(directory.usable("engines").front()->id, "i1");
+}
+
 TEST(OutageJudge, tellsAnOutageOfTheStoreFromACutOfTheProcess)
 {
     EXPECT_TRUE(lapsesAfterGap(seconds(5), 20)) << "each wrote once, at the return";
@@ -91,6 +109,28 @@
     EXPECT_FALSE(judge.mayHaveLapsed(now + seconds(2)));
 }
 
+/// Engines of a pool differ eightfold in the time of a token, and the longest answers take the
+/// fastest ones most of their callers' time.
+TEST(RankTargets, longAnswersGoWhereTheyCanBeCompleteInTime)
+{
+    const Target near = target("i1");
+    const Target far = target("i2");
+    TargetView slow;
+    slow.target = &near;
+    slow.load = TargetLoad{ 8, 0, {}, 36, 1.0 / 17 };
+    TargetView quick;
+    quick.target = &far;
+    quick.load = TargetLoad{ 0, 9, milliseconds(700), 180, 1.0 / 2.5 };
+    RequestFacts request;
+    request.promptTokens = 600;
+    request.outputTokens = 2'880;
+    request.deadline = seconds(12);
+    request.expectedOutput = 1'200;
+    EXPECT_EQ(rankTargets({ slow, quick }, request, {}, 1).front()->target->id, "i2");
+    request.expectedOutput = 24;
+    EXPECT_EQ(rankTargets({ slow, quick }, request, {}, 1).front()->target->id, "i1");
+}
+
 TEST(RankTargets, prefersTheOwnFailureDomainAndAvoidsWhatFails)
 {
     Target near = target("i1");
