Targets that were replaced: agents tell the incarnation they see, the list is read anew, a 421 is no attempt

Cause: after a loss of power an entry uses the list that it read at its start for up to 1.5 s.

Requests that wait are placed again when the list changes. A target that is replaced at its address never got the request, so that does not count as one of the route's attempts; it does count in the repeat budget.

Tests: Reservations.grantOfAnotherIncarnationIsGivenBack, platform-path part "reborn" (failed with the count of attempts left as it was).

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -177,6 +177,8 @@
     void confirmConfiguration(Duration bootTime);
     /// A complete list of targets. \param mayHaveLapsed See TargetDirectory::replace.
     void setTargets(std::vector<Target> targets, bool mayHaveLapsed);
+    /// Names who reads the list anew; called each time that a target turns out to be replaced.
+    void whenTargetsOutdated(std::function<void()> refresh);
     bool isReady() const;
     void drain();
     bool isDrained() const;
@@ -199,6 +201,7 @@
 {
     int running = 0;
     int waiting = 0;
+    std::int64_t startedMs = 0; ///< As Target::startedMs.
 };
 /// Reads a report's body; empty when it cannot be read.
 using ReportDecoder = std::function<std::optional<TargetReport>(std::string_view body)>;
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -501,6 +501,7 @@
     Duration startDelay = {}; ///< Expected wait of a request that is reserved now.
     double prefillPerMs = 0; ///< Learned prompt tokens per millisecond.
     double decodePerMs = 0; ///< Learned output tokens of one request per millisecond.
+    std::int64_t startedMs = 0; ///< Of the incarnation that the agent sees; 0 when not known.
 };
 
 /// Decides which waiting request its target gets next and when, so that the target's own queue in
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -29,6 +29,8 @@
     bool areKeysCurrent() const;
     /// Whether names that the configuration lacks may be refused for good.
     bool isConfigurationCurrent() const;
+    /// Another incarnation answers at a target's address.
+    void noteReplaced(const std::string &targetId);
     void noteFailure(const std::string &targetId);
     void noteSuccess(const std::string &targetId);
     bool isFailing(const std::string &targetId, TimePoint now) const;
@@ -45,6 +47,8 @@
     QuotaLedger quotas;
     ServedShares served;
     TargetDirectory targets;
+    std::uint64_t targetsVersion = 0; ///< Grows when targets come or go.
+    std::function<void()> refreshTargets; ///< Reads the list anew.
     std::shared_ptr<const ServingConfiguration> configuration;
     std::optional<Duration> confirmedAt; ///< On the boot clock.
     Duration targetsReadAt = {}; ///< On the boot clock.
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -74,6 +74,15 @@
     return this->configurationAge() < this->settings.configurationAge;
 }
 
+void EntryState::noteReplaced(const std::string &targetId)
+{
+    this->targets.replacedAtItsAddress(targetId);
+    this->log.change(DecisionLine("entry", "target-replaced").text("target", targetId));
+    if (this->refreshTargets) {
+        this->refreshTargets();
+    }
+}
+
 void EntryState::noteFailure(const std::string &targetId)
 {
     TargetHealth &row = this->health[targetId];
@@ -278,6 +287,7 @@
     for (const auto &[id, target] : state.targets.all()) {
         const auto known = before.find(id);
         if (known == before.end() || known->second != target.leaving) {
+            ++state.targetsVersion;
             DecisionLine line("entry", target.leaving ? "target-leaving" : "target-listed");
             state.log.change(line.text("target", id).text("service", target.service));
         }
@@ -290,6 +300,11 @@
     this->d->forgetUnlisted();
 }
 
+void ForwardEntry::whenTargetsOutdated(std::function<void()> refresh)
+{
+    this->d->state.refreshTargets = std::move(refresh);
+}
+
 bool ForwardEntry::isReady() const
 {
     const EntryState &state = this->d->state;
--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -45,4 +45,5 @@
   worth @18 :Float64;
   lateShare @19 :Float64;
   timeLeftUs @20 :Int64;
+  targetStartedMs @21 :Int64; # Unix time; 0 when not known
 }
--- a/src/libforward/grant.capnp.h
+++ b/src/libforward/grant.capnp.h
@@ -62,7 +62,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b9a071f0f57561ad, 15, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b9a071f0f57561ad, 16, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -228,6 +228,8 @@
 
   inline  ::int64_t getTimeLeftUs() const;
 
+  inline  ::int64_t getTargetStartedMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -327,6 +329,9 @@
   inline  ::int64_t getTimeLeftUs();
   inline void setTimeLeftUs( ::int64_t value);
 
+  inline  ::int64_t getTargetStartedMs();
+  inline void setTargetStartedMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -765,6 +770,20 @@
       ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t GrantMessage::Reader::getTargetStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GrantMessage::Builder::getTargetStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setTargetStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -66,6 +66,7 @@
     std::map<std::uint64_t, asio::ip::udp::endpoint> entries;
     UsageCollector usage;
     bool targetReachable = true;
+    std::int64_t targetStartedMs = 0;
     bool expiryScheduled = false;
 };
 
@@ -144,6 +145,7 @@
     message.kind = kind;
     message.profile.ticket = profile.ticket;
     message.load = this->admission.load(currentTime());
+    message.load.startedMs = this->targetStartedMs;
     this->sendTo(entry->second, std::move(message));
 }
 
@@ -239,6 +241,7 @@
         this->targetReachable = true;
         this->log.change(DecisionLine("agent", "target-regained"));
     }
+    this->targetStartedMs = report->startedMs;
     this->admission.observe(report->running, report->waiting, currentTime());
     this->grantAll();
 }
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -31,6 +31,7 @@
     root.setStartDelayUs(message.load.startDelay.count());
     root.setPrefillPerMs(message.load.prefillPerMs);
     root.setDecodePerMs(message.load.decodePerMs);
+    root.setTargetStartedMs(message.load.startedMs);
     root.setWorth(message.profile.worth);
     root.setLateShare(message.profile.lateShare);
     root.setEntries(static_cast<std::uint32_t>(message.usage.entries));
@@ -84,6 +85,7 @@
         message.load.startDelay = Duration(root.getStartDelayUs());
         message.load.prefillPerMs = root.getPrefillPerMs();
         message.load.decodePerMs = root.getDecodePerMs();
+        message.load.startedMs = root.getTargetStartedMs();
         message.profile.worth = root.getWorth();
         message.profile.lateShare = root.getLateShare();
         message.usage.entries = static_cast<int>(root.getEntries());
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -108,6 +108,7 @@
     boost::asio::steady_timer tick;
     std::uint64_t ticket = 0;
     std::vector<Target> ranked;
+    std::uint64_t rankedVersion = 0; ///< Of the list of targets.
     std::size_t nextRanked = 0;
     std::vector<Ask> asks;
     std::set<std::string> refusedBy; ///< Targets that this request is not sent to again.
@@ -115,7 +116,8 @@
     std::optional<Target> target;
     bool granted = false; ///< The present target's agent holds room for it.
     std::shared_ptr<TargetConnection> connection;
-    int attempts = 0; ///< Targets that it was sent to.
+    int attempts = 0; ///< Targets that it was sent to and that got it.
+    bool sentBefore = false; ///< Some target, meant or not, got its bytes.
     bool bytesLeft = false; ///< The present target may have got the request.
     bool ranSomewhere = false; ///< A target may have run it.
     MessageHead answerHead;
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -97,6 +97,7 @@
 {
     const std::vector<TargetView> known = this->views();
     this->ranked.clear();
+    this->rankedVersion = this->state.targetsVersion;
     this->nextRanked = 0;
     this->asks.clear();
     for (const TargetView *view :
@@ -149,6 +150,13 @@
             this->refuse(ResultCode::Overloaded, "no target had room in time", this->returnDelay());
             return;
         }
+        if (this->rankedVersion != this->state.targetsVersion) {
+            // Reservations at targets that are gone would only wait.
+            this->withdraw({});
+            this->state.grants.forget(this->ticket);
+            this->placeByAgents();
+            return;
+        }
         bool answered = false;
         for (Ask &ask : this->asks) {
             answered = answered || ask.state != AskState::Asked;
@@ -248,6 +256,14 @@
     if (listed == nullptr || listed->leaving) {
         return false;
     }
+    const std::optional<TargetLoad> load = this->state.grants.view(*listed, currentTime()).load;
+    if (load && listed->startedMs != 0 && load->startedMs > listed->startedMs) {
+        // Sent there, it would be refused by the incarnation that took the address over.
+        ask->state = AskState::Declined;
+        this->state.noteReplaced(targetId);
+        this->askNext(1);
+        return false;
+    }
     const Target chosen = *listed;
     this->withdraw(targetId);
     this->granted = true;
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -11,6 +11,7 @@
 void RequestFlow::onSent()
 {
     this->bytesLeft = true;
+    this->sentBefore = true;
     ++this->attempts;
 }
 
@@ -19,9 +20,9 @@
     const auto self = this->shared_from_this();
     const AnswerFacts facts = this->state.dialect.decodeAnswer(received);
     if (facts.otherTarget) {
-        this->state.targets.replacedAtItsAddress(this->target->id);
-        this->state.log.change(
-            DecisionLine("entry", "target-replaced").text("target", this->target->id));
+        this->state.noteReplaced(this->target->id);
+        // The target that it was meant for never got it.
+        --this->attempts;
     }
     if (facts.notRun) {
         this->bytesLeft = false;
@@ -180,15 +181,14 @@
 
 bool RequestFlow::tryElsewhere(std::string_view why)
 {
-    const bool wasSent = this->attempts > 0;
     // A target that never got a byte does not count as an attempt.
-    if (wasSent && !this->mayRepeat()) {
+    if (!this->mayRepeat()) {
         return false;
     }
     if (this->timeLeft() <= leastTimeLeft || this->views().empty()) {
         return false;
     }
-    if (wasSent && !this->state.repeats.take(this->service->name, currentTime())) {
+    if (this->sentBefore && !this->state.repeats.take(this->service->name, currentTime())) {
         this->state.metrics.count("wigeonsill_repeats_over_budget_total");
         return false;
     }
--- a/src/libforward/reservations_test.cpp
+++ b/src/libforward/reservations_test.cpp
@@ -58,9 +58,10 @@
             }
         }
     }
-    void answer(GrantKind kind, const GrantMessage &to)
+    void answer(GrantKind kind, const GrantMessage &to, std::int64_t startedMs = 0)
     {
         GrantMessage message;
+        message.load.startedMs = startedMs;
         message.kind = kind;
         message.profile.ticket = to.profile.ticket;
         this->socket.send_to(asio::buffer(encode(message)), this->entry);
@@ -120,6 +121,7 @@
             target.address = toString(agent->target.local_endpoint());
             target.id = target.address;
             target.service = "engines";
+            target.startedMs = 1'000;
             targets.push_back(target);
         }
         this->entry->setTargets(targets, false);
@@ -182,5 +184,28 @@
     EXPECT_EQ(this->next(GrantKind::Release).first, third) << "a late grant is given back";
 }
 
+/// A target lost power and another incarnation took its address over; the list does not show it yet.
+TEST_F(Reservations, grantOfAnotherIncarnationIsGivenBack)
+{
+    int refreshes = 0;
+    this->entry->whenTargetsOutdated([&refreshes] { ++refreshes; });
+    asio::ip::tcp::socket caller(this->io);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), this->entry->port() });
+    asio::write(caller, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")));
+
+    const auto [first, toFirst] = this->next(GrantKind::Reserve);
+    first->answer(GrantKind::Granted, toFirst, 2'000);
+    EXPECT_EQ(this->next(GrantKind::Release).first, first) << "nothing is sent there";
+    EXPECT_EQ(refreshes, 1) << "the list is read anew";
+    const auto [second, toSecond] = this->next(GrantKind::Reserve);
+    EXPECT_NE(second, first);
+    second->answer(GrantKind::Granted, toSecond, 1'000);
+    this->run(milliseconds(50));
+    boost::system::error_code error;
+    second->target.non_blocking(true);
+    second->target.accept(error);
+    EXPECT_FALSE(error) << "the request goes to the next target";
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/testsuite/platform-path/run.py
+++ b/testsuite/platform-path/run.py
@@ -247,6 +247,26 @@
     check(runs_of(path, client.last) == 1, "and runs once")
 
 
+def reborn(path):
+    """A target is replaced at its address and the list does not show it yet."""
+    engine = path.plain[0]
+
+    def served():
+        client = Client(path.entry)
+        client.ask("/book/plain")
+        return any(run["headers"]["Attempt-Id"] == client.last for run in engine.runs)
+    wait_until(served, "it is in use")
+    before = engine.instance
+    engine.instance = "p-reborn"
+    for _ in range(8):
+        client = Client(path.entry)
+        reply = client.ask("/book/plain")
+        check(reply.status == 200 and runs_of(path, client.last) == 1, "one target at most gets it, the other one")
+    path.store.remove("servers/" + before)
+    path.store.put("servers/" + engine.instance, engine.entry("plain"))
+    wait_until(served, "the new one is used")
+
+
 def torn_streams(path):
     client = Client(path.entry)
     reply = client.ask("/draft/torn")
@@ -361,7 +381,7 @@
 with tempfile.TemporaryDirectory() as name:
     with Path(pathlib.Path(name)) as running:
         for case in (
-            calm, smuggling, odd_answers, refusals, torn_streams, resume_without_room,
+            calm, smuggling, odd_answers, refusals, reborn, torn_streams, resume_without_room,
             caller_leaves, given_back, quota, timeout,
             agents_killed, revocation, stop,
         ):
