Other failure domains count 25 ms in the choice of a target; tests of the last decisions; format

Cause: with ten reservations and a random part of 60 ms the own failure domain (6 ms nearer) was hardly preferred, and bytes between failure domains are dear on one site.

Tests: a request that waits everywhere is reserved at all agents of a pool of five; shares above the floor get no help; the worth of any answer.

--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -91,8 +91,7 @@
         for (const auto &use : root.getUses()) {
             const std::string organisation = use.getOrganisation().cStr();
             if (message.kind == GrantKind::Usage) {
-                message.ownUse[organisation]
-                    = { use.getAmount(), use.getTotal(), use.getDemand() };
+                message.ownUse[organisation] = { use.getAmount(), use.getTotal(), use.getDemand() };
             } else {
                 message.usage.othersUse[organisation] = use.getAmount();
                 message.usage.othersDemand[organisation] = use.getDemand();
--- a/src/libforward/reservations_test.cpp
+++ b/src/libforward/reservations_test.cpp
@@ -184,7 +184,24 @@
     EXPECT_EQ(this->next(GrantKind::Release).first, third) << "a late grant is given back";
 }
 
-/// A target lost power and another incarnation took its address over; the list does not show it yet.
+/// All slots are taken and every agent lets the request wait. With a few agents only, the cheapest
+/// requests were refused beside queues in which they would have been the best.
+TEST_F(Reservations, areMadeAtEveryAgentOfAFullPoolOfFive)
+{
+    asio::ip::tcp::socket caller(this->io);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), this->entry->port() });
+    asio::write(caller, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")));
+
+    std::set<ManualAgent *> asked;
+    for (int i = 0; i < 5; ++i) {
+        const auto [agent, message] = this->next(GrantKind::Reserve);
+        asked.insert(agent);
+        agent->answer(GrantKind::Queued, message);
+    }
+    EXPECT_EQ(asked.size(), 5U);
+}
+
+/// A target lost power and another incarnation took its address over; the list does not show it.
 TEST_F(Reservations, grantOfAnotherIncarnationIsGivenBack)
 {
     int refreshes = 0;
--- a/src/libgateway/sharedlimits.cpp
+++ b/src/libgateway/sharedlimits.cpp
@@ -77,8 +77,8 @@
 QuotaLedger::Account &QuotaLedger::accountOf(const std::string &name, TimePoint now)
 {
     Account &account = this->accounts[name];
-    while (!account.admitted.empty()
-        && now - account.admitted.front().first > this->limits.window) {
+    while (
+        !account.admitted.empty() && now - account.admitted.front().first > this->limits.window) {
         account.own -= account.admitted.front().second;
         account.admitted.pop_front();
     }
--- a/src/libgateway/sharedlimits_test.cpp
+++ b/src/libgateway/sharedlimits_test.cpp
@@ -235,6 +235,27 @@
     EXPECT_EQ(shares.boost(0, 20'000, now + seconds(60)), 1) << "the past is forgotten";
 }
 
+/// A burst of 30 s in which the less urgent kind is served half as often: worth decides alone.
+TEST(ServedShares, leavesKindsToTheirWorthAboveTheFloor)
+{
+    ServedShares shares;
+    TimePoint now{ seconds(10) };
+    for (int i = 0; i < 300; ++i, now += milliseconds(100)) {
+        shares.note(0, 1'000, true, now);
+        shares.note(1, 1'000, i % 2 == 0, now);
+    }
+    EXPECT_EQ(shares.boost(1, 1'000, now), 1);
+}
+
+TEST(AnswerWorth, everyAnswerCountsAndLateOnesOfReturnedCallersCountMore)
+{
+    const AnswerWorth urgent = answerWorth(0, 0, 1, false);
+    const AnswerWorth tag = answerWorth(2, 0, 1, false);
+    EXPECT_GT(urgent.onTime, 10 * tag.onTime);
+    EXPECT_GT(tag.lateShare, urgent.lateShare) << "a small late answer still is an answer";
+    EXPECT_GT(answerWorth(0, 0, 1, true).lateShare, urgent.lateShare);
+}
+
 TEST(ServedShares, helpsTheKindThatLagsBehind)
 {
     ServedShares shares;
--- a/src/libgateway/targetdirectory.cpp
+++ b/src/libgateway/targetdirectory.cpp
@@ -113,7 +113,7 @@
 
 /// Milliseconds that a request to another failure domain loses against one to the own: the round
 /// trip of 1.8 ms, and the price of its bytes.
-constexpr double otherDomainMs = 6;
+constexpr double otherDomainMs = 25;
 /// The same between regions: a round trip of 16 ms on a narrow link.
 constexpr double otherRegionMs = 40;
 /// Added for a target that failed lately, so that it is chosen when all others are full.
