--- a/src/libgateway/targetadmission_test.cpp
+++ b/src/libgateway/targetadmission_test.cpp
@@ -20,6 +20,7 @@
     result.worth = worth;
     result.latencyLeft = latencyLeft;
     result.waitLeft = milliseconds(360);
+    result.timeLeft = seconds(12);
     return result;
 }
 
@@ -37,6 +38,23 @@
     EXPECT_FALSE(admission.grant(now + milliseconds(100)).empty());
 }
 
+/// A full day on slow engines: the longest answers hold a slot for all of their callers' time and
+/// are broken off at the end of it.
+TEST(TargetAdmission, answersThatCannotBeCompleteInTimeGoBehind)
+{
+    TargetAdmission admission({});
+    const TimePoint now{ seconds(1) };
+    TicketProfile longest = ticket(1, 600, 50);
+    longest.outputTokens = 2'880; // 14 s at the first guess of 5 ms a token.
+    admission.reserve(longest, 1, now);
+    admission.reserve(ticket(2, 600, 1), 1, now);
+    const auto granted = admission.grant(now);
+    ASSERT_EQ(granted.size(), 1U);
+    EXPECT_EQ(granted.front().ticket.number, 2U);
+    admission.release({ 1, 2 }, 0, now);
+    EXPECT_EQ(admission.grant(now).size(), 1U) << "alone, it runs: the estimate may be wrong";
+}
+
 TEST(TargetAdmission, worthPerTimeGoesFirstAmongThoseOnTime)
 {
     TargetAdmission admission({});
