A begun stream stays with a silent target until another one grants room

Change: AnswerContinuation (liboutcomes, no I/O) decides: a silent target is kept while others are asked, and left when one grants; a lost target of a begun answer is replaced until the time limit. The retry is taken from the budget when the search begins and returned when the target goes on. The rest of a begun answer is reserved with the tokens that are missing, as on time as its next event. Ruled out: a longer wait for the new target alone, since a silent engine often goes on and the answer would still be cut when none grants.

--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -295,6 +295,8 @@
     void recordRequest(const std::string &service, TimePoint now);
     /// Consumes one retry; returns false when the window's budget is exhausted.
     bool tryAcquire(const std::string &service, TimePoint now);
+    /// Returns the latest retry that was acquired but not sent.
+    void refund(const std::string &service);
 
 private:
     struct Window
--- /dev/null
+++ b/src/include/wigeonsill/outcomes.h
@@ -0,0 +1,73 @@
+/// \file outcomes.h
+/// Public header of the outcomes library: decisions about a request that was sent to a target, up
+/// to its final answer. The library opens no sockets, sets no timers and reads no clock: callers
+/// pass the current time as an argument. Nothing is thread-safe.
+#pragma once
+
+#include "wigeonsill/util.h"
+
+namespace wigeonsill {
+
+/// What is to be done about a request that was sent to a target.
+enum class ContinuationStep : std::uint8_t {
+    KeepTarget, ///< Wait for the target.
+    SearchTarget, ///< Look for another target; the current one is kept until another grants room.
+    EndAnswer, ///< Give the final answer: no target works on the request, and none can.
+};
+inline constexpr std::array continuationStepNames = {
+    EnumName<ContinuationStep>{ ContinuationStep::KeepTarget, "keep-target" },
+    EnumName<ContinuationStep>{ ContinuationStep::SearchTarget, "search-target" },
+    EnumName<ContinuationStep>{ ContinuationStep::EndAnswer, "end-answer" },
+};
+
+/// Decides when a request leaves its target, for requests that may run again or be resumed.
+/// Load pattern: an engine falls silent or crashes while all others are full. A silent engine may
+/// still continue, so its answer is not given up before another target has granted room. Once the
+/// caller has part of an answer, there is nothing else that it could be told, so that a lost target
+/// is replaced until the time limit.
+/// Replayed by the BegunStream tests and continuation_test.
+class AnswerContinuation
+{
+public:
+    struct Limits
+    {
+        /// A target without progress for this long is silent. Callers give up a stream without
+        /// events after two seconds.
+        Duration silenceTimeout = milliseconds(1'300);
+        /// With less time left than this, no further target could answer in time.
+        Duration minimumTimeLeft = milliseconds(100);
+    };
+    /// What allows or prevents another target at this moment.
+    struct Options
+    {
+        bool repeatable = false; ///< The request may run again or be resumed.
+        int attemptsLeft = 0;
+        Duration timeLeft = {};
+    };
+    AnswerContinuation() = default;
+    explicit AnswerContinuation(const Limits &bounds)
+        : limits(bounds)
+    {
+    }
+
+    /// Records that the request was sent to a target.
+    void recordSent(TimePoint now);
+    /// Records that the target made progress: the head of its answer or a complete event.
+    void recordProgress(TimePoint now);
+    /// Records that the target is lost: its connection ended without a complete answer.
+    void recordLost();
+    /// Whether the target is connected but has made no progress for too long.
+    bool isSilent(TimePoint now) const;
+    /// Time without progress; zero before the request was sent.
+    Duration silence(TimePoint now) const;
+    ContinuationStep nextStep(const Options &options, TimePoint now) const;
+    /// Time until isSilent() may become true; zero when it is.
+    Duration untilSilent(TimePoint now) const;
+
+private:
+    Limits limits;
+    std::optional<TimePoint> progressAt; ///< Empty while no target works on the request.
+    bool lost = false;
+};
+
+} // namespace wigeonsill
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -41,8 +41,10 @@
 RequestFlow::~RequestFlow()
 {
     this->state.flows.erase(this);
-    if (this->reservationId != 0) {
-        this->state.grantClient.unregisterReservationId(this->reservationId);
+    for (const std::uint64_t id : { this->reservationId, this->targetReservationId }) {
+        if (id != 0) {
+            this->state.grantClient.unregisterReservationId(id);
+        }
     }
 }
 
@@ -288,15 +290,8 @@
         "outcome=\"" + std::string(outcome) + "\",status=\"" + std::to_string(status) + "\"");
     this->state.metrics.sample(
         "wigeonsill_request_ms", {}, static_cast<double>(this->elapsed().count()) / 1'000);
-    if (this->target) {
-        this->releaseTarget();
-    } else {
-        this->withdrawReservations({});
-    }
-    if (this->reservationId != 0) {
-        this->state.grantClient.unregisterReservationId(this->reservationId);
-        this->reservationId = 0;
-    }
+    this->withdrawReservations();
+    this->releaseTarget();
 }
 
 } // namespace wigeonsill
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -4,6 +4,7 @@
 
 #include "entrystate.h"
 #include "eventsplitter.h"
+#include "wigeonsill/outcomes.h"
 
 namespace wigeonsill {
 
@@ -49,9 +50,23 @@
     void placeRequest();
     void placeByReservation();
     void placeWithoutReservation();
+    /// Ranks the targets and reserves at the first. Returns false when no target is known.
+    bool beginReservations();
     void reserveAtNext(std::size_t count);
+    /// Resends unanswered reservations and adds one.
+    void maintainReservations();
     void onTimer();
+    void onReservingTimer();
     void sendPastUnresponsiveAgent();
+    /// Whether room is reserved for a request that a target is still working on.
+    bool isSearching() const { return this->target && this->reservationId != 0; }
+    AnswerContinuation::Options continuationOptions() const;
+    /// Reserves at other targets while the current one is silent.
+    void searchOtherTarget();
+    void endSearch();
+    void recordProgress();
+    /// Leaves the current target, if any, and sends the request to one that was reserved.
+    void moveTo(const Target &chosen, bool byGrant);
     std::vector<TargetView> targetViews() const;
     /// Time after arrival at which a wait for room ends. \param start Time after arrival at which
     /// the wait begins.
@@ -59,10 +74,9 @@
     double requestSize() const;
     ReservationProfile profile() const;
     void sendTo(const Target &target);
-    void withdrawReservations(const std::string &exceptTarget);
+    /// Releases the reservations. That of a target to be sent to is kept for as long as the target.
+    void withdrawReservations(const std::string &exceptTarget = {});
     void releaseTarget();
-    /// Whether the attempts and the time left allow a send to another target.
-    bool mayRetry() const;
     bool retryAtOtherTarget(std::string_view cause);
     void resumeStream();
 
@@ -88,9 +102,6 @@
     Duration retryDelay() const;
 
     std::shared_ptr<EntryState> stateOwner;
-    /// With less time left than this a request is not sent to a further target, since it could not
-    /// be answered in time.
-    static constexpr Duration minimumTimeLeft = milliseconds(100);
 
     EntryState &state;
     CallerConnection *caller;
@@ -109,7 +120,8 @@
 
     Phase phase = Phase::Deciding;
     boost::asio::steady_timer timer;
-    std::uint64_t reservationId = 0;
+    std::uint64_t reservationId = 0; ///< Of the reservations; 0 when there are none.
+    std::uint64_t targetReservationId = 0; ///< Under which the current target was reserved.
     std::vector<Target> rankedTargets;
     std::uint64_t rankedTargetsVersion = 0; ///< EntryState::targetsVersion when they were ranked.
     std::size_t nextRankedTarget = 0;
@@ -131,6 +143,7 @@
     std::optional<Duration> timeToFirstEvent;
     std::optional<Duration> timeToSend;
     TimePoint lastEventAt;
+    AnswerContinuation continuation;
 };
 
 } // namespace wigeonsill
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -20,9 +20,9 @@
 /// Maximum number of this entry's requests, reserved or running, at a target whose agent is
 /// unresponsive. Up to it, requests are sent there without a grant.
 constexpr int maximumPastUnresponsiveAgent = 2;
-/// A resumable stream without a new event for this long is resumed at another target. Callers give
-/// up a stalled stream after two seconds.
-constexpr Duration streamStallTimeout = milliseconds(1'300);
+/// Least time between two decisions about a target that is silent but cannot be left yet.
+constexpr Duration silenceCheckInterval = milliseconds(200);
+
 } // namespace
 
 Duration RequestFlow::waitEnd(Duration start) const
@@ -58,6 +58,15 @@
     result.lateShare = utility.lateShare;
     result.latencyLeft
         = this->route->latencyObjective - this->timeBeforeCallerRetry - this->elapsed();
+    if (this->events.count() > 0) {
+        // The rest of an answer, without which its caller would lose what it has.
+        const auto generated = static_cast<std::uint32_t>(
+            this->events.count() * static_cast<std::uint64_t>(this->service->tokensPerEvent));
+        result.promptTokens += generated;
+        result.outputTokens = std::max(result.outputTokens, generated + 1) - generated;
+        result.lateShare = 1;
+        result.latencyLeft = this->route->eventGapObjective - (currentTime() - this->lastEventAt);
+    }
     result.waitLeft = this->maximumWait - this->elapsed();
     result.timeLeft = this->timeLeft();
     return result;
@@ -100,25 +109,32 @@
 }
 
 void RequestFlow::placeByReservation()
+{
+    if (!this->beginReservations()) {
+        this->refuse(
+            ResultCode::NoTargetAvailable, "no target of the service is known", this->retryDelay());
+        return;
+    }
+    this->phase = Phase::Reserving;
+    this->startTimer(waitCheckInterval);
+}
+
+bool RequestFlow::beginReservations()
 {
     const std::vector<TargetView> knownTargets = this->targetViews();
     this->rankedTargets.clear();
     this->rankedTargetsVersion = this->state.targetsVersion;
     this->nextRankedTarget = 0;
-    this->reservations.clear();
     for (const TargetView *view : rankTargets(
              knownTargets, this->request, this->state.settings.location, this->state.random())) {
         this->rankedTargets.push_back(*view->target);
     }
     if (this->rankedTargets.empty()) {
-        this->refuse(
-            ResultCode::NoTargetAvailable, "no target of the service is known", this->retryDelay());
-        return;
+        return false;
     }
-    this->phase = Phase::Reserving;
     this->reservationId = this->state.grantClient.registerReservationId(*this);
     this->reserveAtNext(1);
-    this->startTimer(waitCheckInterval);
+    return true;
 }
 
 void RequestFlow::reserveAtNext(std::size_t count)
@@ -148,65 +164,139 @@
     });
 }
 
+void RequestFlow::onReservingTimer()
+{
+    if (this->elapsed() >= this->maximumWait
+        || this->timeLeft() <= AnswerContinuation::Limits{}.minimumTimeLeft) {
+        this->refuse(ResultCode::Overloaded, "no target had room within the maximum wait",
+            this->retryDelay());
+        return;
+    }
+    if (this->rankedTargetsVersion != this->state.targetsVersion) {
+        // The targets changed. Reservations at removed targets would never be answered.
+        this->withdrawReservations();
+        this->placeByReservation();
+        return;
+    }
+    this->maintainReservations();
+    if (this->phase == Phase::Reserving) {
+        this->startTimer(waitCheckInterval);
+    }
+}
+
+void RequestFlow::maintainReservations()
+{
+    const TimePoint now = currentTime();
+    bool anyAgentAnswered = false;
+    for (Reservation &reservation : this->reservations) {
+        anyAgentAnswered = anyAgentAnswered || reservation.state != ReservationState::Requested;
+        if (reservation.state == ReservationState::Requested
+            && now - reservation.lastSentAt >= reservationResendDelay) {
+            reservation.lastSentAt = now;
+            ++reservation.sendCount;
+            this->state.grantClient.reserve(reservation.target, this->profile());
+        }
+    }
+    if (!anyAgentAnswered) {
+        this->sendPastUnresponsiveAgent();
+    }
+    if (this->reservationId != 0) {
+        this->reserveAtNext(1);
+    }
+}
+
+AnswerContinuation::Options RequestFlow::continuationOptions() const
+{
+    return { this->route->isRetrySafe(), this->route->maximumAttempts - this->attempts,
+        this->timeLeft() };
+}
+
 void RequestFlow::onTimer()
 {
     const auto self = this->shared_from_this();
-    const TimePoint now = currentTime();
     if (this->phase == Phase::Reserving) {
-        if (this->elapsed() >= this->maximumWait || this->timeLeft() <= minimumTimeLeft) {
-            this->refuse(ResultCode::Overloaded, "no target had room within the maximum wait",
-                this->retryDelay());
-            return;
-        }
-        if (this->rankedTargetsVersion != this->state.targetsVersion) {
-            // The targets changed. Reservations at removed targets would never be answered.
-            this->withdrawReservations({});
-            this->state.grantClient.unregisterReservationId(this->reservationId);
-            this->placeByReservation();
-            return;
-        }
-        bool anyAgentAnswered = false;
-        for (Reservation &reservation : this->reservations) {
-            anyAgentAnswered = anyAgentAnswered || reservation.state != ReservationState::Requested;
-            if (reservation.state == ReservationState::Requested
-                && now - reservation.lastSentAt >= reservationResendDelay) {
-                reservation.lastSentAt = now;
-                ++reservation.sendCount;
-                this->state.grantClient.reserve(reservation.target, this->profile());
-            }
-        }
-        if (!anyAgentAnswered) {
-            this->sendPastUnresponsiveAgent();
-        }
-        if (this->phase == Phase::Reserving) {
-            this->reserveAtNext(1);
-            this->startTimer(waitCheckInterval);
-        }
+        this->onReservingTimer();
         return;
     }
     if (this->timeLeft() <= Duration::zero()) {
         this->fail(504, "no complete answer within the time limit");
         return;
     }
-    if (this->streaming && this->route->resumable
-        && now - this->lastEventAt >= streamStallTimeout) {
-        this->state.recordFailure(this->target->id);
-        this->resumeStream();
-        if (this->phase == Phase::Finished) {
-            return;
-        }
-        if (this->phase == Phase::Relaying) {
-            this->startTimer(std::min(this->timeLeft(), streamStallTimeout));
-        }
-        return;
+    if (this->isSearching()) {
+        this->maintainReservations();
+    } else if (this->service->isEngine
+        && this->continuation.nextStep(this->continuationOptions(), currentTime())
+            == ContinuationStep::SearchTarget) {
+        this->searchOtherTarget();
     }
     Duration next = this->timeLeft();
-    if (this->streaming && this->route->resumable) {
-        next = std::min(next, streamStallTimeout - (now - this->lastEventAt));
+    if (this->isSearching()) {
+        next = std::min<Duration>(next, waitCheckInterval);
+    } else if (this->service->isEngine && this->route->isRetrySafe()) {
+        next = std::min(next,
+            std::max<Duration>(
+                this->continuation.untilSilent(currentTime()), silenceCheckInterval));
     }
     this->startTimer(next);
 }
 
+void RequestFlow::searchOtherTarget()
+{
+    if (!this->state.retryBudget.tryAcquire(this->service->name, currentTime())) {
+        this->state.metrics.count("wigeonsill_repeats_over_budget_total");
+        return;
+    }
+    this->state.recordFailure(this->target->id);
+    this->excludedTargets.insert(this->target->id);
+    this->maximumWait = this->timeLimit;
+    if (!this->beginReservations()) {
+        this->state.retryBudget.refund(this->service->name);
+        return;
+    }
+    DecisionLine line("entry", "searching");
+    line.text("request", this->request.id)
+        .text("target", this->target->id)
+        .ms("silent_ms", this->continuation.silence(currentTime()))
+        .number("events", static_cast<double>(this->events.count()))
+        .number("attempts", this->attempts)
+        .ms("left_ms", this->timeLeft());
+    this->state.log.decision(line);
+}
+
+void RequestFlow::endSearch()
+{
+    this->withdrawReservations();
+    this->state.retryBudget.refund(this->service->name);
+    this->excludedTargets.erase(this->target->id);
+}
+
+void RequestFlow::recordProgress()
+{
+    this->continuation.recordProgress(currentTime());
+    if (this->isSearching()) {
+        this->endSearch();
+    }
+}
+
+void RequestFlow::moveTo(const Target &chosen, bool byGrant)
+{
+    if (this->target) {
+        DecisionLine line("entry", "moved");
+        line.text("request", this->request.id)
+            .text("from", this->target->id)
+            .text("why", "the target is silent and another one has room")
+            .number("attempts", this->attempts)
+            .ms("left_ms", this->timeLeft());
+        this->state.log.decision(line);
+        this->anyTargetMayHaveRun = this->anyTargetMayHaveRun || this->currentTargetMayHaveRun;
+        this->releaseTarget();
+        this->events.discardPartial();
+    }
+    this->withdrawReservations(chosen.id);
+    this->granted = byGrant;
+    this->sendTo(chosen);
+}
+
 void RequestFlow::sendPastUnresponsiveAgent()
 {
     const TimePoint now = currentTime();
@@ -218,8 +308,7 @@
             && this->state.requestsAt(reservation.target.id) <= maximumPastUnresponsiveAgent) {
             const Target chosen = reservation.target;
             this->state.metrics.count("wigeonsill_sent_without_agent_total");
-            this->withdrawReservations(chosen.id);
-            this->sendTo(chosen);
+            this->moveTo(chosen, false);
             return;
         }
     }
@@ -228,7 +317,7 @@
 void RequestFlow::onQueued(const std::string &targetId)
 {
     const auto self = this->shared_from_this();
-    if (this->phase != Phase::Reserving) {
+    if (this->reservationId == 0) {
         return;
     }
     for (Reservation &reservation : this->reservations) {
@@ -242,7 +331,7 @@
 void RequestFlow::onDeclined(const std::string &targetId)
 {
     const auto self = this->shared_from_this();
-    if (this->phase != Phase::Reserving) {
+    if (this->reservationId == 0) {
         return;
     }
     for (Reservation &reservation : this->reservations) {
@@ -261,7 +350,7 @@
     }
     const auto reservation = std::find_if(this->reservations.begin(), this->reservations.end(),
         [&targetId](const Reservation &record) { return record.target.id == targetId; });
-    if (reservation == this->reservations.end() || this->phase != Phase::Reserving) {
+    if (reservation == this->reservations.end()) {
         return false;
     }
     const Target *listedTarget = this->state.targets.find(targetId);
@@ -278,25 +367,25 @@
         return false;
     }
     const Target chosen = *listedTarget;
-    this->withdrawReservations(targetId);
-    this->granted = true;
-    this->sendTo(chosen);
+    this->moveTo(chosen, true);
     return true;
 }
 
 void RequestFlow::withdrawReservations(const std::string &exceptTarget)
 {
     for (const Reservation &reservation : this->reservations) {
-        if (reservation.target.id == exceptTarget) {
-            continue;
-        }
-        this->state.grantClient.release(reservation.target, this->reservationId);
         --this->state.requestsAt(reservation.target.id);
+        if (reservation.target.id != exceptTarget) {
+            this->state.grantClient.release(reservation.target, this->reservationId);
+        }
     }
-    const bool keepsOne = !exceptTarget.empty();
-    std::erase_if(this->reservations, [&](const Reservation &reservation) {
-        return !keepsOne || reservation.target.id != exceptTarget;
-    });
+    this->reservations.clear();
+    if (!exceptTarget.empty()) {
+        this->targetReservationId = this->reservationId;
+    } else if (this->reservationId != 0) {
+        this->state.grantClient.unregisterReservationId(this->reservationId);
+    }
+    this->reservationId = 0;
 }
 
 void RequestFlow::releaseTarget()
@@ -308,23 +397,22 @@
     if (!this->target) {
         return;
     }
-    if (this->reservationId != 0) {
+    if (this->targetReservationId != 0) {
         const std::uint64_t generated
             = this->events.count() * static_cast<std::uint64_t>(this->service->tokensPerEvent);
         this->state.grantClient.release(
-            *this->target, this->reservationId, static_cast<std::uint32_t>(generated));
+            *this->target, this->targetReservationId, static_cast<std::uint32_t>(generated));
+        this->state.grantClient.unregisterReservationId(this->targetReservationId);
+        this->targetReservationId = 0;
     }
     --this->state.requestsAt(this->target->id);
-    this->reservations.clear();
     this->granted = false;
     this->target.reset();
 }
 
 void RequestFlow::sendTo(const Target &chosen)
 {
-    if (this->reservations.empty()) {
-        ++this->state.requestsAt(chosen.id);
-    }
+    ++this->state.requestsAt(chosen.id);
     this->target = chosen;
     this->phase = Phase::Sent;
     this->currentTargetMayHaveRun = false;
@@ -365,10 +453,10 @@
         .ms("configuration_age_ms", this->state.timeSinceConfirmation())
         .ms("targets_age_ms", timeSinceBoot() - this->state.targetsReadAt);
     this->state.log.decision(line);
-    this->lastEventAt = currentTime();
+    this->continuation.recordSent(currentTime());
     Duration next = this->timeLeft();
-    if (this->route->resumable) {
-        next = std::min(next, streamStallTimeout);
+    if (this->service->isEngine && this->route->isRetrySafe()) {
+        next = std::min(next, this->continuation.untilSilent(currentTime()));
     }
     this->startTimer(next);
     this->connection = this->state.pool.send(chosen, std::move(outgoing), *this);
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -60,6 +60,7 @@
     }
     this->streaming = this->route->routeType == RouteType::Stream && received.status < 300;
     this->phase = Phase::Relaying;
+    this->recordProgress();
 }
 
 HttpFields RequestFlow::relayedFields() const
@@ -108,6 +109,7 @@
         return;
     }
     this->lastEventAt = currentTime();
+    this->recordProgress();
     if (!this->timeToFirstEvent) {
         this->timeToFirstEvent = this->elapsed();
         this->state.metrics.sample("wigeonsill_first_event_ms",
@@ -116,7 +118,7 @@
     }
     if (this->granted) {
         this->granted = false;
-        this->state.grantClient.reportFirstEvent(*this->target, this->reservationId);
+        this->state.grantClient.reportFirstEvent(*this->target, this->targetReservationId);
     }
     if (!this->headSentToCaller) {
         this->beginRelay();
@@ -179,21 +181,18 @@
     this->fail(502, cause);
 }
 
-bool RequestFlow::mayRetry() const
-{
-    return this->attempts<this->route->maximumAttempts &&this->timeLeft()> minimumTimeLeft;
-}
-
 bool RequestFlow::retryAtOtherTarget(std::string_view cause)
 {
+    this->continuation.recordLost();
     // A target that received no byte of the request does not count as an attempt.
-    if (!this->mayRetry()) {
+    AnswerContinuation::Options options = this->continuationOptions();
+    options.repeatable = options.repeatable || !this->currentTargetMayHaveRun;
+    if (this->continuation.nextStep(options, currentTime()) == ContinuationStep::EndAnswer
+        || this->targetViews().empty()) {
         return false;
     }
-    if (this->timeLeft() <= minimumTimeLeft || this->targetViews().empty()) {
-        return false;
-    }
-    if (this->sentToAnyTarget
+    const bool wasSearching = this->isSearching(); // Then the retry is already acquired.
+    if (this->sentToAnyTarget && !wasSearching
         && !this->state.retryBudget.tryAcquire(this->service->name, currentTime())) {
         this->state.metrics.count("wigeonsill_repeats_over_budget_total");
         return false;
@@ -206,13 +205,17 @@
         .ms("left_ms", this->timeLeft());
     this->state.log.decision(line);
     this->releaseTarget();
-    if (this->reservationId != 0) {
-        this->state.grantClient.unregisterReservationId(this->reservationId);
-    }
     if (this->service->isEngine) {
-        // The wait for room at another target starts anew.
-        this->maximumWait = this->waitEnd(this->elapsed());
-        this->placeByReservation();
+        // The wait for room at another target starts anew. The rest of a begun answer is waited for
+        // until the time limit.
+        this->maximumWait
+            = this->headSentToCaller ? this->timeLimit : this->waitEnd(this->elapsed());
+        if (wasSearching) {
+            this->phase = Phase::Reserving;
+            this->onReservingTimer();
+        } else {
+            this->placeByReservation();
+        }
     } else {
         this->placeWithoutReservation();
     }
@@ -221,16 +224,10 @@
 
 void RequestFlow::resumeStream()
 {
-    this->excludedTargets.insert(this->target->id);
-    this->anyTargetMayHaveRun = true;
     this->events.discardPartial();
-    if (this->retryAtOtherTarget("the stream was interrupted or stalled")) {
-        return;
-    }
-    if (this->connection) {
-        return; // The stalled stream is still open and may continue.
+    if (!this->retryAtOtherTarget("the stream was interrupted")) {
+        this->fail(502, "the stream was interrupted and cannot be resumed");
     }
-    this->fail(502, "the stream was interrupted and cannot be resumed");
 }
 
 } // namespace wigeonsill
--- a/src/libforward/reservations_test.cpp
+++ b/src/libforward/reservations_test.cpp
@@ -81,7 +81,8 @@
 class Reservations : public testing::Test
 {
 protected:
-    Reservations()
+    /// \param waitShare Share of the latency objective of 1 s for which a request waits for room.
+    explicit Reservations(double waitShare = 10, bool resumable = false)
         : port(freeUdpPort(this->io))
         , log(this->io, this->metrics, 0)
     {
@@ -89,7 +90,7 @@
         settings.listen = { asio::ip::make_address("127.0.0.1"), 0 };
         settings.grantAddress = "127.0.0.1";
         settings.grantPort = this->port;
-        settings.wait.objectiveShare = 10;
+        settings.wait.objectiveShare = waitShare;
         this->entry = std::make_unique<ForwardEntry>(
             this->io, this->metrics, this->log, this->dialect, settings);
         for (int i = 1; i <= 5; ++i) {
@@ -97,10 +98,10 @@
                 this->io, "127.0.2." + std::to_string(i), this->port));
         }
         this->entry->start();
-        this->configure();
+        this->configure(resumable);
     }
 
-    void configure()
+    void configure(bool resumable)
     {
         Route route;
         route.host = "h";
@@ -108,6 +109,8 @@
         route.routeType = RouteType::Stream;
         route.services = { { "engines", 1 } };
         route.anonymous = true;
+        route.resumable = resumable;
+        route.maximumAttempts = 3;
         ServiceProfile service;
         service.name = "engines";
         service.isEngine = true;
@@ -148,6 +151,14 @@
         return { this->agents.front().get(), {} };
     }
 
+    /// Sends a request as a caller.
+    void sendRequest(asio::ip::tcp::socket &caller)
+    {
+        caller.connect({ asio::ip::make_address("127.0.0.1"), this->entry->port() });
+        asio::write(caller, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")));
+        caller.non_blocking(true);
+    }
+
     asio::io_context io{ 1 };
     Metrics metrics;
     std::uint16_t port;
@@ -228,5 +239,125 @@
     EXPECT_FALSE(error) << "the request must be sent to the next target";
 }
 
+/// A stream of a resumable route that has begun. Requests wait for room for at most 200 ms.
+class BegunStream : public Reservations
+{
+protected:
+    BegunStream()
+        : Reservations(0.2, true)
+        , caller(this->io)
+        , connection(this->io)
+    {
+        this->sendRequest(this->caller);
+        const auto [agent, reservation] = this->nextMessage(GrantKind::Reserve);
+        this->firstAgent = agent;
+        agent->reply(GrantKind::Granted, reservation);
+        this->runFor(milliseconds(50));
+        this->connection = agent->target.accept();
+        this->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        this->writeEvent(1);
+        this->runFor(milliseconds(50));
+        EXPECT_NE(this->received().find("id: 1\n"), std::string::npos);
+    }
+
+    void write(const std::string &bytes) { asio::write(this->connection, asio::buffer(bytes)); }
+    void writeEvent(int id)
+    {
+        const std::string event = "id: " + std::to_string(id) + "\ndata: t\n\n";
+        std::array<char, 8> size{};
+        std::snprintf(size.data(), size.size(), "%zx", event.size());
+        this->write(std::string(size.data()) + "\r\n" + event + "\r\n");
+    }
+    /// Everything that the caller has received; notes whether the connection was closed.
+    const std::string &received()
+    {
+        while (true) {
+            std::array<char, 8'192> buffer{};
+            boost::system::error_code error;
+            const std::size_t size = this->caller.read_some(asio::buffer(buffer), error);
+            if (error) {
+                this->closed = this->closed || error != asio::error::would_block;
+                return this->receivedBytes;
+            }
+            this->receivedBytes.append(buffer.data(), size);
+        }
+    }
+    /// All other agents have no room: they queue what is reserved during this time.
+    void queueReservations(Duration time)
+    {
+        for (const TimePoint end = currentTime() + time; currentTime() < end;) {
+            this->runFor(milliseconds(10));
+            for (const auto &agent : this->agents) {
+                while (const auto message = agent->receive(GrantKind::Reserve)) {
+                    this->lastReservation = { agent.get(), *message };
+                    agent->reply(GrantKind::Queued, *message);
+                }
+            }
+        }
+    }
+
+    asio::ip::tcp::socket caller;
+    asio::ip::tcp::socket connection;
+    ManualAgent *firstAgent = nullptr;
+    std::pair<ManualAgent *, GrantMessage> lastReservation;
+    std::string receivedBytes;
+    bool closed = false;
+};
+
+/// An engine falls silent in the middle of a stream while all the others are full.
+TEST_F(BegunStream, staysWithSilentTargetUntilAnotherGrants)
+{
+    this->queueReservations(milliseconds(2'500));
+    this->received();
+    EXPECT_FALSE(this->closed) << "no other target has granted room, and the first may go on";
+    ASSERT_NE(this->lastReservation.first, nullptr) << "another target is looked for";
+    EXPECT_NE(this->lastReservation.first, this->firstAgent);
+
+    this->writeEvent(2);
+    this->write("0\r\n\r\n");
+    this->runFor(milliseconds(100));
+    EXPECT_NE(this->received().find("id: 2\n"), std::string::npos);
+    EXPECT_TRUE(this->receivedBytes.ends_with("0\r\n\r\n")) << "the answer is complete";
+}
+
+TEST_F(BegunStream, movesWhenAnotherTargetGrants)
+{
+    this->queueReservations(milliseconds(2'500));
+    ASSERT_NE(this->lastReservation.first, nullptr);
+    this->lastReservation.first->reply(GrantKind::Granted, this->lastReservation.second);
+    this->runFor(milliseconds(100));
+    boost::system::error_code error;
+    this->lastReservation.first->target.non_blocking(true);
+    this->connection = this->lastReservation.first->target.accept(error);
+    ASSERT_FALSE(error) << "the stream is continued at the target that granted room";
+    this->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    this->writeEvent(2);
+    this->write("0\r\n\r\n");
+    this->runFor(milliseconds(100));
+    EXPECT_TRUE(this->received().ends_with("0\r\n\r\n")) << "the answer is complete";
+    EXPECT_EQ(this->receivedBytes.find("HTTP/1.1", 1), std::string::npos) << "a single head";
+}
+
+/// An engine crashes in the middle of a stream while all the others are full.
+TEST_F(BegunStream, waitsForRoomAfterItsTargetCrashed)
+{
+    this->connection.close();
+    this->queueReservations(milliseconds(1'000));
+    this->received();
+    EXPECT_FALSE(this->closed) << "the caller has time left and another target may grant room";
+    ASSERT_NE(this->lastReservation.first, nullptr);
+    this->lastReservation.first->reply(GrantKind::Granted, this->lastReservation.second);
+    this->runFor(milliseconds(100));
+    boost::system::error_code error;
+    this->lastReservation.first->target.non_blocking(true);
+    this->connection = this->lastReservation.first->target.accept(error);
+    ASSERT_FALSE(error) << "the stream is continued at the target that granted room";
+    this->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    this->writeEvent(2);
+    this->write("0\r\n\r\n");
+    this->runFor(milliseconds(100));
+    EXPECT_TRUE(this->received().ends_with("0\r\n\r\n")) << "the answer is complete";
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libgateway/sharedlimits.cpp
+++ b/src/libgateway/sharedlimits.cpp
@@ -38,6 +38,14 @@
     return true;
 }
 
+void ServiceRetryBudget::refund(const std::string &service)
+{
+    std::deque<TimePoint> &retries = this->windows[service].retries;
+    if (!retries.empty()) {
+        retries.pop_back();
+    }
+}
+
 namespace {
 
 /// Without a report for this long, an entry admits an even share of the quota. Reports arrive four
--- /dev/null
+++ b/src/liboutcomes/answercontinuation.cpp
@@ -0,0 +1,52 @@
+/// \file answercontinuation.cpp
+/// When a request leaves its target.
+#include "wigeonsill/outcomes.h"
+
+#include <algorithm>
+
+namespace wigeonsill {
+
+void AnswerContinuation::recordSent(TimePoint now)
+{
+    this->progressAt = now;
+    this->lost = false;
+}
+
+void AnswerContinuation::recordProgress(TimePoint now)
+{
+    this->progressAt = now;
+}
+
+void AnswerContinuation::recordLost()
+{
+    this->progressAt.reset();
+    this->lost = true;
+}
+
+Duration AnswerContinuation::silence(TimePoint now) const
+{
+    return this->progressAt ? now - *this->progressAt : Duration::zero();
+}
+
+bool AnswerContinuation::isSilent(TimePoint now) const
+{
+    return this->progressAt && this->silence(now) >= this->limits.silenceTimeout;
+}
+
+Duration AnswerContinuation::untilSilent(TimePoint now) const
+{
+    return std::max(this->limits.silenceTimeout - this->silence(now), Duration::zero());
+}
+
+ContinuationStep AnswerContinuation::nextStep(const Options &options, TimePoint now) const
+{
+    const bool maySearch = options.repeatable && options.attemptsLeft > 0
+        && options.timeLeft > this->limits.minimumTimeLeft;
+    if (this->lost) {
+        return maySearch ? ContinuationStep::SearchTarget : ContinuationStep::EndAnswer;
+    }
+    return maySearch && this->isSilent(now) ? ContinuationStep::SearchTarget
+                                            : ContinuationStep::KeepTarget;
+}
+
+} // namespace wigeonsill
