The store's histories: an older copy confirms nothing and brings nothing back

Cause: after an absence the store may come back from a copy some seconds old. StoreWatcher compared revisions of both histories: once the new one had passed the known revision, a watch succeeded and skipped changes; a read of the older configuration confirmed the keys in force; a target that had left was listed again. Change: StoreHistory and TargetRecords (new library directory, no I/O) look at the number of the history before an answer's content. A rise means that everything is read from the start; targets known before stay usable for two seconds; one that was leaving or gone stays so until its record is written in the new history; an older configuration is neither applied nor confirmed, and one of the same version is confirmed only after the operator had two seconds to write again; an answer of an earlier history is dropped. Target, TargetDirectory and StoreOutageDetector moved from the gateway library to the same one, the ranking of targets to a file of its own. Ruled out: telling a new history by a falling revision, which the case overtakes on purpose.

--- /dev/null
+++ b/src/include/wigeonsill/directory.h
@@ -0,0 +1,168 @@
+/// \file directory.h
+/// Public header of the directory library: the targets that an entry knows, and what the store's
+/// answers say about them when the store was away or came back from an older copy. The library
+/// opens no sockets, sets no timers and reads no clock: callers pass the current time as an
+/// argument. Nothing is thread-safe.
+#pragma once
+
+#include "wigeonsill/util.h"
+
+#include <set>
+
+namespace wigeonsill {
+
+// ---------------------------------------------------------------------------------------------
+// Targets
+
+/// A running target in the platform's list.
+struct Target
+{
+    std::string id; ///< Of this incarnation.
+    std::string service;
+    std::string address; ///< "IP:PORT".
+    std::string failureDomain;
+    std::string region;
+    int slots = 1; ///< Maximum number of requests that it runs concurrently.
+    bool leaving = false; ///< Draining: takes no new requests.
+    std::int64_t startedMs = 0; ///< Unix time of this incarnation's start; 0 when not stated.
+};
+
+/// The known targets and which of them requests may be sent to. Performs no I/O.
+/// Handles the simultaneous power loss of many targets: their records remain in the list for
+/// seconds, while new incarnations are already listed at the same addresses.
+class TargetDirectory
+{
+public:
+    /// Replaces the directory's contents with a list read from the store.
+    /// \param listMayBeIncomplete Records of live targets may be absent from the list because they
+    /// expired during an outage of the store. A known target that no list since the outage has
+    /// contained is then kept until a list arrives for which this is false; a target that was
+    /// listed since the outage and is absent now is removed.
+    void replace(std::vector<Target> list, bool listMayBeIncomplete);
+    /// Records that another target answers at this target's address. The target is not usable
+    /// while it is listed at that address.
+    void markReplaced(const std::string &id);
+    /// The targets of a service that accept new requests.
+    std::vector<const Target *> usable(std::string_view service) const;
+    /// Returns nullptr for an unknown target.
+    const Target *find(std::string_view id) const;
+    std::size_t size() const { return this->targets.size(); }
+    const std::map<std::string, Target, std::less<>> &all() const { return this->targets; }
+
+private:
+    void updateSuperseded();
+
+    std::map<std::string, Target, std::less<>> targets;
+    std::set<std::string, std::less<>> listedSinceOutage; ///< Of the store.
+    /// Targets with a more recently started one at the same address.
+    std::set<std::string, std::less<>> superseded;
+    std::map<std::string, std::string, std::less<>> replacedAddresses; ///< By target id.
+};
+
+/// Distinguishes an outage of the store, during which records of live targets may expire, from a
+/// loss of connection of this process alone. While the store is available, each target rewrites its
+/// record at every heartbeat, and each write increases the store's revision.
+class StoreOutageDetector
+{
+public:
+    explicit StoreOutageDetector(Duration heartbeatInterval)
+        : heartbeat(heartbeatInterval)
+    {
+    }
+    /// Records that a list was read. \param revision Of the store.
+    /// \param recordCount Number of records in the list.
+    void recordList(std::uint64_t revision, std::size_t recordCount, TimePoint now);
+    /// Records that the store came back from an older copy, which may lack records of live targets.
+    void recordHistoryReplaced(TimePoint now);
+    /// Whether records of live targets may be absent from the list that was just read.
+    bool listMayBeIncomplete(TimePoint now) const { return now < this->incompleteUntil; }
+    /// Time from which a list is complete again. The list should be read at that time.
+    TimePoint listCompleteFrom() const { return this->incompleteUntil; }
+
+private:
+    Duration heartbeat;
+    std::uint64_t lastRevision = 0;
+    std::size_t lastRecordCount = 0;
+    std::optional<TimePoint> lastListAt;
+    TimePoint incompleteUntil;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Histories of the store
+
+/// Which history of the store an answer belongs to. The store numbers its histories: it begins
+/// another one when it comes back from a copy that is older than what it acknowledged.
+enum class HistoryChange : std::uint8_t {
+    Same, ///< The history that is known.
+    Replaced, ///< A later one: everything that was known must be read again.
+    Outdated, ///< An earlier one: the answer was delayed and must be dropped.
+};
+inline constexpr std::array historyChangeNames = {
+    EnumName<HistoryChange>{ HistoryChange::Same, "same" },
+    EnumName<HistoryChange>{ HistoryChange::Replaced, "replaced" },
+    EnumName<HistoryChange>{ HistoryChange::Outdated, "outdated" },
+};
+
+/// What an entry knows of the store's histories, revisions and configuration versions. Revisions of
+/// different histories cannot be compared: those that were lost are given out again.
+/// Answers a store that was away and lost its last seconds. A key that was revoked in them must not
+/// work again, and an older configuration must not count as confirmed.
+class StoreHistory
+{
+public:
+    /// Time within which the operator and live targets write again what a copy lacks.
+    static constexpr Duration rewriteTime = seconds(2);
+
+    /// Must be called with each answer before its content is used. After Replaced, the revision is
+    /// unknown until recordRevision(). \param history Number stated by the store, empty if none.
+    HistoryChange recordHistory(std::optional<std::uint64_t> history, TimePoint now);
+    std::uint64_t history() const { return this->currentHistory.value_or(0); }
+    /// Records that all changes up to a revision of the current history are known.
+    void recordRevision(std::uint64_t revision) { this->knownRevision = revision; }
+    std::uint64_t revision() const { return this->knownRevision; }
+    /// Records the configuration version that the store holds in the current history.
+    void recordConfiguration(std::uint64_t version);
+    /// Whether an answer to a call confirms that no configuration is newer than the one in force.
+    /// Not while the store holds an older one, and not within rewriteTime after a history was
+    /// replaced, unless the operator has written a newer one since.
+    /// \param sentAt When the call was sent.
+    bool confirmsConfiguration(TimePoint sentAt) const;
+
+private:
+    std::optional<std::uint64_t> currentHistory;
+    std::uint64_t knownRevision = 0;
+    std::optional<std::uint64_t> heldVersion; ///< By the store; empty while not read.
+    std::uint64_t newestVersion = 0; ///< In any history.
+    std::uint64_t versionBeforeReplacement = 0;
+    std::optional<TimePoint> replacedAt;
+};
+
+/// The targets' records as read from the store. In a history that replaced another one, a record
+/// that brings back a target known to be leaving or gone is only believed once it was written in
+/// that history.
+class TargetRecords
+{
+public:
+    /// Begins to read all records. \param historyReplaced Since the last complete read.
+    void beginRead(bool historyReplaced);
+    /// Records a target found while reading.
+    void recordRead(Target target);
+    /// Ends the reading: targets that were not found are gone.
+    void endRead(TimePoint now);
+    /// Records that a target's record was written.
+    void recordWritten(Target target);
+    /// Records that a target's record was removed or no longer describes a target.
+    void recordRemoved(const std::string &id, TimePoint now);
+    std::vector<Target> list() const;
+    std::size_t size() const { return this->records.size(); }
+
+private:
+    using ById = std::map<std::string, Target, std::less<>>;
+
+    ById records;
+    ById found; ///< By the current read.
+    bool readIsFromCopy = false; ///< Records that were not written since may be older than known.
+    std::map<std::string, TimePoint, std::less<>> goneAt;
+};
+
+} // namespace wigeonsill
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -6,7 +6,7 @@
 /// as an argument. Nothing is thread-safe unless its comment says so.
 #pragma once
 
-#include "wigeonsill/util.h"
+#include "wigeonsill/directory.h"
 
 #include <deque>
 #include <set>
@@ -198,80 +198,6 @@
 /// Amount that a request consumes from an organisation's quota, in tokens or requests.
 double quotaCost(const OrganisationAccount &organisation, const RequestMetadata &request);
 
-// ---------------------------------------------------------------------------------------------
-// Targets
-
-/// A running target in the platform's list.
-struct Target
-{
-    std::string id; ///< Of this incarnation.
-    std::string service;
-    std::string address; ///< "IP:PORT".
-    std::string failureDomain;
-    std::string region;
-    int slots = 1; ///< Maximum number of requests that it runs concurrently.
-    bool leaving = false; ///< Draining: takes no new requests.
-    std::int64_t startedMs = 0; ///< Unix time of this incarnation's start; 0 when not stated.
-};
-
-/// The known targets and which of them requests may be sent to. Performs no I/O.
-/// Handles the simultaneous power loss of many targets: their records remain in the list for
-/// seconds, while new incarnations are already listed at the same addresses.
-class TargetDirectory
-{
-public:
-    /// Replaces the directory's contents with a list read from the store.
-    /// \param listMayBeIncomplete Records of live targets may be absent from the list because they
-    /// expired during an outage of the store. A known target that no list since the outage has
-    /// contained is then kept until a list arrives for which this is false; a target that was
-    /// listed since the outage and is absent now is removed.
-    void replace(std::vector<Target> list, bool listMayBeIncomplete);
-    /// Records that another target answers at this target's address. The target is not usable
-    /// while it is listed at that address.
-    void markReplaced(const std::string &id);
-    /// The targets of a service that accept new requests.
-    std::vector<const Target *> usable(std::string_view service) const;
-    /// Returns nullptr for an unknown target.
-    const Target *find(std::string_view id) const;
-    std::size_t size() const { return this->targets.size(); }
-    const std::map<std::string, Target, std::less<>> &all() const { return this->targets; }
-
-private:
-    void updateSuperseded();
-
-    std::map<std::string, Target, std::less<>> targets;
-    std::set<std::string, std::less<>> listedSinceOutage; ///< Of the store.
-    /// Targets with a more recently started one at the same address.
-    std::set<std::string, std::less<>> superseded;
-    std::map<std::string, std::string, std::less<>> replacedAddresses; ///< By target id.
-};
-
-/// Distinguishes an outage of the store, during which records of live targets may expire, from a
-/// loss of connection of this process alone. While the store is available, each target rewrites its
-/// record at every heartbeat, and each write increases the store's revision.
-class StoreOutageDetector
-{
-public:
-    explicit StoreOutageDetector(Duration heartbeatInterval)
-        : heartbeat(heartbeatInterval)
-    {
-    }
-    /// Records that a list was read. \param revision Of the store.
-    /// \param recordCount Number of records in the list.
-    void recordList(std::uint64_t revision, std::size_t recordCount, TimePoint now);
-    /// Whether records of live targets may be absent from the list that was just read.
-    bool listMayBeIncomplete(TimePoint now) const { return now < this->incompleteUntil; }
-    /// Time from which a list is complete again. The list should be read at that time.
-    TimePoint listCompleteFrom() const { return this->incompleteUntil; }
-
-private:
-    Duration heartbeat;
-    std::uint64_t lastRevision = 0;
-    std::size_t lastRecordCount = 0;
-    std::optional<TimePoint> lastListAt;
-    TimePoint incompleteUntil;
-};
-
 // ---------------------------------------------------------------------------------------------
 // Retry budgets and quotas
 
--- a/src/libgateway/targetdirectory.cpp
+++ b/src/libdirectory/targetdirectory.cpp
@@ -1,6 +1,6 @@
 /// \file targetdirectory.cpp
-/// Bookkeeping of the targets in the platform's list, and ranking of the targets for a request.
-#include "wigeonsill/gateway.h"
+/// Bookkeeping of the targets in the platform's list.
+#include "wigeonsill/directory.h"
 
 #include <algorithm>
 
@@ -87,7 +87,7 @@
 namespace {
 
 /// Expired records are written again within about two seconds of the end of the store's outage.
-constexpr Duration recordRecoveryTime = seconds(2);
+constexpr Duration recordRecoveryTime = StoreHistory::rewriteTime;
 /// A record expires after three missed heartbeats. The last write before the gap may be up to one
 /// heartbeat old, which leaves two.
 constexpr int heartbeatsToExpiry = 2;
@@ -97,6 +97,12 @@
 
 } // namespace
 
+void StoreOutageDetector::recordHistoryReplaced(TimePoint now)
+{
+    this->lastListAt.reset();
+    this->incompleteUntil = now + recordRecoveryTime;
+}
+
 void StoreOutageDetector::recordList(std::uint64_t revision, std::size_t recordCount, TimePoint now)
 {
     if (this->lastListAt) {
@@ -114,79 +120,4 @@
     this->lastListAt = now;
 }
 
-namespace {
-
-/// Cost of a request to another failure domain, in milliseconds: the round trip of 1.8 ms and the
-/// price of the transferred bytes.
-constexpr double otherDomainCostMs = 25;
-/// Cost of a request to another region: a round trip of 16 ms on a link with low bandwidth.
-constexpr double otherRegionCostMs = 40;
-/// Cost of a target that failed recently, so that it is only selected when all others are full.
-constexpr double failingTargetCostMs = 2'000;
-/// Cost of a target whose agent is unresponsive, so that its load is unknown.
-constexpr double unresponsiveAgentCostMs = 300;
-/// Range of the random part, so that entries with the same view do not select the same target.
-constexpr double randomSpreadMs = 60;
-/// Older loads do not describe the current queue, since streams last about a second.
-constexpr Duration maximumLoadAge = milliseconds(1'000);
-/// Share of the decode time that is added to the cost: a slower target occupies its slot longer.
-constexpr double decodeCostShare = 0.03;
-/// An answer should take at most this share of the caller's deadline, since output estimates are
-/// only correct at the median.
-constexpr double maximumDecodeShare = 0.5;
-/// Cost reduction for a target that has processed the prompt of the same session before.
-constexpr double cachedPrefixGainMs = 15;
-
-double estimateCostMs(
-    const TargetView &view, const RequestMetadata &request, const EntryLocation &location)
-{
-    double cost = 0;
-    if (view.target->region != location.region) {
-        cost += otherRegionCostMs;
-    } else if (view.target->failureDomain != location.failureDomain) {
-        cost += otherDomainCostMs;
-    }
-    cost += view.failing ? failingTargetCostMs : 0;
-    cost += view.agentUnresponsive ? unresponsiveAgentCostMs : 0;
-    cost -= view.hasCachedPrefix ? cachedPrefixGainMs : 0;
-    if (view.load && view.loadAge < maximumLoadAge) {
-        cost += static_cast<double>(view.load->startDelay.count()) / 1'000;
-    }
-    if (view.load && view.load->prefillTokensPerMs > 0) {
-        cost += request.promptTokens / view.load->prefillTokensPerMs;
-    }
-    if (view.load && view.load->decodeTokensPerMs > 0) {
-        const double decodeMs = request.estimatedOutputTokens() / view.load->decodeTokensPerMs;
-        cost += decodeCostShare * decodeMs;
-        if (request.deadline) {
-            const double deadlineMs = static_cast<double>(request.deadline->count()) / 1'000;
-            cost += std::max(decodeMs - maximumDecodeShare * deadlineMs, 0.0);
-        }
-    }
-    // Without a load, the number of this entry's requests is the best estimate of the queue.
-    const double ownRequestCostMs = view.load ? 4 : 30;
-    return cost + ownRequestCostMs * view.ownRequests;
-}
-
-} // namespace
-
-std::vector<const TargetView *> rankTargets(const std::vector<TargetView> &views,
-    const RequestMetadata &request, const EntryLocation &location, std::uint64_t seed)
-{
-    std::vector<std::pair<double, const TargetView *>> scored;
-    scored.reserve(views.size());
-    for (const TargetView &view : views) {
-        const std::uint64_t hash = stableHash(view.target->id, seed);
-        const double random = static_cast<double>(hash % 1'024) / 1'024 * randomSpreadMs;
-        scored.emplace_back(estimateCostMs(view, request, location) + random, &view);
-    }
-    std::sort(scored.begin(), scored.end());
-    std::vector<const TargetView *> result;
-    result.reserve(scored.size());
-    for (const auto &[cost, view] : scored) {
-        result.push_back(view);
-    }
-    return result;
-}
-
 } // namespace wigeonsill
--- a/testsuite/platform-path/run.py
+++ b/testsuite/platform-path/run.py
@@ -411,6 +411,50 @@
         "API keys are accepted again after the store answers")
 
 
+def store_goes_back(deployment):
+    """The store comes back from a copy that lacks a revoked key, a new key and a target's departure."""
+    store = deployment.store
+    leaver = deployment.plain_services[1]
+
+    def status(key, path="/look/plain"):
+        return Client(deployment.entry).exchange(path, key=key).status
+
+    def replaced_lines():
+        return [line for line in deployment.entry.lines if '"event":"history-replaced"' in line]
+    store.put("op/config", configuration(6, ["key-1", "key-6"]))
+    wait_until(lambda: status("key-6") == 200, "a new API key is accepted")
+    time.sleep(1.5)
+    store.put("op/config", configuration(7, ["key-1"]))
+    store.remove("servers/" + leaver.instance)
+    wait_until(lambda: status("key-6") == 401, "the API key is revoked")
+    wait_until(lambda: leaver.instance not in str(deployment.entry.state()), "the target is gone")
+    known_revision = store.revision
+    store.go_back(1.5)
+    # The new history overtakes the revision that the entry knows before the entry asks again.
+    while store.revision <= known_revision + 5:
+        store.put("servers/" + deployment.plain_services[0].instance,
+                  deployment.plain_services[0].instance_record("plain"))
+    runs = len(leaver.runs)
+    wait_until(lambda: replaced_lines(), "the entry logs that the store's history was replaced")
+    end = time.monotonic() + 4
+    while time.monotonic() < end:
+        check(status("key-6") in (401, 503), "the revoked API key stays refused")
+        check(status("key-1") in (200, 503), "the other API key stays known")
+        time.sleep(0.05)
+    check(len(leaver.runs) == runs, "the target that left gets no request")
+    check(status("key-1") == 503, "an older configuration does not confirm API keys")
+    store.put("op/config", configuration(7, ["key-1"]))
+    wait_until(lambda: status("key-1") == 200, "the configuration is confirmed once it is written again")
+    check(status("key-6") == 401, "the revoked API key is refused for good")
+    store.put("servers/" + leaver.instance, leaver.instance_record("plain"))
+    wait_until(
+        lambda: status("key-1") == 200 and len(leaver.runs) > runs, "a target that writes again is used again")
+    store.go_back(0)
+    wait_until(lambda: len(replaced_lines()) == 2, "a second replacement is noticed")
+    store.put("op/config", configuration(8, ["key-1", "key-8"]))
+    wait_until(lambda: status("key-8") == 200, "a configuration of the new history is applied")
+
+
 def drain_and_exit(deployment):
     client = Client(deployment.entry)
     for engine in deployment.engines:
@@ -450,7 +494,7 @@
         for case in (
             requests_served, request_smuggling, malformed_answers, target_refusals, target_replaced,
             truncated_streams, resume_without_capacity, caller_disconnects, capacity_released, quota_exceeded,
-            route_timeout, agents_killed, key_revocation, drain_and_exit,
+            route_timeout, agents_killed, key_revocation, store_goes_back, drain_and_exit,
         ):
             print(case.__name__, flush=True)
             case(deployment)
--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -81,12 +81,15 @@
     """Stores keys with revisions and serves reads, ranges and watches.
 
     mode is "ok", "busy" (answers 503 to everything) or "silent" (holds back every answer).
+    go_back() sets it to an older copy of itself; the era in all its answers then rises by one.
     """
 
     def __init__(self):
         self.items = {}
         self.removed = {}
         self.revision = 1
+        self.era = 1
+        self.copies = []
         self.changed = threading.Condition()
         self.mode = "ok"
         super().__init__()
@@ -97,6 +100,7 @@
             text = value if isinstance(value, str) else json.dumps(value)
             self.items[key] = (base64.b64encode(text.encode()).decode(), self.revision)
             self.removed.pop(key, None)
+            self.keep_copy()
             self.changed.notify_all()
 
     def remove(self, key):
@@ -104,6 +108,20 @@
             self.revision += 1
             if self.items.pop(key, None) is not None:
                 self.removed[key] = self.revision
+            self.keep_copy()
+            self.changed.notify_all()
+
+    def keep_copy(self):
+        self.copies.append((time.monotonic(), dict(self.items), dict(self.removed), self.revision))
+
+    def go_back(self, seconds):
+        """Forgets what was written in the last seconds: values, removals and revisions."""
+        with self.changed:
+            moment = time.monotonic() - seconds
+            _, items, removed, self.revision = [copy for copy in self.copies if copy[0] <= moment][-1]
+            self.items, self.removed = dict(items), dict(removed)
+            self.copies = [copy for copy in self.copies if copy[0] <= moment]
+            self.era += 1
             self.changed.notify_all()
 
     def records(self, prefix, after=0):
@@ -132,6 +150,8 @@
             if url.path == "/kv-range":
                 records = self.records(query["prefix"])
                 return 200, {"entries": records, "hasMore": False, "currentRev": self.revision}
+            if int(query["after"]) > self.revision:
+                return 410, {}
             deadline = time.monotonic() + int(query["waitMs"]) / 1000
             while True:
                 records = self.changes_after(query["prefix"], int(query["after"]))
@@ -152,8 +172,8 @@
                 time.sleep(0.05)
             if self.mode == "busy":
                 status, body = 503, {}
-            connection.sendall(
-                format_answer(status, [("Content-Type", "application/json")], json.dumps(body).encode()))
+            headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
+            connection.sendall(format_answer(status, headers, json.dumps(body).encode()))
 
 
 def events(first, last, text="tok"):
