Quota reports: sums that don't grow with the number of entries, slack shared by the entries there are

Change: UsageCollector keeps sums up to date with each report and looks at all entries every 50 ms only; the retry slack is divided by the number of entries that report; 300 are assumed before it is known. Ruled out: the fraction, its horizon and the age of reports. sharedquota_test plays 103 and 300 entries with late, lost and doubled reports, jumps to 7.5 times the load, a lowered quota, a killed collector and half of the entries cut off; all stay within the bound with the decisions as they were.

--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -209,7 +209,8 @@
     struct Limits
     {
         double retryRatio = 0.2; ///< Retries per request.
-        double retrySlack = 5; ///< Retries allowed in a window in addition to the ratio.
+        /// Retries that all entries together may send in a window in addition to the ratio.
+        double retrySlack = 5;
         Duration window = seconds(10);
     };
     explicit ServiceRetryBudget(const Limits &bounds)
@@ -223,6 +224,8 @@
     bool tryAcquire(const std::string &service, TimePoint now);
     /// Returns the latest retry that was acquired but not sent.
     void refund(const std::string &service);
+    /// Sets the number of entries that share the slack, this one included. \pre entries > 0.
+    void setSharingEntries(int entries) { this->sharingEntryCount = entries; }
 
 private:
     struct Window
@@ -233,6 +236,7 @@
     void removeExpired(Window &window, TimePoint now) const;
 
     Limits limits;
+    int sharingEntryCount = 1;
     std::map<std::string, Window, std::less<>> windows;
 };
 
@@ -257,7 +261,9 @@
 using UsageByOrganisation = std::map<std::string, OrganisationUsage>;
 
 /// Sums up the usage reports of all entries. Keeps the samples of a whole window, since an entry
-/// that was killed cannot report which part of its usage has left the window.
+/// that was killed cannot report which part of its usage has left the window. The sums are kept up
+/// to date with each report, so that the work for a report does not grow with the number of
+/// entries.
 class UsageCollector
 {
 public:
@@ -272,22 +278,41 @@
     void addReport(std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now);
     /// Sums up the usage in the window of all entries but the given one.
     UsageReport reportFor(std::uint64_t entry, TimePoint now);
-    std::size_t entryCount() const { return this->samplesByEntry.size(); }
+    std::size_t entryCount() const { return this->entries.size(); }
 
 private:
+    struct Amounts
+    {
+        double usage = 0; ///< In the window.
+        double demand = 0; ///< Requested per second.
+    };
+    using AmountsByOrganisation = std::map<std::string, Amounts, std::less<>>;
     struct Sample
     {
         TimePoint at;
-        std::map<std::string, double> totals;
-        std::map<std::string, double> demands;
+        std::map<std::string, double, std::less<>> totals;
+    };
+    struct Entry
+    {
+        /// Oldest first. The first sample is the baseline: the totals at the start of the window.
+        std::deque<Sample> samples;
+        UsageByOrganisation latest;
+        AmountsByOrganisation counted; ///< The part of the sums that is this entry's.
+        bool reporting = false; ///< Counted as sharing the quotas.
     };
-    /// Oldest first. The first sample is the baseline: the totals at the start of the window.
-    using Samples = std::deque<Sample>;
     void removeExpired(TimePoint now);
+    /// Removes samples that are older than the window, all but one, which is the baseline.
+    void removeExpiredSamples(Entry &entry, TimePoint now) const;
+    /// Replaces the entry's part of the sums.
+    void recount(Entry &entry, TimePoint now);
+    void discount(Entry &entry);
 
     Duration window;
     TimePoint startedAt;
-    std::map<std::uint64_t, Samples> samplesByEntry;
+    TimePoint expiredAt; ///< Of the last call of removeExpired() that looked at all entries.
+    std::map<std::uint64_t, Entry> entries;
+    AmountsByOrganisation sums;
+    int reportingEntries = 0;
 };
 
 /// Enforces the organisations' quotas over a sliding window, together with the other entries. Each
@@ -323,6 +348,11 @@
     /// Without such a one, only the part of the quota that has accrued since the collector's start
     /// is available.
     void applyReport(const UsageReport &report, TimePoint now);
+    /// Number of entries that share the quotas, this one included.
+    int sharingEntries() const { return this->sharingEntryCount; }
+    /// Number of entries in the largest deployment. Assumed at first, since all entries may have
+    /// been started together and not yet have reported.
+    static constexpr int largestDeploymentEntries = 300;
 
 private:
     struct Account
@@ -347,10 +377,6 @@
     /// Whether a recent report was applied.
     bool hasReport(TimePoint now) const;
 
-    /// Number of entries in the largest deployment. Assumed at first, since all entries may have
-    /// been started together and not yet have reported.
-    static constexpr int largestDeploymentEntries = 30;
-
     Limits limits;
     std::map<std::string, Account, std::less<>> accounts;
     int sharingEntryCount = largestDeploymentEntries;
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -59,6 +59,7 @@
     , quotas(settingsIn.quotas)
     , random(generateIncarnation().low)
 {
+    this->retryBudget.setSharingEntries(QuotaLimiter::largestDeploymentEntries);
 }
 
 Duration EntryState::timeSinceConfirmation() const
@@ -250,7 +251,9 @@
 void ForwardEntry::start()
 {
     this->d->state.grantClient.onUsageReported = [this](const UsageReport &report) {
-        this->d->state.quotas.applyReport(report, currentTime());
+        EntryState &state = this->d->state;
+        state.quotas.applyReport(report, currentTime());
+        state.retryBudget.setSharingEntries(state.quotas.sharingEntries());
     };
     this->d->state.grantClient.start();
     this->d->accept();
--- a/src/libgateway/sharedlimits.cpp
+++ b/src/libgateway/sharedlimits.cpp
@@ -29,7 +29,7 @@
 {
     Window &window = this->windows[service];
     this->removeExpired(window, now);
-    const double allowed = this->limits.retrySlack
+    const double allowed = this->limits.retrySlack / this->sharingEntryCount
         + this->limits.retryRatio * static_cast<double>(window.requests.size());
     if (static_cast<double>(window.retries.size()) + 1 > allowed) {
         return false;
--- /dev/null
+++ b/src/libgateway/sharedquota_test.cpp
@@ -0,0 +1,225 @@
+/// \file sharedquota_test.cpp
+/// Tests of quotas that hundreds of entries share by reports that are late, lost or doubled.
+#include "wigeonsill/gateway.h"
+
+#include <gtest/gtest.h>
+
+#include <queue>
+
+namespace wigeonsill {
+namespace {
+
+constexpr Duration window = seconds(8);
+
+/// An organisation and its load as on the users' large deployment.
+struct Scenario
+{
+    int entries = 103;
+    double ratePerSecond = 326'000;
+    double meanCost = 7'500; ///< Exponentially distributed.
+    double load = 0.9; ///< Requested per second, relative to the quota.
+    double laterLoad = 0.9; ///< After ten seconds.
+    double laterRate = 326'000; ///< Quota after ten seconds.
+    Duration maximumDelay = milliseconds(80); ///< Of a datagram; uniformly distributed.
+    double lostShare = 0.05;
+    double doubledShare = 0.05;
+    /// Time at which one of the two collectors is killed and another one takes its place.
+    std::optional<Duration> collectorKilledAt;
+    /// For these two seconds, half of the entries reach no collector.
+    std::optional<Duration> cutAt;
+};
+
+struct Outcome
+{
+    double excess = 0; ///< Most admitted in a window, relative to what the operator accepts.
+    double admittedShare = 0; ///< Of what was requested within the quota, in the last ten seconds.
+};
+
+/// Plays thirty seconds.
+class QuotaSimulation
+{
+public:
+    explicit QuotaSimulation(const Scenario &played)
+        : scenario(played)
+        , limiters(
+              static_cast<std::size_t>(played.entries), QuotaLimiter({ window, slack, excess }))
+        , collectors(2, UsageCollector(window, start - seconds(20)))
+    {
+    }
+
+    Outcome run()
+    {
+        std::exponential_distribution<double> cost(1 / this->scenario.meanCost);
+        std::uniform_int_distribution<std::size_t> anyEntry(0, this->limiters.size() - 1);
+        double pending = 0;
+        double requestedLate = 0;
+        double admittedLate = 0;
+        std::deque<std::pair<TimePoint, double>> admitted;
+        double inWindow = 0;
+        Outcome outcome;
+        for (TimePoint now = start; now < start + seconds(30); now += step) {
+            const bool later = now >= start + seconds(10);
+            OrganisationAccount organisation;
+            organisation.name = "hot";
+            organisation.countsTokens = true;
+            organisation.ratePerSecond
+                = later ? this->scenario.laterRate : this->scenario.ratePerSecond;
+            organisation.burst = organisation.ratePerSecond;
+            this->exchangeReports(now);
+            const double load = later ? this->scenario.laterLoad : this->scenario.load;
+            pending += this->scenario.ratePerSecond * load * toSeconds(step);
+            while (pending > 0) {
+                const double tokens = cost(this->random);
+                pending -= tokens;
+                const bool late = now >= start + seconds(20);
+                requestedLate += late ? tokens : 0;
+                if (!this->limiters[anyEntry(this->random)].admit(organisation, tokens, now)) {
+                    admitted.emplace_back(now, tokens);
+                    inWindow += tokens;
+                    admittedLate += late ? tokens : 0;
+                }
+            }
+            while (!admitted.empty() && now - admitted.front().first > window) {
+                inWindow -= admitted.front().second;
+                admitted.pop_front();
+            }
+            // A lowered quota binds one window after it was lowered.
+            const double rate = now < start + seconds(10) + window
+                ? std::max(this->scenario.ratePerSecond, this->scenario.laterRate)
+                : this->scenario.laterRate;
+            const double accepted = (rate * toSeconds(window) + rate) * (1 + excess) + slack;
+            outcome.excess = std::max(outcome.excess, inWindow / accepted);
+        }
+        const double quota = this->scenario.laterRate * 10;
+        outcome.admittedShare = admittedLate / std::min(requestedLate, quota);
+        return outcome;
+    }
+
+private:
+    static constexpr TimePoint start{ seconds(100) };
+    static constexpr Duration step = milliseconds(5);
+    static constexpr double slack = 140'000;
+    static constexpr double excess = 0.1;
+    static constexpr Duration reportInterval = milliseconds(250);
+
+    struct Datagram
+    {
+        TimePoint arrival;
+        std::size_t entry = 0;
+        std::size_t collector = 0;
+        std::optional<UsageByOrganisation> usage; ///< Empty in a reply.
+        UsageReport report;
+        bool operator>(const Datagram &other) const { return this->arrival > other.arrival; }
+    };
+
+    static double toSeconds(Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+
+    void send(Datagram datagram, TimePoint now)
+    {
+        const bool cut = this->scenario.cutAt && datagram.entry % 2 == 0
+            && now >= start + *this->scenario.cutAt
+            && now < start + *this->scenario.cutAt + seconds(2);
+        if (cut || this->uniform() < this->scenario.lostShare) {
+            return;
+        }
+        const int copies = this->uniform() < this->scenario.doubledShare ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            datagram.arrival = now
+                + std::chrono::duration_cast<Duration>(
+                    this->scenario.maximumDelay * this->uniform());
+            this->underway.push(datagram);
+        }
+    }
+
+    void exchangeReports(TimePoint now)
+    {
+        if (this->scenario.collectorKilledAt && now >= start + *this->scenario.collectorKilledAt) {
+            this->collectors.front() = UsageCollector(window, now);
+            this->scenario.collectorKilledAt.reset();
+        }
+        for (std::size_t entry = 0; entry < this->limiters.size(); ++entry) {
+            const Duration offset = reportInterval * entry / this->limiters.size() / step * step;
+            if ((now - start - offset) % reportInterval != Duration::zero()) {
+                continue;
+            }
+            for (std::size_t collector = 0; collector < this->collectors.size(); ++collector) {
+                this->send({ {}, entry, collector, this->limiters[entry].ownUsage(now), {} }, now);
+            }
+        }
+        while (!this->underway.empty() && this->underway.top().arrival <= now) {
+            Datagram datagram = this->underway.top();
+            this->underway.pop();
+            if (!datagram.usage) {
+                this->limiters[datagram.entry].applyReport(datagram.report, now);
+                continue;
+            }
+            UsageCollector &collector = this->collectors[datagram.collector];
+            collector.addReport(datagram.entry, *datagram.usage, now);
+            datagram.usage.reset();
+            datagram.report = collector.reportFor(datagram.entry, now);
+            this->send(std::move(datagram), now);
+        }
+    }
+
+    Scenario scenario;
+    std::mt19937_64 random{ 7 };
+    std::vector<QuotaLimiter> limiters;
+    std::vector<UsageCollector> collectors;
+    std::priority_queue<Datagram, std::vector<Datagram>, std::greater<>> underway;
+};
+
+struct Case
+{
+    const char *name;
+    Scenario scenario;
+    double minimumAdmitted; ///< Share of what is requested within the quota.
+};
+
+class SharedQuota : public testing::TestWithParam<Case>
+{
+};
+
+TEST_P(SharedQuota, staysWithinWhatTheOperatorAccepts)
+{
+    const Outcome outcome = QuotaSimulation(GetParam().scenario).run();
+    EXPECT_LE(outcome.excess, 1);
+    EXPECT_GE(outcome.admittedShare, GetParam().minimumAdmitted);
+}
+
+Case makeCase(const char *name, double minimumAdmitted, void (*change)(Scenario &))
+{
+    Case result{ name, {}, minimumAdmitted };
+    change(result.scenario);
+    return result;
+}
+
+INSTANTIATE_TEST_SUITE_P(Deployments, SharedQuota,
+    testing::Values(makeCase("within the quota", 0.95, [](Scenario &) {}),
+        makeCase("three hundred entries", 0.95, [](Scenario &s) { s.entries = 300; }),
+        makeCase("jump to 7.5 times the usual load", 0.9,
+            [](Scenario &s) { s.load = 0.55, s.laterLoad = 4.2; }),
+        makeCase(
+            "jump close to the quota", 0.9, [](Scenario &s) { s.load = 0.98, s.laterLoad = 7.5; }),
+        makeCase("jump with three hundred entries", 0.9,
+            [](Scenario &s) { s.entries = 300, s.load = 0.98, s.laterLoad = 7.5; }),
+        makeCase("small quota, three hundred entries", 0.85,
+            [](Scenario &s) {
+                s.entries = 300, s.ratePerSecond = s.laterRate = 40'000, s.laterLoad = 5;
+            }),
+        makeCase("quota lowered", 0.85, [](Scenario &s) { s.laterRate = 120'000; }),
+        makeCase("collector killed under overload", 0.85,
+            [](Scenario &s) { s.laterLoad = 5, s.collectorKilledAt = seconds(15); }),
+        makeCase("half of the entries cut off under overload", 0.8,
+            [](Scenario &s) { s.laterLoad = 5, s.cutAt = seconds(14); })),
+    [](const testing::TestParamInfo<Case> &parameter) {
+        std::string result = parameter.param.name;
+        std::erase_if(result, [](char letter) { return std::isalnum(letter) == 0; });
+        return result;
+    });
+
+} // namespace
+} // namespace wigeonsill
--- a/src/libgateway/usagecollector.cpp
+++ b/src/libgateway/usagecollector.cpp
@@ -2,47 +2,97 @@
 /// Sums up the entries' usage of the organisations' quotas.
 #include "wigeonsill/gateway.h"
 
+#include <algorithm>
+
 namespace wigeonsill {
 
 namespace {
 
 /// An entry without a report for this long no longer counts as sharing the quotas.
 constexpr Duration reportTimeout = seconds(3);
-
-double totalOf(const std::map<std::string, double> &totals, const std::string &organisation)
-{
-    const auto found = totals.find(organisation);
-    return found == totals.end() ? 0 : found->second;
-}
+/// Interval at which the usage of all entries is checked for what has left the window.
+constexpr Duration expiryInterval = milliseconds(50);
 
 } // namespace
 
 void UsageCollector::addReport(std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now)
 {
-    Samples &samples = this->samplesByEntry[entry];
-    Sample latest{ now, {}, {} };
-    Sample baseline{ now - this->window, {}, {} };
-    for (const auto &[organisation, use] : usage) {
-        latest.totals[organisation] = use.total;
-        latest.demands[organisation] = use.demand;
-        baseline.totals[organisation] = use.total - use.inWindow;
+    Entry &record = this->entries[entry];
+    Sample sample{ now, {} };
+    if (record.samples.empty()) {
+        Sample baseline{ now - this->window, {} };
+        for (const auto &[organisation, use] : usage) {
+            baseline.totals[organisation] = use.total - use.inWindow;
+        }
+        record.samples.push_back(std::move(baseline));
     }
-    if (samples.empty()) {
-        samples.push_back(std::move(baseline));
+    for (const auto &[organisation, use] : usage) {
+        sample.totals[organisation] = use.total;
     }
-    samples.push_back(std::move(latest));
+    record.samples.push_back(std::move(sample));
+    record.latest = usage;
+    this->removeExpiredSamples(record, now);
+    this->recount(record, now);
     this->removeExpired(now);
 }
 
+void UsageCollector::removeExpiredSamples(Entry &entry, TimePoint now) const
+{
+    while (entry.samples.size() > 1 && now - entry.samples[1].at >= this->window) {
+        entry.samples.pop_front();
+    }
+}
+
+void UsageCollector::discount(Entry &entry)
+{
+    for (const auto &[organisation, amounts] : entry.counted) {
+        Amounts &sum = this->sums[organisation];
+        // Rounding errors must not add up to a negative usage.
+        sum.usage = std::max(sum.usage - amounts.usage, 0.0);
+        sum.demand = std::max(sum.demand - amounts.demand, 0.0);
+    }
+    entry.counted.clear();
+    this->reportingEntries -= entry.reporting ? 1 : 0;
+    entry.reporting = false;
+}
+
+void UsageCollector::recount(Entry &entry, TimePoint now)
+{
+    this->discount(entry);
+    entry.reporting = now - entry.samples.back().at < reportTimeout;
+    this->reportingEntries += entry.reporting ? 1 : 0;
+    const auto &baseline = entry.samples.front().totals;
+    for (const auto &[organisation, use] : entry.latest) {
+        const auto before = baseline.find(organisation);
+        const Amounts amounts{ use.total - (before == baseline.end() ? 0 : before->second),
+            entry.reporting ? use.demand : 0 };
+        entry.counted[organisation] = amounts;
+        Amounts &sum = this->sums[organisation];
+        sum.usage += amounts.usage;
+        sum.demand += amounts.demand;
+    }
+}
+
 void UsageCollector::removeExpired(TimePoint now)
 {
-    std::erase_if(this->samplesByEntry,
-        [this, now](const auto &element) { return now - element.second.back().at > this->window; });
-    for (auto &[entry, samples] : this->samplesByEntry) {
-        // Keeps one sample that is older than the window as the baseline.
-        while (samples.size() > 1 && now - samples[1].at >= this->window) {
-            samples.pop_front();
+    if (now - this->expiredAt < expiryInterval) {
+        return;
+    }
+    this->expiredAt = now;
+    for (auto record = this->entries.begin(); record != this->entries.end();) {
+        Entry &entry = record->second;
+        if (now - entry.samples.back().at > this->window) {
+            this->discount(entry);
+            record = this->entries.erase(record);
+            continue;
+        }
+        const std::size_t sampleCount = entry.samples.size();
+        this->removeExpiredSamples(entry, now);
+        const bool fellSilent = entry.reporting && now - entry.samples.back().at >= reportTimeout;
+        if (entry.samples.size() != sampleCount || fellSilent) {
+            this->recount(entry, now);
         }
+        ++record;
     }
 }
 
@@ -50,21 +100,20 @@
 {
     this->removeExpired(now);
     UsageReport report;
-    report.sharingEntries = 0;
+    report.sharingEntries = this->reportingEntries;
     report.collectorAge = now - this->startedAt;
-    for (const auto &[other, samples] : this->samplesByEntry) {
-        const bool isReporting = now - samples.back().at < reportTimeout;
-        report.sharingEntries += isReporting ? 1 : 0;
-        if (other == entry) {
-            continue;
-        }
-        for (const auto &[organisation, total] : samples.back().totals) {
-            report.othersUsage[organisation]
-                += total - totalOf(samples.front().totals, organisation);
-        }
-        for (const auto &[organisation, demand] : samples.back().demands) {
-            report.othersDemand[organisation] += isReporting ? demand : 0;
+    const auto own = this->entries.find(entry);
+    for (const auto &[organisation, sum] : this->sums) {
+        Amounts others = sum;
+        if (own != this->entries.end()) {
+            const auto part = own->second.counted.find(organisation);
+            if (part != own->second.counted.end()) {
+                others.usage -= part->second.usage;
+                others.demand -= part->second.demand;
+            }
         }
+        report.othersUsage[organisation] = std::max(others.usage, 0.0);
+        report.othersDemand[organisation] = std::max(others.demand, 0.0);
     }
     return report;
 }
