Refused callers of a full quota return after the burst; unknown targets are not the quickest

Cause: (1) a request over an organisation's quota was told to come back after the time in which its own cost accrues, 100 ms at least, whatever else was refused. (2) rankTargets took a target without a known load for one that takes no time at all. Change: callerReturnDelay (liboutcomes) gives all refusals the same late and scattered return. Targets without a load are ranked with the mean rates of the others. Ruled out: a return at once when a large part is admitted, since callers have one more try only. Test: SharedQuota.refusedCallersAreServedAfterTheBurst (half of the refusals at most); RankTargets.doesNotTakeUnknownTargetsForTheQuickest fails on the ranking before.

--- a/src/include/wigeonsill/outcomes.h
+++ b/src/include/wigeonsill/outcomes.h
@@ -70,4 +70,13 @@
     bool lost = false;
 };
 
+/// How long a caller should wait before it comes back after a refusal, for callers that accept up
+/// to a third of the time that they have left. Load pattern: bursts of seconds in which refused
+/// callers come back. Those that return early meet the same burst and use up their last attempt, so
+/// they return late and at scattered moments. Replayed by callerreturn_test and
+/// SharedQuota.refusedCallersAreServedAfterTheBurst. \param timeLeft Of the caller. \param
+/// untilRoom Expected time until a like request would fit, where it is known. \param uniformRandom
+/// Uniformly distributed in [0, 1).
+Duration callerReturnDelay(Duration timeLeft, Duration untilRoom, double uniformRandom);
+
 } // namespace wigeonsill
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -162,7 +162,7 @@
     const auto wait = this->state.quotas.admit(*this->organisation, cost, this->arrived);
     if (wait) {
         this->refuse(ResultCode::QuotaExceeded, "the organisation's quota is exhausted",
-            std::max<Duration>(*wait, milliseconds(100)));
+            this->retryDelay(*wait));
         return false;
     }
     this->quotaCharged = cost;
@@ -180,16 +180,9 @@
     }
 }
 
-Duration RequestFlow::retryDelay() const
+Duration RequestFlow::retryDelay(Duration untilRoom) const
 {
-    // Callers accept a retry delay of up to a third of their time left. A burst lasts seconds, so
-    // an early caller retry would meet the same burst; the random part keeps caller retries from
-    // arriving at the same moment.
-    const double third = static_cast<double>(this->timeLeft().count()) / 3;
-    const double share = 0.6 + 0.39 * this->state.uniformRandom();
-    constexpr double longest = 5'000'000;
-    const double wait = std::clamp(third * share, 100'000.0, longest);
-    return Duration(static_cast<std::int64_t>(wait));
+    return callerReturnDelay(this->timeLeft(), untilRoom, this->state.uniformRandom());
 }
 
 void RequestFlow::refuse(ResultCode code, std::string_view detail, Duration retryAfter)
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -99,7 +99,8 @@
     void startTimer(Duration time);
     Duration elapsed() const;
     Duration timeLeft() const;
-    Duration retryDelay() const;
+    /// For the caller. \param untilRoom Expected time until a like request would fit, if known.
+    Duration retryDelay(Duration untilRoom = {}) const;
 
     std::shared_ptr<EntryState> stateOwner;
 
--- a/src/libgateway/sharedquota_test.cpp
+++ b/src/libgateway/sharedquota_test.cpp
@@ -1,6 +1,7 @@
 /// \file sharedquota_test.cpp
 /// Tests of quotas that hundreds of entries share by reports that are late, lost or doubled.
 #include "wigeonsill/gateway.h"
+#include "wigeonsill/outcomes.h"
 
 #include <gtest/gtest.h>
 
@@ -23,6 +24,10 @@
     Duration maximumDelay = milliseconds(80); ///< Of a datagram; uniformly distributed.
     double lostShare = 0.05;
     double doubledShare = 0.05;
+    /// Refused callers return once after this delay; empty if they do not return.
+    std::function<Duration(double uniformRandom)> returnDelay;
+    /// The later load lasts until then.
+    Duration laterLoadEnd = seconds(30);
     /// Time at which one of the two collectors is killed and another one takes its place.
     std::optional<Duration> collectorKilledAt;
     /// For these two seconds, half of the entries reach no collector.
@@ -33,6 +38,7 @@
 {
     double excess = 0; ///< Most admitted in a window, relative to what the operator accepts.
     double admittedShare = 0; ///< Of what was requested within the quota, in the last ten seconds.
+    double refusedShare = 0; ///< Of all callers, those refused for good.
 };
 
 /// Plays thirty seconds.
@@ -56,6 +62,9 @@
         double admittedLate = 0;
         std::deque<std::pair<TimePoint, double>> admitted;
         double inWindow = 0;
+        std::multimap<TimePoint, double> returning;
+        int callers = 0;
+        int refused = 0;
         Outcome outcome;
         for (TimePoint now = start; now < start + seconds(30); now += step) {
             const bool later = now >= start + seconds(10);
@@ -66,17 +75,35 @@
                 = later ? this->scenario.laterRate : this->scenario.ratePerSecond;
             organisation.burst = organisation.ratePerSecond;
             this->exchangeReports(now);
-            const double load = later ? this->scenario.laterLoad : this->scenario.load;
+            const bool raised = later && now < start + this->scenario.laterLoadEnd;
+            const double load = raised ? this->scenario.laterLoad : this->scenario.load;
+            const bool late = now >= start + seconds(20);
+            const auto tryAdmit = [&](double tokens) {
+                if (this->limiters[anyEntry(this->random)].admit(organisation, tokens, now)) {
+                    return false;
+                }
+                admitted.emplace_back(now, tokens);
+                inWindow += tokens;
+                admittedLate += late ? tokens : 0;
+                return true;
+            };
+            for (; !returning.empty() && returning.begin()->first <= now;
+                 returning.erase(returning.begin())) {
+                refused += tryAdmit(returning.begin()->second) ? 0 : 1;
+            }
             pending += this->scenario.ratePerSecond * load * toSeconds(step);
             while (pending > 0) {
                 const double tokens = cost(this->random);
                 pending -= tokens;
-                const bool late = now >= start + seconds(20);
+                ++callers;
                 requestedLate += late ? tokens : 0;
-                if (!this->limiters[anyEntry(this->random)].admit(organisation, tokens, now)) {
-                    admitted.emplace_back(now, tokens);
-                    inWindow += tokens;
-                    admittedLate += late ? tokens : 0;
+                if (tryAdmit(tokens)) {
+                    continue;
+                }
+                if (this->scenario.returnDelay) {
+                    returning.emplace(now + this->scenario.returnDelay(this->uniform()), tokens);
+                } else {
+                    ++refused;
                 }
             }
             while (!admitted.empty() && now - admitted.front().first > window) {
@@ -92,6 +119,7 @@
         }
         const double quota = this->scenario.laterRate * 10;
         outcome.admittedShare = admittedLate / std::min(requestedLate, quota);
+        outcome.refusedShare = static_cast<double>(refused) / callers;
         return outcome;
     }
 
@@ -190,6 +218,23 @@
     EXPECT_GE(outcome.admittedShare, GetParam().minimumAdmitted);
 }
 
+/// A burst of five seconds of an organisation near its quota, whose callers have 12 s and come back
+/// once. Those that return at once meet the burst again.
+TEST(SharedQuota, refusedCallersAreServedAfterTheBurst)
+{
+    Scenario scenario;
+    scenario.load = 0.6;
+    scenario.laterLoad = 1.6;
+    scenario.laterLoadEnd = seconds(15);
+    scenario.returnDelay = [](double /*random*/) { return milliseconds(100); };
+    const Outcome atOnce = QuotaSimulation(scenario).run();
+    scenario.returnDelay
+        = [](double random) { return callerReturnDelay(seconds(12), milliseconds(23), random); };
+    const Outcome later = QuotaSimulation(scenario).run();
+    EXPECT_LE(later.refusedShare, atOnce.refusedShare / 2);
+    EXPECT_LE(later.excess, 1);
+}
+
 Case makeCase(const char *name, double minimumAdmitted, void (*change)(Scenario &))
 {
     Case result{ name, {}, minimumAdmitted };
--- a/src/libgateway/targetranking.cpp
+++ b/src/libgateway/targetranking.cpp
@@ -29,8 +29,31 @@
 /// Cost reduction for a target that has processed the prompt of the same session before.
 constexpr double cachedPrefixGainMs = 15;
 
-double estimateCostMs(
-    const TargetView &view, const RequestMetadata &request, const EntryLocation &location)
+/// Measured rates of the targets, for those of which none is known. Otherwise an entry that knows
+/// few of hundreds of targets would send its longest answers to unknown ones.
+struct MeanRates
+{
+    double prefillTokensPerMs = 0; ///< 0 when no target's rate is known.
+    double decodeTokensPerMs = 0;
+};
+
+MeanRates meanRates(const std::vector<TargetView> &views)
+{
+    MeanRates sum;
+    int known = 0;
+    for (const TargetView &view : views) {
+        if (view.load) {
+            sum.prefillTokensPerMs += view.load->prefillTokensPerMs;
+            sum.decodeTokensPerMs += view.load->decodeTokensPerMs;
+            ++known;
+        }
+    }
+    return known == 0 ? sum
+                      : MeanRates{ sum.prefillTokensPerMs / known, sum.decodeTokensPerMs / known };
+}
+
+double estimateCostMs(const TargetView &view, const RequestMetadata &request,
+    const EntryLocation &location, const MeanRates &mean)
 {
     double cost = 0;
     if (view.target->region != location.region) {
@@ -44,11 +67,14 @@
     if (view.load && view.loadAge < maximumLoadAge) {
         cost += static_cast<double>(view.load->startDelay.count()) / 1'000;
     }
-    if (view.load && view.load->prefillTokensPerMs > 0) {
-        cost += request.promptTokens / view.load->prefillTokensPerMs;
+    const MeanRates rates = view.load
+        ? MeanRates{ view.load->prefillTokensPerMs, view.load->decodeTokensPerMs }
+        : mean;
+    if (rates.prefillTokensPerMs > 0) {
+        cost += request.promptTokens / rates.prefillTokensPerMs;
     }
-    if (view.load && view.load->decodeTokensPerMs > 0) {
-        const double decodeMs = request.estimatedOutputTokens() / view.load->decodeTokensPerMs;
+    if (rates.decodeTokensPerMs > 0) {
+        const double decodeMs = request.estimatedOutputTokens() / rates.decodeTokensPerMs;
         cost += decodeCostShare * decodeMs;
         if (request.deadline) {
             const double deadlineMs = static_cast<double>(request.deadline->count()) / 1'000;
@@ -67,10 +93,11 @@
 {
     std::vector<std::pair<double, const TargetView *>> scored;
     scored.reserve(views.size());
+    const MeanRates mean = meanRates(views);
     for (const TargetView &view : views) {
         const std::uint64_t hash = stableHash(view.target->id, seed);
         const double random = static_cast<double>(hash % 1'024) / 1'024 * randomSpreadMs;
-        scored.emplace_back(estimateCostMs(view, request, location) + random, &view);
+        scored.emplace_back(estimateCostMs(view, request, location, mean) + random, &view);
     }
     std::sort(scored.begin(), scored.end());
     std::vector<const TargetView *> result;
--- a/src/libgateway/targetranking_test.cpp
+++ b/src/libgateway/targetranking_test.cpp
@@ -39,6 +39,36 @@
     EXPECT_EQ(rankTargets({ slow, fast }, request, {}, 1).front()->target->id, "i1");
 }
 
+/// An entry among hundreds has heard of few targets lately. A long answer goes to a quick one that
+/// it knows, not to one of unknown speed.
+TEST(RankTargets, doesNotTakeUnknownTargetsForTheQuickest)
+{
+    const Target knownTarget = makeTarget("i1");
+    const Target slowTarget = makeTarget("i2");
+    std::vector<Target> unknownTargets;
+    for (int i = 3; i < 30; ++i) {
+        unknownTargets.push_back(makeTarget("i" + std::to_string(i)));
+    }
+    std::vector<TargetView> views(2);
+    views[0].target = &knownTarget;
+    views[0].load = TargetLoad{ 4, 0, {}, 100, 1.0 / 3 };
+    views[1].target = &slowTarget;
+    views[1].load = TargetLoad{ 4, 0, {}, 40, 1.0 / 17 };
+    for (const Target &target : unknownTargets) {
+        views.emplace_back().target = &target;
+    }
+    RequestMetadata request;
+    request.promptTokens = 200;
+    request.outputTokens = 2'880;
+    request.deadline = seconds(10);
+    request.callerOutputEstimate = 1'700;
+    EXPECT_EQ(rankTargets(views, request, {}, 1).front()->target->id, "i1");
+    EXPECT_EQ(rankTargets(views, request, {}, 1).back()->target->id, "i2");
+    request.callerOutputEstimate = 10;
+    EXPECT_NE(rankTargets(views, request, {}, 1).front()->target->id, "i1")
+        << "short answers go to unknown targets too";
+}
+
 TEST(RankTargets, prefersOwnFailureDomainAndAvoidsFailingTargets)
 {
     Target nearTarget = makeTarget("i1");
--- /dev/null
+++ b/src/liboutcomes/callerreturn.cpp
@@ -0,0 +1,29 @@
+/// \file callerreturn.cpp
+/// When a refused caller should come back.
+#include "wigeonsill/outcomes.h"
+
+#include <algorithm>
+
+namespace wigeonsill {
+
+namespace {
+
+/// Share of its time left that a caller accepts to wait.
+constexpr double acceptedShare = 1.0 / 3;
+/// Range of the wait, as a share of what the caller accepts.
+constexpr double shortestWaitShare = 0.6;
+constexpr double longestWaitShare = 0.99;
+constexpr Duration shortestWait = milliseconds(100);
+/// Longer than a burst, so that nothing is gained by a longer wait.
+constexpr Duration longestWait = seconds(5);
+
+} // namespace
+
+Duration callerReturnDelay(Duration timeLeft, Duration untilRoom, double uniformRandom)
+{
+    const double share = shortestWaitShare + (longestWaitShare - shortestWaitShare) * uniformRandom;
+    const auto wait = std::chrono::duration_cast<Duration>(timeLeft * (acceptedShare * share));
+    return std::clamp<Duration>(std::max(wait, untilRoom), shortestWait, longestWait);
+}
+
+} // namespace wigeonsill
