--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -593,6 +593,7 @@
     Duration loadAge = {}; ///< Time since that report.
     bool agentUnresponsive = false; ///< Its agent left a recent reservation unanswered.
     bool failing = false; ///< Recent requests failed there.
+    bool hasCachedPrefix = false; ///< It recently processed the prompt of the same session.
 };
 
 /// Location of an entry, which determines the cost of reaching a target.
@@ -602,10 +603,7 @@
     std::string region;
 };
 
-/// Orders the targets of a service from the best to the worst for a request. The requests of a
-/// session, whose prompts end in the same part, have the same two home targets in a region at all
-/// entries, found by a hash of that part, so that most of its prompts are read once and no entry
-/// needs to know what the targets keep. Load moves them elsewhere.
+/// Orders the targets of a service from the best to the worst for a request.
 /// \param seed Random number that varies the order of similar targets between calls.
 std::vector<const TargetView *> rankTargets(const std::vector<TargetView> &views,
     const RequestMetadata &request, const EntryLocation &location, std::uint64_t seed);
--- a/src/libgateway/targetranking.cpp
+++ b/src/libgateway/targetranking.cpp
@@ -3,7 +3,6 @@
 #include "wigeonsill/gateway.h"
 
 #include <algorithm>
-#include <array>
 
 namespace wigeonsill {
 
@@ -27,11 +26,8 @@
 /// An answer should take at most this share of the caller's deadline, since output estimates are
 /// only correct at the median.
 constexpr double maximumDecodeShare = 0.5;
-/// Share of the time to read its prompt that a request is expected to save at its session's first
-/// and second home target.
-constexpr std::array homeSavings = { 1.0, 0.6 };
-/// Cost reduction of the home targets beside the saving, so that short prompts find them as well.
-constexpr double homeGainMs = 30;
+/// Cost reduction for a target that has processed the prompt of the same session before.
+constexpr double cachedPrefixGainMs = 15;
 
 /// Measured rates of the targets, for those of which none is known. Otherwise an entry that knows
 /// few of hundreds of targets would send its longest answers to unknown ones.
@@ -67,6 +63,7 @@
     }
     cost += view.failing ? failingTargetCostMs : 0;
     cost += view.agentUnresponsive ? unresponsiveAgentCostMs : 0;
+    cost -= view.hasCachedPrefix ? cachedPrefixGainMs : 0;
     if (view.load && view.loadAge < maximumLoadAge) {
         cost += static_cast<double>(view.load->startDelay.count()) / 1'000;
     }
@@ -89,31 +86,6 @@
     return cost + ownRequestCostMs * view.ownRequests;
 }
 
-/// The home targets of the request's session in a region, the first one first; nullptr for none.
-std::array<const TargetView *, homeSavings.size()> findHomes(
-    const std::vector<TargetView> &views, const RequestMetadata &request, std::string_view region)
-{
-    std::array<const TargetView *, homeSavings.size()> homes{};
-    if (request.parts.empty()) {
-        return homes;
-    }
-    std::array<std::uint64_t, homeSavings.size()> highest{};
-    for (const TargetView &view : views) {
-        if (view.target->region != region) {
-            continue;
-        }
-        const std::uint64_t hash = stableHash(view.target->id, request.parts.back().id);
-        if (homes[0] == nullptr || hash > highest[0]) {
-            homes = { &view, homes[0] };
-            highest = { hash, highest[0] };
-        } else if (homes[1] == nullptr || hash > highest[1]) {
-            homes[1] = &view;
-            highest[1] = hash;
-        }
-    }
-    return homes;
-}
-
 } // namespace
 
 std::vector<const TargetView *> rankTargets(const std::vector<TargetView> &views,
@@ -122,20 +94,10 @@
     std::vector<std::pair<double, const TargetView *>> scored;
     scored.reserve(views.size());
     const MeanRates mean = meanRates(views);
-    const auto homes = findHomes(views, request, location.region);
     for (const TargetView &view : views) {
         const std::uint64_t hash = stableHash(view.target->id, seed);
         const double random = static_cast<double>(hash % 1'024) / 1'024 * randomSpreadMs;
-        double cost = estimateCostMs(view, request, location, mean) + random;
-        const auto home = std::find(homes.begin(), homes.end(), &view);
-        if (home != homes.end()) {
-            const double prefillRate
-                = view.load ? view.load->prefillTokensPerMs : mean.prefillTokensPerMs;
-            const double prefillMs = prefillRate > 0 ? request.promptTokens / prefillRate : 0;
-            cost -= homeGainMs
-                + prefillMs * homeSavings.at(static_cast<std::size_t>(home - homes.begin()));
-        }
-        scored.emplace_back(cost, &view);
+        scored.emplace_back(estimateCostMs(view, request, location, mean) + random, &view);
     }
     std::sort(scored.begin(), scored.end());
     std::vector<const TargetView *> result;
--- a/src/libgateway/targetranking_test.cpp
+++ b/src/libgateway/targetranking_test.cpp
@@ -69,67 +69,6 @@
         << "short answers go to unknown targets too";
 }
 
-/// Sessions send their long prompts again and again, through any entry, to targets with and without
-/// a known load. Most prompts must find a target that read them before.
-TEST(RankTargets, sessionsReturnToTargetsThatReadTheirPrompts)
-{
-    std::mt19937_64 random(11);
-    std::vector<Target> targets;
-    for (int i = 0; i < 60; ++i) {
-        targets.push_back(makeTarget("i" + std::to_string(i)));
-    }
-    std::set<std::pair<std::uint64_t, const Target *>> kept;
-    int repeated = 0;
-    int found = 0;
-    std::set<std::uint64_t> seen;
-    for (int i = 0; i < 3'000; ++i) {
-        std::vector<TargetView> views;
-        for (const Target &target : targets) {
-            TargetView &view = views.emplace_back();
-            view.target = &target;
-            if (random() % 4 == 0) { // What this entry has heard of lately.
-                view.load = TargetLoad{ 1, 0, milliseconds(random() % 20), 60, 0.2 };
-            }
-        }
-        RequestMetadata request;
-        request.promptTokens = 5'000;
-        request.parts = { { 1, 500 }, { 100 + random() % 500, 4'500 } };
-        const Target *chosen = rankTargets(views, request, {}, random()).front()->target;
-        const std::uint64_t session = request.parts.back().id;
-        if (!seen.insert(session).second) {
-            ++repeated;
-            found += kept.contains({ session, chosen }) ? 1 : 0;
-        }
-        kept.insert({ session, chosen });
-    }
-    EXPECT_GE(found, repeated * 3 / 4);
-}
-
-/// One session gets a large part of the traffic: its home targets fill up and others take over.
-TEST(RankTargets, loadMovesAHotSessionAwayFromItsHome)
-{
-    std::vector<Target> targets;
-    for (int i = 0; i < 10; ++i) {
-        targets.push_back(makeTarget("i" + std::to_string(i)));
-    }
-    RequestMetadata request;
-    request.promptTokens = 5'000;
-    request.parts = { { 7, 5'000 } };
-    std::vector<TargetView> views(targets.size());
-    for (std::size_t i = 0; i < targets.size(); ++i) {
-        views[i].target = &targets[i];
-        views[i].load = TargetLoad{ 4, 0, {}, 60, 0.2 };
-    }
-    const auto calm = rankTargets(views, request, {}, 1);
-    std::set<std::string> homes = { calm[0]->target->id, calm[1]->target->id };
-    for (TargetView &view : views) {
-        if (homes.contains(view.target->id)) {
-            view.load->startDelay = milliseconds(400);
-        }
-    }
-    EXPECT_FALSE(homes.contains(rankTargets(views, request, {}, 1).front()->target->id));
-}
-
 TEST(RankTargets, prefersOwnFailureDomainAndAvoidsFailingTargets)
 {
     Target nearTarget = makeTarget("i1");
