Lost agents cost only the first request their time limit

Cause: with all agents lost, each request waited 150 ms for one that had not been asked before, since an agent without a record ranks before one that is known to be silent. Change: when three agents or more were asked and none has answered for 150 ms, all are taken for lost: a request is sent at once, at most two at a time to a target; its reservation finds out when they are back. Test: LostAgents failed before (156 ms for a later request), passes now.

--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -11,6 +11,8 @@
 /// An agent that left a reservation unanswered this long is considered unresponsive: five round
 /// trips between regions, plus time for an agent whose CPU quota is exhausted.
 constexpr Duration agentTimeout = milliseconds(150);
+/// With at least this many agents asked and no answer from any, all agents are taken for lost.
+constexpr std::size_t silentAgentsForAll = 3;
 
 } // namespace
 
@@ -58,6 +60,10 @@
     if (!record.unansweredSince) {
         record.unansweredSince = currentTime();
     }
+    if (this->askedSinceAnswer.empty()) {
+        this->firstAskedAt = currentTime();
+    }
+    this->askedSinceAnswer.insert(endpoint.value().address());
     this->send(target, std::move(message));
 }
 
@@ -94,6 +100,7 @@
     if (!endpoint) {
         return result;
     }
+    result.unresponsive = this->areAllAgentsSilent(now);
     const auto found = this->agents.find(endpoint.value().address());
     if (found == this->agents.end()) {
         return result;
@@ -101,10 +108,17 @@
     const AgentRecord &record = found->second;
     result.load = record.load;
     result.loadAge = now - record.loadReceivedAt;
-    result.unresponsive = record.unansweredSince && now - *record.unansweredSince > agentTimeout;
+    result.unresponsive = result.unresponsive
+        || (record.unansweredSince && now - *record.unansweredSince > agentTimeout);
     return result;
 }
 
+bool GrantClient::areAllAgentsSilent(TimePoint now) const
+{
+    return this->askedSinceAnswer.size() >= silentAgentsForAll
+        && now - this->firstAskedAt > agentTimeout;
+}
+
 void GrantClient::send(const Target &target, GrantMessage message)
 {
     message.sender = this->senderId;
@@ -157,6 +171,7 @@
 {
     AgentRecord &record = this->agents[from.address()];
     record.unansweredSince.reset();
+    this->askedSinceAnswer.clear();
     if (message.kind == GrantKind::OthersUsage) {
         if (this->onUsageReported) {
             this->onUsageReported(message.usage);
--- a/src/libforward/grantclient.h
+++ b/src/libforward/grantclient.h
@@ -5,6 +5,7 @@
 #include "grantmessage.h"
 #include "wigeonsill/forward.h"
 
+#include <set>
 #include <unordered_map>
 
 namespace wigeonsill {
@@ -50,6 +51,8 @@
     std::function<void(const UsageReport &)> onUsageReported;
 
     AgentView view(const Target &target, TimePoint now) const;
+    /// Whether several agents, and all that were asked lately, leave reservations unanswered.
+    bool areAllAgentsSilent(TimePoint now) const;
 
 private:
     struct AgentRecord
@@ -73,6 +76,9 @@
     boost::asio::ip::udp::endpoint sender;
     std::map<boost::asio::ip::address, AgentRecord> agents;
     std::map<boost::asio::ip::address, std::string> targetByAddress;
+    /// Agents asked since any of them sent a datagram, and when the first of these was asked.
+    std::set<boost::asio::ip::address> askedSinceAnswer;
+    TimePoint firstAskedAt;
     std::unordered_map<std::uint64_t, GrantListener *> listeners;
 };
 
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -116,7 +116,13 @@
         return;
     }
     this->phase = Phase::Reserving;
-    this->startTimer(waitCheckInterval);
+    if (this->state.grantClient.areAllAgentsSilent(currentTime())) {
+        // The reservation that was just made finds out when the agents are back.
+        this->sendPastUnresponsiveAgent();
+    }
+    if (this->phase == Phase::Reserving) {
+        this->startTimer(waitCheckInterval);
+    }
 }
 
 bool RequestFlow::beginReservations()
--- a/src/libforward/reservations_test.cpp
+++ b/src/libforward/reservations_test.cpp
@@ -82,7 +82,7 @@
 {
 protected:
     /// \param waitShare Share of the latency objective of 1 s for which a request waits for room.
-    explicit Reservations(double waitShare = 10, bool resumable = false)
+    explicit Reservations(double waitShare = 10, bool resumable = false, int agentCount = 5)
         : port(freeUdpPort(this->io))
         , log(this->io, this->metrics, 0)
     {
@@ -91,9 +91,11 @@
         settings.grantAddress = "127.0.0.1";
         settings.grantPort = this->port;
         settings.wait.objectiveShare = waitShare;
+        // Before any report, the entry has the smallest share of the slack; it covers five retries.
+        settings.retryBudget.retrySlack = 5.0 * QuotaLimiter::largestDeploymentEntries;
         this->entry = std::make_unique<ForwardEntry>(
             this->io, this->metrics, this->log, this->dialect, settings);
-        for (int i = 1; i <= 5; ++i) {
+        for (int i = 1; i <= agentCount; ++i) {
             this->agents.push_back(std::make_unique<ManualAgent>(
                 this->io, "127.0.2." + std::to_string(i), this->port));
         }
@@ -239,6 +241,50 @@
     EXPECT_FALSE(error) << "the request must be sent to the next target";
 }
 
+/// Twenty targets whose agents are all lost.
+class LostAgents : public Reservations
+{
+protected:
+    LostAgents()
+        : Reservations(10, false, 20)
+    {
+    }
+
+    /// Runs until a target is connected to, and returns the time that it took.
+    Duration timeUntilSent()
+    {
+        const TimePoint begin = currentTime();
+        while (currentTime() - begin < seconds(5)) {
+            this->runFor(milliseconds(5));
+            for (const auto &agent : this->agents) {
+                boost::system::error_code error;
+                agent->target.non_blocking(true);
+                this->connections.push_back(agent->target.accept(error));
+                if (!error) {
+                    return currentTime() - begin;
+                }
+            }
+        }
+        ADD_FAILURE() << "no target was connected to";
+        return {};
+    }
+
+    std::vector<asio::ip::tcp::socket> connections;
+};
+
+/// Each request used to wait 150 ms for another agent that had not been asked before.
+TEST_F(LostAgents, costOnlyTheFirstRequestTheirTimeout)
+{
+    asio::ip::tcp::socket first(this->io);
+    this->sendRequest(first);
+    this->timeUntilSent();
+    for (int i = 0; i < 5; ++i) {
+        asio::ip::tcp::socket next(this->io);
+        this->sendRequest(next);
+        EXPECT_LT(this->timeUntilSent(), milliseconds(100));
+    }
+}
+
 /// A stream of a resumable route that has begun. Requests wait for room for at most 200 ms.
 class BegunStream : public Reservations
 {
