--- a/src/libgateway/sharedquota_test.cpp
+++ b/src/libgateway/sharedquota_test.cpp
@@ -55,77 +55,29 @@
 
     Outcome run()
     {
-        std::exponential_distribution<double> cost(1 / this->scenario.meanCost);
-        std::uniform_int_distribution<std::size_t> anyEntry(0, this->limiters.size() - 1);
-        double pending = 0;
-        double requestedLate = 0;
-        double admittedLate = 0;
-        std::deque<std::pair<TimePoint, double>> admitted;
-        double inWindow = 0;
-        std::multimap<TimePoint, double> returning;
-        int callers = 0;
-        int refused = 0;
         Outcome outcome;
         for (TimePoint now = start; now < start + seconds(30); now += step) {
-            const bool later = now >= start + seconds(10);
             OrganisationAccount organisation;
             organisation.name = "hot";
             organisation.countsTokens = true;
             organisation.ratePerSecond
-                = later ? this->scenario.laterRate : this->scenario.ratePerSecond;
+                = now >= start + changeAt ? this->scenario.laterRate : this->scenario.ratePerSecond;
             organisation.burst = organisation.ratePerSecond;
             this->exchangeReports(now);
-            const bool raised = later && now < start + this->scenario.laterLoadEnd;
-            const double load = raised ? this->scenario.laterLoad : this->scenario.load;
-            const bool late = now >= start + seconds(20);
-            const auto tryAdmit = [&](double tokens) {
-                if (this->limiters[anyEntry(this->random)].admit(organisation, tokens, now)) {
-                    return false;
-                }
-                admitted.emplace_back(now, tokens);
-                inWindow += tokens;
-                admittedLate += late ? tokens : 0;
-                return true;
-            };
-            for (; !returning.empty() && returning.begin()->first <= now;
-                 returning.erase(returning.begin())) {
-                refused += tryAdmit(returning.begin()->second) ? 0 : 1;
-            }
-            pending += this->scenario.ratePerSecond * load * toSeconds(step);
-            while (pending > 0) {
-                const double tokens = cost(this->random);
-                pending -= tokens;
-                ++callers;
-                requestedLate += late ? tokens : 0;
-                if (tryAdmit(tokens)) {
-                    continue;
-                }
-                if (this->scenario.returnDelay) {
-                    returning.emplace(now + this->scenario.returnDelay(this->uniform()), tokens);
-                } else {
-                    ++refused;
-                }
-            }
-            while (!admitted.empty() && now - admitted.front().first > window) {
-                inWindow -= admitted.front().second;
-                admitted.pop_front();
-            }
-            // A lowered quota binds one window after it was lowered.
-            const double rate = now < start + seconds(10) + window
-                ? std::max(this->scenario.ratePerSecond, this->scenario.laterRate)
-                : this->scenario.laterRate;
-            const double accepted = (rate * toSeconds(window) + rate) * (1 + excess) + slack;
-            outcome.excess = std::max(outcome.excess, inWindow / accepted);
+            this->sendRequests(organisation, now);
+            outcome.excess = std::max(outcome.excess, this->usageInWindow(now) / accepted(now));
         }
         const double quota = this->scenario.laterRate * 10;
-        outcome.admittedShare = admittedLate / std::min(requestedLate, quota);
-        outcome.refusedShare = static_cast<double>(refused) / callers;
+        outcome.admittedShare = this->admittedLate / std::min(this->requestedLate, quota);
+        outcome.refusedShare = static_cast<double>(this->refused) / this->callers;
         return outcome;
     }
 
 private:
     static constexpr TimePoint start{ seconds(100) };
     static constexpr Duration step = milliseconds(5);
+    static constexpr Duration changeAt = seconds(10); ///< To the later load and quota.
+    static constexpr Duration lateFrom = seconds(20);
     static constexpr double slack = 140'000;
     static constexpr double excess = 0.1;
     static constexpr Duration reportInterval = milliseconds(250);
@@ -144,6 +96,64 @@
     {
         return std::chrono::duration<double>(duration).count();
     }
+    /// Most that the operator accepts in the window before now.
+    double accepted(TimePoint now) const
+    {
+        // A lowered quota binds one window after it was lowered.
+        const double rate = now < start + changeAt + window
+            ? std::max(this->scenario.ratePerSecond, this->scenario.laterRate)
+            : this->scenario.laterRate;
+        return (rate * toSeconds(window) + rate) * (1 + excess) + slack;
+    }
+
+    double usageInWindow(TimePoint now)
+    {
+        while (!this->admitted.empty() && now - this->admitted.front().first > window) {
+            this->inWindow -= this->admitted.front().second;
+            this->admitted.pop_front();
+        }
+        return this->inWindow;
+    }
+
+    bool tryAdmit(const OrganisationAccount &organisation, double tokens, TimePoint now)
+    {
+        std::uniform_int_distribution<std::size_t> anyEntry(0, this->limiters.size() - 1);
+        if (this->limiters[anyEntry(this->random)].admit(organisation, tokens, now)) {
+            return false;
+        }
+        this->admitted.emplace_back(now, tokens);
+        this->inWindow += tokens;
+        this->admittedLate += now >= start + lateFrom ? tokens : 0;
+        return true;
+    }
+
+    void sendRequests(const OrganisationAccount &organisation, TimePoint now)
+    {
+        for (; !this->returning.empty() && this->returning.begin()->first <= now;
+             this->returning.erase(this->returning.begin())) {
+            const bool served = this->tryAdmit(organisation, this->returning.begin()->second, now);
+            this->refused += served ? 0 : 1;
+        }
+        const bool raised = now >= start + changeAt && now < start + this->scenario.laterLoadEnd;
+        const double load = raised ? this->scenario.laterLoad : this->scenario.load;
+        std::exponential_distribution<double> cost(1 / this->scenario.meanCost);
+        this->pending += this->scenario.ratePerSecond * load * toSeconds(step);
+        while (this->pending > 0) {
+            const double tokens = cost(this->random);
+            this->pending -= tokens;
+            ++this->callers;
+            this->requestedLate += now >= start + lateFrom ? tokens : 0;
+            if (this->tryAdmit(organisation, tokens, now)) {
+                continue;
+            }
+            if (this->scenario.returnDelay) {
+                this->returning.emplace(now + this->scenario.returnDelay(this->uniform()), tokens);
+            } else {
+                ++this->refused;
+            }
+        }
+    }
+
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
 
     void send(Datagram datagram, TimePoint now)
@@ -194,6 +204,14 @@
     }
 
     Scenario scenario;
+    double pending = 0; ///< Tokens that are to be requested.
+    int callers = 0;
+    int refused = 0; ///< For good.
+    double requestedLate = 0;
+    double admittedLate = 0;
+    std::deque<std::pair<TimePoint, double>> admitted; ///< In the window.
+    double inWindow = 0;
+    std::multimap<TimePoint, double> returning;
     std::mt19937_64 random{ 7 };
     std::vector<QuotaLimiter> limiters;
     std::vector<UsageCollector> collectors;
