--- a/src/libforward/reservations_test.cpp
+++ b/src/libforward/reservations_test.cpp
@@ -342,6 +342,23 @@
         }
     }
 
+    /// The agent that was asked last grants room, and its target gives the rest of the answer.
+    void continueAtLastReservation()
+    {
+        ASSERT_NE(this->lastReservation.first, nullptr);
+        this->lastReservation.first->reply(GrantKind::Granted, this->lastReservation.second);
+        this->runFor(milliseconds(100));
+        boost::system::error_code error;
+        this->lastReservation.first->target.non_blocking(true);
+        this->connection = this->lastReservation.first->target.accept(error);
+        ASSERT_FALSE(error) << "the stream is continued at the target that granted room";
+        this->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        this->writeEvent(2);
+        this->write("0\r\n\r\n");
+        this->runFor(milliseconds(100));
+        EXPECT_TRUE(this->received().ends_with("0\r\n\r\n")) << "the answer is complete";
+    }
+
     asio::ip::tcp::socket caller;
     asio::ip::tcp::socket connection;
     ManualAgent *firstAgent = nullptr;
@@ -369,18 +386,7 @@
 TEST_F(BegunStream, movesWhenAnotherTargetGrants)
 {
     this->queueReservations(milliseconds(2'500));
-    ASSERT_NE(this->lastReservation.first, nullptr);
-    this->lastReservation.first->reply(GrantKind::Granted, this->lastReservation.second);
-    this->runFor(milliseconds(100));
-    boost::system::error_code error;
-    this->lastReservation.first->target.non_blocking(true);
-    this->connection = this->lastReservation.first->target.accept(error);
-    ASSERT_FALSE(error) << "the stream is continued at the target that granted room";
-    this->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    this->writeEvent(2);
-    this->write("0\r\n\r\n");
-    this->runFor(milliseconds(100));
-    EXPECT_TRUE(this->received().ends_with("0\r\n\r\n")) << "the answer is complete";
+    ASSERT_NO_FATAL_FAILURE(this->continueAtLastReservation());
     EXPECT_EQ(this->receivedBytes.find("HTTP/1.1", 1), std::string::npos) << "a single head";
 }
 
@@ -391,18 +397,7 @@
     this->queueReservations(milliseconds(1'000));
     this->received();
     EXPECT_FALSE(this->closed) << "the caller has time left and another target may grant room";
-    ASSERT_NE(this->lastReservation.first, nullptr);
-    this->lastReservation.first->reply(GrantKind::Granted, this->lastReservation.second);
-    this->runFor(milliseconds(100));
-    boost::system::error_code error;
-    this->lastReservation.first->target.non_blocking(true);
-    this->connection = this->lastReservation.first->target.accept(error);
-    ASSERT_FALSE(error) << "the stream is continued at the target that granted room";
-    this->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    this->writeEvent(2);
-    this->write("0\r\n\r\n");
-    this->runFor(milliseconds(100));
-    EXPECT_TRUE(this->received().ends_with("0\r\n\r\n")) << "the answer is complete";
+    ASSERT_NO_FATAL_FAILURE(this->continueAtLastReservation());
 }
 
 } // namespace
