--- a/src/libforward/callclient.cpp
+++ b/src/libforward/callclient.cpp
@@ -56,6 +56,10 @@
         this->response.fields = head.fields;
     }
     void onAnswerBody(std::string_view bytes) override { this->response.body += bytes; }
+    void onForeignAnswer(std::string_view /*answerId*/, std::uint64_t /*earlierRequests*/) override
+    {
+        // Calls carry no request id, so no answer is told from theirs.
+    }
     void onAnswerEnd() override { this->finish(std::move(this->response)); }
     void onAnswerFailed(TargetFailure failure) override
     {
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -77,12 +77,15 @@
     /// Releases the reservations. That of a target to be sent to is kept for as long as the target.
     void withdrawReservations(const std::string &exceptTarget = {});
     void releaseTarget();
+    /// Logs that the request leaves its target. \pre the attempt's bytes were not discarded yet.
+    void logMove(std::string_view cause);
     bool retryAtOtherTarget(std::string_view cause);
     void resumeStream();
 
     void onSent() override;
     void onAnswerHead(const MessageHead &answerHead) override;
     void onAnswerBody(std::string_view bytes) override;
+    void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) override;
     void onAnswerEnd() override;
     void onAnswerFailed(TargetFailure failure) override;
     bool onGranted(const std::string &targetId) override;
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -287,13 +287,7 @@
 void RequestFlow::moveTo(const Target &chosen, bool byGrant)
 {
     if (this->target) {
-        DecisionLine line("entry", "moved");
-        line.text("request", this->request.id)
-            .text("from", this->target->id)
-            .text("why", "the target is silent and another one has room")
-            .number("attempts", this->attempts)
-            .ms("left_ms", this->timeLeft());
-        this->state.log.decision(line);
+        this->logMove("the target is silent and another one has room");
         this->anyTargetMayHaveRun = this->anyTargetMayHaveRun || this->currentTargetMayHaveRun;
         this->releaseTarget();
         this->events.discardPartial();
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -126,6 +126,16 @@
     this->caller->writeBody(completeEvents);
 }
 
+void RequestFlow::onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests)
+{
+    DecisionLine line("entry", "foreign-answer");
+    line.text("request", this->request.id)
+        .text("target", this->target->id)
+        .text("answer_to", answerId)
+        .number("earlier_requests", static_cast<double>(earlierRequests));
+    this->state.log.decision(line);
+}
+
 void RequestFlow::onAnswerEnd()
 {
     const auto self = this->shared_from_this();
@@ -181,6 +191,20 @@
     this->fail(502, cause);
 }
 
+void RequestFlow::logMove(std::string_view cause)
+{
+    DecisionLine line("entry", "moved");
+    line.text("request", this->request.id)
+        .text("from", this->target ? this->target->id : "")
+        .text("why", cause)
+        .number("attempts", this->attempts)
+        .number("relayed_events", static_cast<double>(this->events.count()))
+        .number("held_bytes",
+            static_cast<double>(this->events.remainder().size() + this->answerBody.size()))
+        .ms("left_ms", this->timeLeft());
+    this->state.log.decision(line);
+}
+
 bool RequestFlow::retryAtOtherTarget(std::string_view cause)
 {
     this->continuation.recordLost();
@@ -197,13 +221,7 @@
         this->state.metrics.count("wigeonsill_repeats_over_budget_total");
         return false;
     }
-    DecisionLine line("entry", "moved");
-    line.text("request", this->request.id)
-        .text("from", this->target ? this->target->id : "")
-        .text("why", cause)
-        .number("attempts", this->attempts)
-        .ms("left_ms", this->timeLeft());
-    this->state.log.decision(line);
+    this->logMove(cause);
     this->releaseTarget();
     if (this->service->isEngine) {
         // The wait for room at another target starts anew. The rest of a begun answer is waited for
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -142,6 +142,7 @@
         return;
     }
     this->sent = true;
+    ++this->requestsCarried;
     this->writing = true;
     asio::async_write(this->socket, asio::buffer(this->request.bytes),
         [self](const error_code &error, std::size_t) {
@@ -224,8 +225,12 @@
         const MessageHead &head = this->reader->head();
         const AnswerFacts facts = this->pool.dialect.decodeAnswer(head);
         const bool informational = head.status >= 100 && head.status < 200;
-        this->skippingAnswer
-            = informational || (!facts.requestId.empty() && facts.requestId != this->request.id);
+        const bool foreign = !facts.requestId.empty() && facts.requestId != this->request.id;
+        this->skippingAnswer = informational || foreign;
+        if (foreign) {
+            this->pool.metrics.count("wigeonsill_foreign_answers_total");
+            this->handler->onForeignAnswer(facts.requestId, this->requestsCarried - 1);
+        }
         if (!this->skippingAnswer) {
             this->headReceived = true;
             this->updateIdleTime(head);
@@ -249,7 +254,6 @@
         return true;
     }
     if (this->skippingAnswer) {
-        this->pool.metrics.count("wigeonsill_foreign_answers_total");
         this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
         this->skippingAnswer = false;
         return true;
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -31,6 +31,9 @@
     virtual void onAnswerHead(const MessageHead &head) = 0;
     virtual void onAnswerBody(std::string_view bytes) = 0;
     virtual void onAnswerEnd() = 0;
+    /// An answer to another request was skipped. \param answerId Request id that it carries.
+    /// \param earlierRequests Number of requests that the connection carried before this one.
+    virtual void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) = 0;
     virtual void onAnswerFailed(TargetFailure failure) = 0;
 };
 
@@ -110,6 +113,7 @@
     bool headReceived = false;
     bool skippingAnswer = false; ///< The answer being read is informational or another request's.
     bool reusable = true;
+    std::uint64_t requestsCarried = 0; ///< Including the current one.
     TimePoint idleUntil;
 };
 
