An attempt owns its part of the answer, so that no two targets' parts are joined

Callers of a resumable stream got a complete 200 with half of one target's first event and another target's answer behind it ("the body isn't the server's"). Cause: the half event, the body and the head of an attempt were members of the request, and each path that left a target had to clear them; onAnswerFailed cleared the body only, moveTo the half event only. The class: state that belongs to one attempt outlives it. Change: TargetAttempt holds what belongs to one send (target, reservation, connection, head, body, events) and the request swaps it whole; the request keeps only what its caller has (head, number and id of the relayed events). An answer of which the caller has a part goes on elsewhere only after its last event (canContinueElsewhere), so a large body of an idempotent call stays with its target. The learned output of a resumed answer counts the tokens of its own attempt. Ruled out: clearing the half event in onAnswerFailed as well, since every new path would need its own clear. The size of the relayed body is checked besides its content, and the test reads until nothing more comes, since the socket buffers hold less than it.

--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -231,9 +231,14 @@
     /// The content of the chunked or sized answer that the caller has received so far.
     std::string receivedBody()
     {
+        // The entry may still hold bytes that did not fit into the socket buffers.
+        for (std::size_t size = 0; size < this->received().size();) {
+            size = this->receivedBytes.size();
+            this->runFor(milliseconds(50));
+        }
         AnswerReader reader(65'536, 1'048'576);
         boost::system::error_code error;
-        reader.consume(this->received(), error);
+        reader.consume(this->receivedBytes, error);
         EXPECT_FALSE(error) << error.message();
         this->complete = reader.isComplete();
         return reader.body();
--- a/src/libforward/eventsplitter.h
+++ b/src/libforward/eventsplitter.h
@@ -20,8 +20,6 @@
     std::uint64_t count() const { return this->eventCount; }
     /// Bytes after the last complete event, to be relayed at the end of a complete answer.
     const std::string &remainder() const { return this->partial; }
-    /// Discards the bytes of an event that will not be completed.
-    void discardPartial() { this->partial.clear(); }
 
 private:
     std::string partial;
--- a/src/libforward/mixedanswers_test.cpp
+++ b/src/libforward/mixedanswers_test.cpp
@@ -70,6 +70,7 @@
     EXPECT_EQ(this->lastReservation.first, nullptr)
         << "no other target can continue a body that was relayed in part";
     this->write(half);
+    EXPECT_EQ(this->receivedBody().size(), 600000U);
     EXPECT_TRUE(this->receivedBody() == half + half);
     EXPECT_TRUE(this->complete);
 }
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -41,7 +41,8 @@
 RequestFlow::~RequestFlow()
 {
     this->state.flows.erase(this);
-    for (const std::uint64_t id : { this->reservationId, this->targetReservationId }) {
+    for (const std::uint64_t id :
+        { this->reservationId, this->attempt ? this->attempt->reservationId : 0 }) {
         if (id != 0) {
             this->state.grantClient.unregisterReservationId(id);
         }
@@ -198,7 +199,7 @@
 
 void RequestFlow::refuse(ResultCode code, std::string_view detail, Duration retryAfter)
 {
-    if (this->anyTargetMayHaveRun || this->currentTargetMayHaveRun || this->headSentToCaller) {
+    if (this->mayHaveRun() || this->headSentToCaller) {
         this->fail(502, detail);
         return;
     }
@@ -223,8 +224,7 @@
         this->abortAnswer(detail);
         return;
     }
-    const bool mayHaveRun = this->anyTargetMayHaveRun || this->currentTargetMayHaveRun;
-    if (!mayHaveRun && status == 504) {
+    if (!this->mayHaveRun() && status == 504) {
         this->refuse(ResultCode::RequestExpired, detail, this->retryDelay());
         return;
     }
@@ -237,7 +237,7 @@
 {
     const auto self = this->shared_from_this();
     CallerConnection *answeredCaller = this->caller;
-    this->finish("broken-off", this->answerHead.status, cause);
+    this->finish("broken-off", this->relayedHead.status, cause);
     answeredCaller->abort();
 }
 
@@ -267,12 +267,12 @@
         .number("status", status)
         .ms("took_ms", this->elapsed())
         .number("attempts", this->attempts)
-        .number("events", static_cast<double>(this->events.count()));
+        .number("events", static_cast<double>(this->relayedEvents));
     if (this->timeToFirstEvent) {
         line.ms("first_event_ms", *this->timeToFirstEvent);
     }
-    if (this->target) {
-        line.text("target", this->target->id);
+    if (this->attempt) {
+        line.text("target", this->attempt->target.id);
     }
     if (this->organisation != nullptr) {
         line.text("organisation", this->organisation->name);
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "entrystate.h"
-#include "eventsplitter.h"
+#include "targetattempt.h"
 #include "wigeonsill/outcomes.h"
 
 namespace wigeonsill {
@@ -59,7 +59,11 @@
     void onReservingTimer();
     void sendPastUnresponsiveAgent();
     /// Whether room is reserved for a request that a target is still working on.
-    bool isSearching() const { return this->target && this->reservationId != 0; }
+    bool isSearching() const { return this->attempt && this->reservationId != 0; }
+    /// Whether a target may have run the request or part of it.
+    bool mayHaveRun() const;
+    /// Whether another target may answer in place of one that may have run the request.
+    bool canContinueElsewhere() const;
     AnswerContinuation::Options continuationOptions() const;
     /// Reserves at other targets while the current one is silent.
     void searchOtherTarget();
@@ -73,14 +77,14 @@
     Duration waitEnd(Duration start) const;
     double requestSize() const;
     ReservationProfile profile() const;
-    void sendTo(const Target &target);
+    /// \param reservation Under which the target was reserved; 0 without one.
+    void sendTo(const Target &target, std::uint64_t reservation = 0, bool byGrant = false);
     /// Releases the reservations. That of a target to be sent to is kept for as long as the target.
     void withdrawReservations(const std::string &exceptTarget = {});
     void releaseTarget();
-    /// Logs that the request leaves its target. \pre the attempt's bytes were not discarded yet.
+    /// Logs that the request leaves its target.
     void logMove(std::string_view cause);
     bool retryAtOtherTarget(std::string_view cause);
-    void resumeStream();
 
     void onSent() override;
     void onAnswerHead(const MessageHead &answerHead) override;
@@ -125,25 +129,20 @@
     Phase phase = Phase::Deciding;
     boost::asio::steady_timer timer;
     std::uint64_t reservationId = 0; ///< Of the reservations; 0 when there are none.
-    std::uint64_t targetReservationId = 0; ///< Under which the current target was reserved.
     std::vector<Target> rankedTargets;
     std::uint64_t rankedTargetsVersion = 0; ///< EntryState::targetsVersion when they were ranked.
     std::size_t nextRankedTarget = 0;
     std::vector<Reservation> reservations;
     std::set<std::string> excludedTargets; ///< Ids; not sent to again.
 
-    std::optional<Target> target;
-    bool granted = false; ///< By the current target's agent; reset at the first event.
-    std::shared_ptr<TargetConnection> connection;
+    std::optional<TargetAttempt> attempt; ///< At the target that works on the request.
     int attempts = 0; ///< Number of targets that received the request.
     bool sentToAnyTarget = false; ///< Also when a wrong target received it.
-    bool currentTargetMayHaveRun = false; ///< The current target may have received the request.
-    bool anyTargetMayHaveRun = false; ///< An earlier or the current target may have run it.
-    MessageHead answerHead;
-    std::string answerBody;
-    EventSplitter events;
-    bool streaming = false;
+    bool anyTargetMayHaveRun = false; ///< Of the earlier attempts, or the current one answered.
     bool headSentToCaller = false;
+    MessageHead relayedHead; ///< That the caller got.
+    std::uint64_t relayedEvents = 0; ///< Number of events with an id that the caller got.
+    std::string lastRelayedEventId;
     std::optional<Duration> timeToFirstEvent;
     std::optional<Duration> timeToSend;
     TimePoint lastEventAt;
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -58,10 +58,10 @@
     result.lateShare = utility.lateShare;
     result.latencyLeft
         = this->route->latencyObjective - this->timeBeforeCallerRetry - this->elapsed();
-    if (this->events.count() > 0) {
+    if (this->relayedEvents > 0) {
         // The rest of an answer, without which its caller would lose what it has.
         const auto generated = static_cast<std::uint32_t>(
-            this->events.count() * static_cast<std::uint64_t>(this->service->tokensPerEvent));
+            this->relayedEvents * static_cast<std::uint64_t>(this->service->tokensPerEvent));
         result.promptTokens += generated;
         result.outputTokens = std::max(result.outputTokens, generated + 1) - generated;
         result.lateShare = 1;
@@ -213,7 +213,7 @@
 
 AnswerContinuation::Options RequestFlow::continuationOptions() const
 {
-    return { this->route->isRetrySafe(), this->route->maximumAttempts - this->attempts,
+    return { this->canContinueElsewhere(), this->route->maximumAttempts - this->attempts,
         this->timeLeft() };
 }
 
@@ -252,8 +252,8 @@
         this->state.metrics.count("wigeonsill_repeats_over_budget_total");
         return;
     }
-    this->state.recordFailure(this->target->id);
-    this->excludedTargets.insert(this->target->id);
+    this->state.recordFailure(this->attempt->target.id);
+    this->excludedTargets.insert(this->attempt->target.id);
     this->maximumWait = this->timeLimit;
     if (!this->beginReservations()) {
         this->state.retryBudget.refund(this->service->name);
@@ -261,9 +261,9 @@
     }
     DecisionLine line("entry", "searching");
     line.text("request", this->request.id)
-        .text("target", this->target->id)
+        .text("target", this->attempt->target.id)
         .ms("silent_ms", this->continuation.silence(currentTime()))
-        .number("events", static_cast<double>(this->events.count()))
+        .number("events", static_cast<double>(this->relayedEvents))
         .number("attempts", this->attempts)
         .ms("left_ms", this->timeLeft());
     this->state.log.decision(line);
@@ -273,7 +273,7 @@
 {
     this->withdrawReservations();
     this->state.retryBudget.refund(this->service->name);
-    this->excludedTargets.erase(this->target->id);
+    this->excludedTargets.erase(this->attempt->target.id);
 }
 
 void RequestFlow::recordProgress()
@@ -286,15 +286,13 @@
 
 void RequestFlow::moveTo(const Target &chosen, bool byGrant)
 {
-    if (this->target) {
+    if (this->attempt) {
         this->logMove("the target is silent and another one has room");
-        this->anyTargetMayHaveRun = this->anyTargetMayHaveRun || this->currentTargetMayHaveRun;
         this->releaseTarget();
-        this->events.discardPartial();
     }
+    const std::uint64_t reservation = this->reservationId;
     this->withdrawReservations(chosen.id);
-    this->granted = byGrant;
-    this->sendTo(chosen);
+    this->sendTo(chosen, reservation, byGrant);
 }
 
 void RequestFlow::sendPastUnresponsiveAgent()
@@ -345,7 +343,7 @@
 bool RequestFlow::onGranted(const std::string &targetId)
 {
     const auto self = this->shared_from_this();
-    if (this->target && this->target->id == targetId) {
+    if (this->attempt && this->attempt->target.id == targetId) {
         return true; // A repeated grant.
     }
     const auto reservation = std::find_if(this->reservations.begin(), this->reservations.end(),
@@ -380,9 +378,7 @@
         }
     }
     this->reservations.clear();
-    if (!exceptTarget.empty()) {
-        this->targetReservationId = this->reservationId;
-    } else if (this->reservationId != 0) {
+    if (exceptTarget.empty() && this->reservationId != 0) {
         this->state.grantClient.unregisterReservationId(this->reservationId);
     }
     this->reservationId = 0;
@@ -390,39 +386,40 @@
 
 void RequestFlow::releaseTarget()
 {
-    if (this->connection) {
-        this->connection->cancel();
-        this->connection.reset();
-    }
-    if (!this->target) {
+    if (!this->attempt) {
         return;
     }
-    if (this->targetReservationId != 0) {
+    TargetAttempt ended = std::move(*this->attempt);
+    this->attempt.reset();
+    this->anyTargetMayHaveRun = this->anyTargetMayHaveRun || ended.mayHaveRun;
+    if (ended.connection) {
+        ended.connection->cancel();
+    }
+    if (ended.reservationId != 0) {
         const std::uint64_t generated
-            = this->events.count() * static_cast<std::uint64_t>(this->service->tokensPerEvent);
+            = ended.events.count() * static_cast<std::uint64_t>(this->service->tokensPerEvent);
         this->state.grantClient.release(
-            *this->target, this->targetReservationId, static_cast<std::uint32_t>(generated));
-        this->state.grantClient.unregisterReservationId(this->targetReservationId);
-        this->targetReservationId = 0;
+            ended.target, ended.reservationId, static_cast<std::uint32_t>(generated));
+        this->state.grantClient.unregisterReservationId(ended.reservationId);
     }
-    --this->state.requestsAt(this->target->id);
-    this->granted = false;
-    this->target.reset();
+    --this->state.requestsAt(ended.target.id);
 }
 
-void RequestFlow::sendTo(const Target &chosen)
+void RequestFlow::sendTo(const Target &chosen, std::uint64_t reservation, bool byGrant)
 {
     ++this->state.requestsAt(chosen.id);
-    this->target = chosen;
+    this->attempt.emplace();
+    this->attempt->target = chosen;
+    this->attempt->reservationId = reservation;
+    this->attempt->granted = byGrant;
     this->phase = Phase::Sent;
-    this->currentTargetMayHaveRun = false;
     this->timeToSend = this->elapsed();
     ForwardContext context;
     context.organisation = this->organisation != nullptr ? this->organisation->name : "";
     context.targetId = chosen.id;
     context.timeLeft = this->timeLeft();
     context.lastEventId
-        = this->events.count() > 0 ? this->events.lastId() : this->request.lastEventId;
+        = this->relayedEvents > 0 ? this->lastRelayedEventId : this->request.lastEventId;
     const HttpFields fields = this->state.dialect.encodeRequest(this->head, context);
     OutgoingRequest outgoing;
     outgoing.id = this->request.id;
@@ -443,7 +440,7 @@
     line.text("request", this->request.id)
         .text("route", this->route->name)
         .text("target", chosen.id)
-        .text("by", this->granted ? "grant" : "own-choice")
+        .text("by", byGrant ? "grant" : "own-choice")
         .ms("waited_ms", this->elapsed())
         .number("attempt", this->attempts + 1)
         .number("prompt_tokens", this->request.promptTokens)
@@ -459,7 +456,7 @@
         next = std::min(next, this->continuation.untilSilent(currentTime()));
     }
     this->startTimer(next);
-    this->connection = this->state.pool.send(chosen, std::move(outgoing), *this);
+    this->attempt->connection = this->state.pool.send(chosen, std::move(outgoing), *this);
 }
 
 } // namespace wigeonsill
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -5,12 +5,13 @@
 #include "callerconnection.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wigeonsill {
 
 void RequestFlow::onSent()
 {
-    this->currentTargetMayHaveRun = true;
+    this->attempt->mayHaveRun = true;
     this->sentToAnyTarget = true;
     ++this->attempts;
 }
@@ -20,13 +21,13 @@
     const auto self = this->shared_from_this();
     const AnswerFacts facts = this->state.dialect.decodeAnswer(received);
     if (facts.isWrongTarget) {
-        this->state.recordReplacement(this->target->id);
+        this->state.recordReplacement(this->attempt->target.id);
         // The intended target never received it, so this was not an attempt.
         --this->attempts;
     }
     if (facts.notRun) {
-        this->currentTargetMayHaveRun = false;
-        this->excludedTargets.insert(this->target->id);
+        this->attempt->mayHaveRun = false;
+        this->excludedTargets.insert(this->attempt->target.id);
         const std::string cause
             = "the target refused the request with status " + std::to_string(received.status);
         this->state.metrics.count("wigeonsill_target_refusals_total");
@@ -37,9 +38,9 @@
     }
     this->anyTargetMayHaveRun = true;
     if (received.status >= 500) {
-        this->state.recordFailure(this->target->id);
-        this->excludedTargets.insert(this->target->id);
-        if (this->route->isRetrySafe()
+        this->state.recordFailure(this->attempt->target.id);
+        this->excludedTargets.insert(this->attempt->target.id);
+        if (this->canContinueElsewhere()
             && this->retryAtOtherTarget("the target answered with a server error")) {
             return;
         }
@@ -49,16 +50,13 @@
             return;
         }
     }
-    if (this->headSentToCaller) {
-        if (received.status >= 300) {
-            this->abortAnswer(
-                "the target that was to resume the stream answered without a success status");
-            return;
-        }
-    } else {
-        this->answerHead = received;
+    if (this->headSentToCaller && received.status >= 300) {
+        this->abortAnswer(
+            "the target that was to resume the stream answered without a success status");
+        return;
     }
-    this->streaming = this->route->routeType == RouteType::Stream && received.status < 300;
+    this->attempt->head = received;
+    this->attempt->streaming = this->route->routeType == RouteType::Stream && received.status < 300;
     this->phase = Phase::Relaying;
     this->recordProgress();
 }
@@ -66,8 +64,8 @@
 HttpFields RequestFlow::relayedFields() const
 {
     HttpFields result;
-    const std::string_view connectionField = fieldValue(this->answerHead.fields, "Connection");
-    for (const HttpField &field : this->answerHead.fields) {
+    const std::string_view connectionField = fieldValue(this->relayedHead.fields, "Connection");
+    for (const HttpField &field : this->relayedHead.fields) {
         if (!isHopByHop(field.name, connectionField)
             && !equalsIgnoringCase(field.name, "Content-Length")) {
             result.push_back(field);
@@ -79,35 +77,43 @@
 void RequestFlow::beginRelay()
 {
     this->headSentToCaller = true;
+    this->relayedHead = this->attempt->head;
     this->caller->beginAnswer(
-        this->answerHead.status, this->answerHead.reason, this->relayedFields());
+        this->relayedHead.status, this->relayedHead.reason, this->relayedFields());
 }
 
 void RequestFlow::onAnswerBody(std::string_view bytes)
 {
     const auto self = this->shared_from_this();
-    if (this->streaming) {
+    if (this->attempt->streaming) {
         this->forwardEvents(bytes);
         return;
     }
     // Larger answers are relayed as they arrive, so that memory stays bounded.
     constexpr std::size_t answerBufferLimit = 262'144;
-    this->answerBody += bytes;
-    if (this->headSentToCaller || this->answerBody.size() > answerBufferLimit) {
+    std::string &held = this->attempt->body;
+    held += bytes;
+    if (this->headSentToCaller || held.size() > answerBufferLimit) {
         if (!this->headSentToCaller) {
             this->beginRelay();
         }
-        this->caller->writeBody(this->answerBody);
-        this->answerBody.clear();
+        const std::string piece = std::exchange(held, {});
+        this->caller->writeBody(piece);
     }
 }
 
 void RequestFlow::forwardEvents(std::string_view bytes)
 {
-    const std::string completeEvents = this->events.feed(bytes);
+    EventSplitter &events = this->attempt->events;
+    const std::uint64_t eventsBefore = events.count();
+    const std::string completeEvents = events.feed(bytes);
     if (completeEvents.empty()) {
         return;
     }
+    if (events.count() > eventsBefore) {
+        this->relayedEvents += events.count() - eventsBefore;
+        this->lastRelayedEventId = events.lastId();
+    }
     this->lastEventAt = currentTime();
     this->recordProgress();
     if (!this->timeToFirstEvent) {
@@ -116,9 +122,10 @@
             "priority=\"" + std::to_string(this->route->priority) + "\"",
             static_cast<double>(this->timeToFirstEvent->count()) / 1'000);
     }
-    if (this->granted) {
-        this->granted = false;
-        this->state.grantClient.reportFirstEvent(*this->target, this->targetReservationId);
+    if (this->attempt->granted) {
+        this->attempt->granted = false;
+        this->state.grantClient.reportFirstEvent(
+            this->attempt->target, this->attempt->reservationId);
     }
     if (!this->headSentToCaller) {
         this->beginRelay();
@@ -130,7 +137,7 @@
 {
     DecisionLine line("entry", "foreign-answer");
     line.text("request", this->request.id)
-        .text("target", this->target->id)
+        .text("target", this->attempt->target.id)
         .text("answer_to", answerId)
         .number("earlier_requests", static_cast<double>(earlierRequests));
     this->state.log.decision(line);
@@ -139,68 +146,59 @@
 void RequestFlow::onAnswerEnd()
 {
     const auto self = this->shared_from_this();
-    this->connection.reset();
-    if (this->answerHead.status < 500) {
-        this->state.recordSuccess(this->target->id);
+    this->attempt->connection.reset();
+    if (this->attempt->head.status < 500) {
+        this->state.recordSuccess(this->attempt->target.id);
     }
     CallerConnection *answeredCaller = this->caller;
-    const std::string remainder = this->streaming ? this->events.remainder() : this->answerBody;
-    this->finish("answered", this->answerHead.status, {});
+    const std::string remainder
+        = this->attempt->streaming ? this->attempt->events.remainder() : this->attempt->body;
     if (this->headSentToCaller) {
+        this->finish("answered", this->relayedHead.status, {});
         answeredCaller->writeBody(remainder);
         answeredCaller->endAnswer();
         return;
     }
+    this->relayedHead = this->attempt->head;
+    this->finish("answered", this->relayedHead.status, {});
     HttpFields fields = this->relayedFields();
-    const std::string length(fieldValue(this->answerHead.fields, "Content-Length"));
+    const std::string length(fieldValue(this->relayedHead.fields, "Content-Length"));
     if (this->head.method == "HEAD" && !length.empty()) {
         fields.push_back({ "Content-Length", length });
     }
-    answeredCaller->respond(this->answerHead.status, this->answerHead.reason, fields, remainder);
+    answeredCaller->respond(this->relayedHead.status, this->relayedHead.reason, fields, remainder);
 }
 
 void RequestFlow::onAnswerFailed(TargetFailure failure)
 {
     const auto self = this->shared_from_this();
-    this->connection.reset();
+    this->attempt->connection.reset();
     const std::string cause(enumName(targetFailureNames, failure));
     this->state.metrics.count("wigeonsill_target_failures_total", "why=\"" + cause + "\"");
-    this->state.recordFailure(this->target->id);
-    this->excludedTargets.insert(this->target->id);
-    if (failure == TargetFailure::NotConnected) {
-        this->currentTargetMayHaveRun = false;
-        if (!this->retryAtOtherTarget(cause)) {
-            this->refuse(ResultCode::TargetRefusedConnection,
-                "no connection to the target could be made", this->retryDelay());
-        }
+    this->state.recordFailure(this->attempt->target.id);
+    this->excludedTargets.insert(this->attempt->target.id);
+    const bool neverReceived = failure == TargetFailure::NotConnected;
+    this->attempt->mayHaveRun = !neverReceived;
+    if (this->retryAtOtherTarget(cause)) {
         return;
     }
-    this->anyTargetMayHaveRun = true;
-    if (this->headSentToCaller) {
-        if (this->streaming && this->route->resumable) {
-            this->resumeStream();
-        } else {
-            this->abortAnswer(cause);
-        }
-        return;
-    }
-    this->answerBody.clear();
-    if (this->route->isRetrySafe() && this->retryAtOtherTarget(cause)) {
-        return;
+    if (neverReceived) {
+        this->refuse(ResultCode::TargetRefusedConnection,
+            "no connection to the target could be made", this->retryDelay());
+    } else {
+        this->fail(502, cause);
     }
-    this->fail(502, cause);
 }
 
 void RequestFlow::logMove(std::string_view cause)
 {
     DecisionLine line("entry", "moved");
     line.text("request", this->request.id)
-        .text("from", this->target ? this->target->id : "")
+        .text("from", this->attempt ? this->attempt->target.id : "")
         .text("why", cause)
         .number("attempts", this->attempts)
-        .number("relayed_events", static_cast<double>(this->events.count()))
-        .number("held_bytes",
-            static_cast<double>(this->events.remainder().size() + this->answerBody.size()))
+        .number("relayed_events", static_cast<double>(this->relayedEvents))
+        .number("held_bytes", this->attempt ? static_cast<double>(this->attempt->heldBytes()) : 0)
         .ms("left_ms", this->timeLeft());
     this->state.log.decision(line);
 }
@@ -210,7 +208,7 @@
     this->continuation.recordLost();
     // A target that received no byte of the request does not count as an attempt.
     AnswerContinuation::Options options = this->continuationOptions();
-    options.repeatable = options.repeatable || !this->currentTargetMayHaveRun;
+    options.repeatable = options.repeatable || !this->attempt->mayHaveRun;
     if (this->continuation.nextStep(options, currentTime()) == ContinuationStep::EndAnswer
         || this->targetViews().empty()) {
         return false;
@@ -240,12 +238,16 @@
     return true;
 }
 
-void RequestFlow::resumeStream()
+bool RequestFlow::mayHaveRun() const
 {
-    this->events.discardPartial();
-    if (!this->retryAtOtherTarget("the stream was interrupted")) {
-        this->fail(502, "the stream was interrupted and cannot be resumed");
-    }
+    return this->anyTargetMayHaveRun || (this->attempt && this->attempt->mayHaveRun);
+}
+
+bool RequestFlow::canContinueElsewhere() const
+{
+    // Of an answer that the caller has in part, the rest can only be asked for by the last event.
+    return this->headSentToCaller ? this->route->resumable && this->relayedEvents > 0
+                                  : this->route->isRetrySafe();
 }
 
 } // namespace wigeonsill
--- /dev/null
+++ b/src/libforward/targetattempt.h
@@ -0,0 +1,29 @@
+/// \file targetattempt.h
+/// One send of a request to a target.
+#pragma once
+
+#include "eventsplitter.h"
+#include "targetpool.h"
+
+namespace wigeonsill {
+
+/// What belongs to one send of a request to a target, and to nothing else: it ends with the
+/// attempt, so that no part of one target's answer can be joined with another's. What the caller
+/// has already received belongs to the request. Not thread-safe.
+struct TargetAttempt
+{
+    Target target;
+    std::uint64_t reservationId = 0; ///< Under which the target was reserved; 0 without one.
+    bool granted = false; ///< By the target's agent; reset at the first event.
+    bool mayHaveRun = false; ///< The target may have received the request.
+    std::shared_ptr<TargetConnection> connection; ///< nullptr once it ended or failed.
+    MessageHead head; ///< Of the answer; its status is 0 until it was received.
+    bool streaming = false; ///< The answer's body is a stream of events.
+    std::string body; ///< Received and not relayed, unless streaming.
+    EventSplitter events; ///< The answer's body when streaming.
+
+    /// Bytes of the answer that were received and not relayed.
+    std::size_t heldBytes() const { return this->body.size() + this->events.remainder().size(); }
+};
+
+} // namespace wigeonsill
