A stream without length that ends within an event is not whole

Cause: a target's answer that has no length ends with its connection, so an orderly close in the middle of an event counted as the end of a whole answer; the caller got the half event and a proper end of its chunks. Change: such an end is taken for an answer that was broken off: a resumable stream goes on elsewhere, any other one is cut for its caller too. Ruled out: the same for a chunked or sized answer, whose end its target has stated.

--- a/src/libforward/mixedanswers_test.cpp
+++ b/src/libforward/mixedanswers_test.cpp
@@ -41,6 +41,46 @@
     EXPECT_TRUE(this->complete);
 }
 
+/// A stream whose answer has no length ends with its connection, here in the middle of an event.
+class UnframedStream : public SentRequest
+{
+protected:
+    explicit UnframedStream(bool resumable = true)
+        : SentRequest({ .resumable = resumable })
+    {
+        this->write("HTTP/1.1 200 OK\r\n\r\n" + event(1) + "id: 2\ndata: half");
+        // Without a reset, although the request was not read here.
+        this->connection.shutdown(asio::ip::tcp::socket::shutdown_send);
+        this->queueReservations(milliseconds(100));
+    }
+};
+
+TEST_F(UnframedStream, thatEndsWithinAnEventIsResumed)
+{
+    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation());
+    this->writeStreamHead();
+    this->writeEvent(2);
+    this->write("0\r\n\r\n");
+    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+    EXPECT_TRUE(this->complete);
+}
+
+class UnframedStreamOfOneRun : public UnframedStream
+{
+protected:
+    UnframedStreamOfOneRun()
+        : UnframedStream(false)
+    {
+    }
+};
+
+TEST_F(UnframedStreamOfOneRun, thatEndsWithinAnEventIsNotComplete)
+{
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+    EXPECT_TRUE(this->closed);
+}
+
 class IdempotentCall : public SentRequest
 {
 protected:
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -146,6 +146,10 @@
 void RequestFlow::onAnswerEnd()
 {
     const auto self = this->shared_from_this();
+    if (this->attempt->endedWithinAnEvent()) {
+        this->onAnswerFailed(TargetFailure::Truncated);
+        return;
+    }
     this->attempt->connection.reset();
     if (this->attempt->head.status < 500) {
         this->state.recordSuccess(this->attempt->target.id);
--- a/src/libforward/targetattempt.h
+++ b/src/libforward/targetattempt.h
@@ -24,6 +24,12 @@
 
     /// Bytes of the answer that were received and not relayed.
     std::size_t heldBytes() const { return this->body.size() + this->events.remainder().size(); }
+    /// Whether a stream that lasts until its connection ends was cut: without a length, nothing
+    /// else tells its end from a crash. \pre the connection ended.
+    bool endedWithinAnEvent() const
+    {
+        return this->streaming && this->head.endsAtClose && !this->events.remainder().empty();
+    }
 };
 
 } // namespace wigeonsill
