A target that begins a stream anew is not relayed as its resumption

Cause: a target asked to resume a stream after an event was trusted to do so; one that ignores Last-Event-Id begins at the first event, and its caller got the same events twice in one answer. Change: isLaterEvent (outcomes, no I/O) compares the first event with the last one that the caller has; the attempt fails as stream-not-resumed, counts against the target, and the stream goes on elsewhere or is cut. Ruled out: skipping the events that the caller has, since a new run need not write the same tokens. Test failed before (event 1 was relayed again and no other target was asked), passes now; ids in continuation_test.

--- a/src/include/wigeonsill/outcomes.h
+++ b/src/include/wigeonsill/outcomes.h
@@ -70,6 +70,11 @@
     bool lost = false;
 };
 
+/// Whether an event may follow another one in a stream, by their ids. Ids increase; those that are
+/// no numbers can only be told to differ. Answers a target that was to resume a stream after an
+/// event and begins it anew. \param previousId Empty before the first event.
+bool isLaterEvent(std::string_view id, std::string_view previousId);
+
 /// How long a caller should wait before it comes back after a refusal, for callers that accept up
 /// to a third of the time that they have left. Load pattern: bursts of seconds in which refused
 /// callers come back. Those that return early meet the same burst and use up their last attempt, so
--- a/src/libforward/eventsplitter.cpp
+++ b/src/libforward/eventsplitter.cpp
@@ -23,7 +23,9 @@
             const std::size_t valueStart = lineText.find_first_not_of(' ', 3);
             this->lastEventId
                 = valueStart == std::string_view::npos ? "" : lineText.substr(valueStart);
-            ++this->eventCount;
+            if (this->eventCount++ == 0) {
+                this->firstEventId = this->lastEventId;
+            }
         }
         lineStart = lineEnd + 1;
     }
--- a/src/libforward/eventsplitter.h
+++ b/src/libforward/eventsplitter.h
@@ -14,6 +14,8 @@
 public:
     /// Appends bytes and returns the events that are complete now.
     std::string feed(std::string_view bytes);
+    /// Id of the first complete event; empty before it.
+    const std::string &firstId() const { return this->firstEventId; }
     /// Id of the last complete event; empty before the first.
     const std::string &lastId() const { return this->lastEventId; }
     /// Number of id fields in the complete events.
@@ -23,6 +25,7 @@
 
 private:
     std::string partial;
+    std::string firstEventId;
     std::string lastEventId;
     std::uint64_t eventCount = 0;
 };
--- a/src/libforward/mixedanswers_test.cpp
+++ b/src/libforward/mixedanswers_test.cpp
@@ -5,6 +5,23 @@
 namespace wigeonsill {
 namespace {
 
+/// The target that was to resume a stream begins it anew.
+TEST_F(BegunStream, eventsThatTheCallerHasAreNotRelayedAgain)
+{
+    this->connection.close();
+    this->queueReservations(milliseconds(100));
+    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation());
+    this->writeStreamHead();
+    this->writeChunk(event(1) + event(2));
+    this->queueReservations(milliseconds(100));
+    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation()) << "the stream is resumed elsewhere";
+    this->writeStreamHead();
+    this->writeEvent(2);
+    this->write("0\r\n\r\n");
+    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+    EXPECT_TRUE(this->complete);
+}
+
 class UnbegunStream : public SentRequest
 {
 protected:
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -418,6 +418,7 @@
     context.organisation = this->organisation != nullptr ? this->organisation->name : "";
     context.targetId = chosen.id;
     context.timeLeft = this->timeLeft();
+    this->attempt->resumesAfter = this->lastRelayedEventId;
     context.lastEventId
         = this->relayedEvents > 0 ? this->lastRelayedEventId : this->request.lastEventId;
     const HttpFields fields = this->state.dialect.encodeRequest(this->head, context);
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -110,6 +110,11 @@
     if (completeEvents.empty()) {
         return;
     }
+    if (eventsBefore == 0 && this->attempt->beganAnew()) {
+        this->attempt->connection->cancel();
+        this->onAnswerFailed(TargetFailure::NotResumed);
+        return;
+    }
     if (events.count() > eventsBefore) {
         this->relayedEvents += events.count() - eventsBefore;
         this->lastRelayedEventId = events.lastId();
--- a/src/libforward/targetattempt.h
+++ b/src/libforward/targetattempt.h
@@ -4,6 +4,7 @@
 
 #include "eventsplitter.h"
 #include "targetpool.h"
+#include "wigeonsill/outcomes.h"
 
 namespace wigeonsill {
 
@@ -16,6 +17,7 @@
     std::uint64_t reservationId = 0; ///< Under which the target was reserved; 0 without one.
     bool granted = false; ///< By the target's agent; reset at the first event.
     bool mayHaveRun = false; ///< The target may have received the request.
+    std::string resumesAfter; ///< Id of the last event that the caller had; empty for a new run.
     std::shared_ptr<TargetConnection> connection; ///< nullptr once it ended or failed.
     MessageHead head; ///< Of the answer; its status is 0 until it was received.
     bool streaming = false; ///< The answer's body is a stream of events.
@@ -24,6 +26,12 @@
 
     /// Bytes of the answer that were received and not relayed.
     std::size_t heldBytes() const { return this->body.size() + this->events.remainder().size(); }
+    /// Whether the target was to resume the stream and did not. \pre the first event was received.
+    bool beganAnew() const
+    {
+        return !this->resumesAfter.empty()
+            && !isLaterEvent(this->events.firstId(), this->resumesAfter);
+    }
     /// Whether a stream that lasts until its connection ends was cut: without a length, nothing
     /// else tells its end from a crash. \pre the connection ended.
     bool endedWithinAnEvent() const
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -12,12 +12,14 @@
     ClosedWithoutAnswer, ///< Closed before an answer; the request may have run.
     Malformed, ///< The received bytes are not an HTTP answer.
     Truncated, ///< The answer started but did not complete.
+    NotResumed, ///< A stream that was to be resumed brought events that the caller has.
 };
 inline constexpr std::array targetFailureNames = {
     EnumName<TargetFailure>{ TargetFailure::NotConnected, "not-connected" },
     EnumName<TargetFailure>{ TargetFailure::ClosedWithoutAnswer, "closed-without-answer" },
     EnumName<TargetFailure>{ TargetFailure::Malformed, "malformed-answer" },
     EnumName<TargetFailure>{ TargetFailure::Truncated, "answer-broken-off" },
+    EnumName<TargetFailure>{ TargetFailure::NotResumed, "stream-not-resumed" },
 };
 
 /// Receives one answer. Exactly one of onAnswerEnd() and onAnswerFailed() is called, as the last
--- a/src/liboutcomes/answercontinuation.cpp
+++ b/src/liboutcomes/answercontinuation.cpp
@@ -3,9 +3,29 @@
 #include "wigeonsill/outcomes.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace wigeonsill {
 
+namespace {
+
+std::optional<std::uint64_t> parseEventNumber(std::string_view id)
+{
+    std::uint64_t value = 0;
+    const char *idEnd = id.data() + id.size();
+    const auto [end, error] = std::from_chars(id.data(), idEnd, value);
+    return error == std::errc{} && end == idEnd ? std::optional(value) : std::nullopt;
+}
+
+} // namespace
+
+bool isLaterEvent(std::string_view id, std::string_view previousId)
+{
+    const auto number = parseEventNumber(id);
+    const auto previous = parseEventNumber(previousId);
+    return number && previous ? *number > *previous : id != previousId;
+}
+
 void AnswerContinuation::recordSent(TimePoint now)
 {
     this->progressAt = now;
--- a/src/liboutcomes/continuation_test.cpp
+++ b/src/liboutcomes/continuation_test.cpp
@@ -77,5 +77,17 @@
     }
 }
 
+TEST(IsLaterEvent, comparesNumbersByValueAndOtherIdsForEquality)
+{
+    EXPECT_TRUE(isLaterEvent("10", "9"));
+    EXPECT_FALSE(isLaterEvent("9", "10"));
+    EXPECT_FALSE(isLaterEvent("7", "7"));
+    EXPECT_FALSE(isLaterEvent("1", "18446744073709551615"));
+    EXPECT_TRUE(isLaterEvent("b", "a")) << "the order of other ids is not known";
+    EXPECT_TRUE(isLaterEvent("a", "b"));
+    EXPECT_FALSE(isLaterEvent("a", "a"));
+    EXPECT_TRUE(isLaterEvent("1", "")) << "nothing comes before the first event";
+}
+
 } // namespace
 } // namespace wigeonsill
