An answer without a request id is not given to whoever waits

Cause: a target connection skipped an answer only when it bore another id; the late second answer of an earlier request that bears none was taken for the answer of the request that waited, and its claims believed. Change: where the request has an id and the connection has carried an earlier request, an answer without an id belongs to nobody: it is neither relayed nor believed, the connection is closed, and the attempt fails as one that may have run (unattributed-answer). It is counted, and the line foreign-answer tells it with an empty answer_to. On the first request of a connection an answer without an id stays its own, since an engine may answer before it knows the id. Calls without an id are as before. Ruled out: skipping it like a foreign one. Nothing says that another answer follows, so the caller would wait for its time limit on a connection that is known to be out of step.

--- /dev/null
+++ b/src/libforward/connections_test.cpp
@@ -0,0 +1,150 @@
+/// \file connections_test.cpp
+/// Tests of connections to targets and from callers, with peers that send bytes at any time.
+#include "entryfixture.h"
+#include "targetpool.h"
+
+#include <deque>
+
+namespace wigeonsill {
+namespace {
+
+/// A dialect whose answers carry the request's id.
+class IdDialect : public FixedDialect
+{
+public:
+    AnswerFacts decodeAnswer(const MessageHead &head) const override
+    {
+        AnswerFacts facts;
+        facts.requestId = fieldValue(head.fields, "Id");
+        return facts;
+    }
+};
+
+/// One request sent through the pool, and what it was given.
+struct Exchange : public AnswerHandler
+{
+    void onSent() override { }
+    void onAnswerHead(const MessageHead &head) override { this->status = head.status; }
+    void onAnswerBody(std::string_view bytes) override { this->body += bytes; }
+    void onAnswerEnd() override { this->complete = true; }
+    void onForeignAnswer(std::string_view answerId, std::uint64_t /*earlierRequests*/) override
+    {
+        this->foreignAnswers.emplace_back(answerId);
+    }
+    void onAnswerFailed(TargetFailure why) override { this->failure = why; }
+
+    int status = 0;
+    std::string body;
+    bool complete = false;
+    std::vector<std::string> foreignAnswers;
+    std::optional<TargetFailure> failure;
+    std::shared_ptr<TargetConnection> connection;
+};
+
+class TargetConnections : public testing::Test
+{
+protected:
+    TargetConnections()
+        : acceptor(this->io, { asio::ip::make_address("127.0.0.1"), 0 })
+        , connection(this->io)
+        , pool(this->io, this->metrics, this->dialect)
+    {
+        this->acceptor.non_blocking(true);
+        this->target.address = toString(this->acceptor.local_endpoint());
+        this->target.id = this->target.address;
+    }
+    void runFor(Duration time)
+    {
+        this->io.restart();
+        this->io.run_for(time);
+    }
+    Exchange &send(const std::string &id, bool isHead = false)
+    {
+        OutgoingRequest request;
+        request.bytes = std::string(isHead ? "HEAD" : "GET") + " / HTTP/1.1\r\n\r\n";
+        request.id = id;
+        request.isHead = isHead;
+        Exchange &exchange = this->exchanges.emplace_back();
+        exchange.connection = this->pool.send(this->target, std::move(request), exchange);
+        this->runFor(milliseconds(30));
+        return exchange;
+    }
+    /// Whether a new connection was made; then it is the one that write() writes to.
+    bool acceptNew()
+    {
+        boost::system::error_code error;
+        asio::ip::tcp::socket accepted = this->acceptor.accept(error);
+        if (!error) {
+            this->connection = std::move(accepted);
+        }
+        return !error;
+    }
+    void write(const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        asio::write(this->connection, asio::buffer(bytes), ignored);
+        this->runFor(milliseconds(30));
+    }
+    static std::string answer(const std::string &id, const std::string &body)
+    {
+        return "HTTP/1.1 200 OK\r\n" + (id.empty() ? "" : "Id: " + id + "\r\n")
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    /// Sends a request on a new connection and answers it whole.
+    void carryOneRequest()
+    {
+        const Exchange &first = this->send("first");
+        ASSERT_TRUE(this->acceptNew());
+        this->write(answer("first", "one"));
+        ASSERT_TRUE(first.complete);
+    }
+
+    asio::io_context io{ 1 };
+    Metrics metrics;
+    IdDialect dialect;
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket connection; ///< The target's end of the newest connection.
+    Target target;
+    std::deque<Exchange> exchanges;
+    TargetPool pool;
+};
+
+/// The target's late second answer to an earlier request bears no id.
+TEST_F(TargetConnections, answerWithoutIdIsNotTakenForTheOneWaitedFor)
+{
+    ASSERT_NO_FATAL_FAILURE(this->carryOneRequest());
+    const Exchange &second = this->send("second");
+    ASSERT_FALSE(this->acceptNew()) << "the connection is used again";
+    this->write(answer("", "of another request"));
+    EXPECT_EQ(second.status, 0) << "neither its status nor its claims are believed";
+    EXPECT_EQ(second.body, "");
+    EXPECT_EQ(second.failure, TargetFailure::Unattributed);
+    EXPECT_EQ(second.foreignAnswers, std::vector<std::string>{ "" });
+    this->send("third");
+    EXPECT_TRUE(this->acceptNew()) << "the connection is closed";
+}
+
+/// An engine's HTTP layer may answer before it knows the id.
+TEST_F(TargetConnections, answerWithoutIdToTheFirstRequestIsIts)
+{
+    const Exchange &first = this->send("first");
+    ASSERT_TRUE(this->acceptNew());
+    this->write(answer("", "one"));
+    EXPECT_TRUE(first.complete);
+    EXPECT_EQ(first.body, "one");
+}
+
+TEST_F(TargetConnections, requestsWithoutIdGetAnswersWithoutId)
+{
+    const Exchange &first = this->send("");
+    ASSERT_TRUE(this->acceptNew());
+    this->write(answer("", "one"));
+    EXPECT_TRUE(first.complete);
+    const Exchange &second = this->send("");
+    ASSERT_FALSE(this->acceptNew()) << "the connection is used again";
+    this->write(answer("", "two"));
+    EXPECT_EQ(second.body, "two");
+}
+
+} // namespace
+} // namespace wigeonsill
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -221,23 +221,8 @@
 {
     const std::size_t consumed = this->reader->consume(this->receiveBuffer, error);
     this->receiveBuffer.erase(0, consumed);
-    if (this->reader->isHeadComplete() && !this->headReceived && !this->skippingAnswer) {
-        const MessageHead &head = this->reader->head();
-        const AnswerFacts facts = this->pool.dialect.decodeAnswer(head);
-        const bool informational = head.status >= 100 && head.status < 200;
-        const bool foreign = !facts.requestId.empty() && facts.requestId != this->request.id;
-        this->skippingAnswer = informational || foreign;
-        if (foreign) {
-            this->pool.metrics.count("wigeonsill_foreign_answers_total");
-            this->handler->onForeignAnswer(facts.requestId, this->requestsCarried - 1);
-        }
-        if (!this->skippingAnswer) {
-            this->headReceived = true;
-            this->updateIdleTime(head);
-            this->handler->onAnswerHead(head);
-        }
-    }
-    if (this->handler == nullptr) {
+    if (this->reader->isHeadComplete() && !this->headReceived && !this->skippingAnswer
+        && !this->onHeadRead()) {
         return false;
     }
     if (!this->reader->body().empty()) {
@@ -262,6 +247,40 @@
     return false;
 }
 
+bool TargetConnection::onHeadRead()
+{
+    const auto self = this->shared_from_this();
+    const MessageHead &head = this->reader->head();
+    if (head.status >= 100 && head.status < 200) {
+        this->skippingAnswer = true;
+        return true;
+    }
+    const AnswerFacts facts = this->pool.dialect.decodeAnswer(head);
+    if (!this->isAttributable(facts)) {
+        this->pool.metrics.count("wigeonsill_unattributed_answers_total");
+        this->handler->onForeignAnswer({}, this->requestsCarried - 1);
+        if (this->handler != nullptr) {
+            this->fail(TargetFailure::Unattributed);
+        }
+        return false;
+    }
+    if (!facts.requestId.empty() && facts.requestId != this->request.id) {
+        this->skippingAnswer = true;
+        this->pool.metrics.count("wigeonsill_foreign_answers_total");
+        this->handler->onForeignAnswer(facts.requestId, this->requestsCarried - 1);
+    } else {
+        this->headReceived = true;
+        this->updateIdleTime(head);
+        this->handler->onAnswerHead(head);
+    }
+    return this->handler != nullptr;
+}
+
+bool TargetConnection::isAttributable(const AnswerFacts &facts) const
+{
+    return this->request.id.empty() || !facts.requestId.empty() || this->requestsCarried == 1;
+}
+
 void TargetConnection::updateIdleTime(const MessageHead &head)
 {
     Duration idleTimeout = defaultIdleTime;
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -12,12 +12,14 @@
     ClosedWithoutAnswer, ///< Closed before an answer; the request may have run.
     Malformed, ///< The received bytes are not an HTTP answer.
     Truncated, ///< The answer started but did not complete.
+    Unattributed, ///< An answer without an id came, perhaps to an earlier request.
 };
 inline constexpr std::array targetFailureNames = {
     EnumName<TargetFailure>{ TargetFailure::NotConnected, "not-connected" },
     EnumName<TargetFailure>{ TargetFailure::ClosedWithoutAnswer, "closed-without-answer" },
     EnumName<TargetFailure>{ TargetFailure::Malformed, "malformed-answer" },
     EnumName<TargetFailure>{ TargetFailure::Truncated, "answer-broken-off" },
+    EnumName<TargetFailure>{ TargetFailure::Unattributed, "unattributed-answer" },
 };
 
 /// Receives one answer. Exactly one of onAnswerEnd() and onAnswerFailed() is called, as the last
@@ -31,7 +33,9 @@
     virtual void onAnswerHead(const MessageHead &head) = 0;
     virtual void onAnswerBody(std::string_view bytes) = 0;
     virtual void onAnswerEnd() = 0;
-    /// An answer to another request was skipped. \param answerId Request id that it carries.
+    /// An answer that is not this request's was received and is kept from the handler.
+    /// \param answerId Request id that it carries, and it is skipped; empty when it carries none,
+    /// and onAnswerFailed() follows with Unattributed.
     /// \param earlierRequests Number of requests that the connection carried before this one.
     virtual void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) = 0;
     virtual void onAnswerFailed(TargetFailure failure) = 0;
@@ -41,7 +45,9 @@
 struct OutgoingRequest
 {
     std::string bytes; ///< Head and body.
-    std::string id; ///< Answers that carry another request's id are skipped.
+    /// Answers that carry another id are skipped. An answer without an id is accepted only as the
+    /// connection's first. Empty: any answer is accepted that carries no id.
+    std::string id;
     bool isHead = false; ///< A HEAD request, whose answer has no body.
 };
 
@@ -91,6 +97,9 @@
     /// Returns false when the answer ended and the connection was closed or returned to the pool.
     bool parse();
     bool parseOnce(boost::system::error_code &error);
+    /// Decides whose answer begins. Returns false when the connection was closed.
+    bool onHeadRead();
+    bool isAttributable(const AnswerFacts &facts) const;
     void finish();
     void fail(TargetFailure failure);
     void close();
