HEAD requests and connections after the answer to another request

Cause: the reader made after a skipped answer did not know that a HEAD request has no body to come, and the skipped answer itself was read as if it had none, so its body was taken for a malformed head (502 at once). A connection that had borne an answer to another request was kept for the next one. Change: each reader is made in one place, which knows the request; an answer to another request is read by its own framing; what bore one is closed after its own answer, and an answer without an id behind one is not attributed, also on the first request of a connection. Informational heads are no foreign answers and leave the connection in use. Ruled out: remembering which earlier requests were HEAD. Should the skipped answer be one to HEAD, the own answer is read as its body and the attempt fails, which shows.

--- a/src/libforward/connections_test.cpp
+++ b/src/libforward/connections_test.cpp
@@ -146,5 +146,53 @@
     EXPECT_EQ(second.body, "two");
 }
 
+TEST_F(TargetConnections, connectionThatBoreForeignBytesIsNotReused)
+{
+    const Exchange &first = this->send("first");
+    ASSERT_TRUE(this->acceptNew());
+    this->write(answer("other", "of another request") + answer("first", "one"));
+    EXPECT_EQ(first.body, "one");
+    this->send("second");
+    EXPECT_TRUE(this->acceptNew()) << "nothing that follows on it can be trusted";
+}
+
+TEST_F(TargetConnections, answerWithoutIdBehindForeignOneIsNotTaken)
+{
+    const Exchange &first = this->send("first");
+    ASSERT_TRUE(this->acceptNew());
+    this->write(answer("other", "of another request") + answer("", "of a third"));
+    EXPECT_EQ(first.failure, TargetFailure::Unattributed);
+}
+
+TEST_F(TargetConnections, informationalHeadsLeaveTheConnectionInUse)
+{
+    const Exchange &first = this->send("first");
+    ASSERT_TRUE(this->acceptNew());
+    this->write("HTTP/1.1 100 Continue\r\n\r\n" + answer("first", "one"));
+    EXPECT_EQ(first.body, "one");
+    this->send("second");
+    EXPECT_FALSE(this->acceptNew());
+}
+
+/// The foreign answer has a body, since it answers another request; that to HEAD has none.
+TEST_F(TargetConnections, headRequestGetsItsAnswerBehindForeignOne)
+{
+    const Exchange &first = this->send("first", true);
+    ASSERT_TRUE(this->acceptNew());
+    this->write(answer("other", "of another request"));
+    this->write("HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 12\r\n\r\n");
+    EXPECT_EQ(first.status, 200);
+    EXPECT_TRUE(first.complete);
+}
+
+TEST_F(TargetConnections, headRequestGetsItsAnswerBehindInformationalHead)
+{
+    const Exchange &first = this->send("first", true);
+    ASSERT_TRUE(this->acceptNew());
+    this->write("HTTP/1.1 100 Continue\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 12\r\n\r\n");
+    EXPECT_TRUE(first.complete);
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -96,12 +96,8 @@
 {
     this->request = std::move(outgoing);
     this->handler = &answerHandler;
-    this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
-    if (this->request.isHead) {
-        this->reader->expectNoBody();
-    }
+    this->startReader();
     this->headReceived = false;
-    this->skippingAnswer = false;
     this->sent = false;
     if (this->connected) {
         this->write();
@@ -220,11 +216,11 @@
 bool TargetConnection::parseOnce(error_code &error)
 {
     const std::size_t consumed = this->reader->consume(this->receiveBuffer, error);
-    this->receiveBuffer.erase(0, consumed);
     if (this->reader->isHeadComplete() && !this->headReceived && !this->skippingAnswer
-        && !this->onHeadRead()) {
+        && !this->onHeadRead(std::string_view(this->receiveBuffer).substr(0, consumed))) {
         return false;
     }
+    this->receiveBuffer.erase(0, consumed);
     if (!this->reader->body().empty()) {
         const std::string bytes = std::move(this->reader->body());
         this->reader->body().clear();
@@ -239,15 +235,35 @@
         return true;
     }
     if (this->skippingAnswer) {
-        this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
-        this->skippingAnswer = false;
+        this->startReader();
         return true;
     }
     this->finish();
     return false;
 }
 
-bool TargetConnection::onHeadRead()
+void TargetConnection::startReader()
+{
+    this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
+    if (this->request.isHead) {
+        this->reader->expectNoBody();
+    }
+    this->skippingAnswer = false;
+}
+
+void TargetConnection::skipForeignAnswer(std::string_view headBytes)
+{
+    this->skippingAnswer = true;
+    this->boreForeignAnswer = true;
+    if (this->request.isHead) {
+        // Only this request's answer is known to have no body.
+        this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
+        error_code ignored;
+        this->reader->consume(headBytes, ignored);
+    }
+}
+
+bool TargetConnection::onHeadRead(std::string_view headBytes)
 {
     const auto self = this->shared_from_this();
     const MessageHead &head = this->reader->head();
@@ -265,7 +281,7 @@
         return false;
     }
     if (!facts.requestId.empty() && facts.requestId != this->request.id) {
-        this->skippingAnswer = true;
+        this->skipForeignAnswer(headBytes);
         this->pool.metrics.count("wigeonsill_foreign_answers_total");
         this->handler->onForeignAnswer(facts.requestId, this->requestsCarried - 1);
     } else {
@@ -278,7 +294,8 @@
 
 bool TargetConnection::isAttributable(const AnswerFacts &facts) const
 {
-    return this->request.id.empty() || !facts.requestId.empty() || this->requestsCarried == 1;
+    return this->request.id.empty() || !facts.requestId.empty()
+        || (this->requestsCarried == 1 && !this->boreForeignAnswer);
 }
 
 void TargetConnection::updateIdleTime(const MessageHead &head)
@@ -304,7 +321,8 @@
     this->handler = nullptr;
     // Bytes after a complete answer belong to no request, and a target that answered before it had
     // read the complete body would read the next request as the rest of that body.
-    if (!this->reusable || !this->receiveBuffer.empty() || this->writing) {
+    if (!this->reusable || this->boreForeignAnswer || !this->receiveBuffer.empty()
+        || this->writing) {
         this->close();
     } else {
         auto &idleConnections = this->pool.idle[this->targetId];
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -97,8 +97,11 @@
     /// Returns false when the answer ended and the connection was closed or returned to the pool.
     bool parse();
     bool parseOnce(boost::system::error_code &error);
+    void startReader();
     /// Decides whose answer begins. Returns false when the connection was closed.
-    bool onHeadRead();
+    bool onHeadRead(std::string_view headBytes);
+    /// Reads another request's answer by its own framing. \param headBytes What was read of it.
+    void skipForeignAnswer(std::string_view headBytes);
     bool isAttributable(const AnswerFacts &facts) const;
     void finish();
     void fail(TargetFailure failure);
@@ -121,6 +124,7 @@
     bool sent = false;
     bool headReceived = false;
     bool skippingAnswer = false; ///< The answer being read is informational or another request's.
+    bool boreForeignAnswer = false; ///< What follows on the connection is not trusted further.
     bool reusable = true;
     std::uint64_t requestsCarried = 0; ///< Including the current one.
     TimePoint idleUntil;
