Bytes and ends on an idle connection belong to no request

Cause: an idle connection kept a read pending; bytes or an end that were there when it was taken up again, but not yet noticed, were given to the new request: a doubled answer as its own, an end as an answer that was lost after the request may have run. Change: an idle connection only waits for input, which stays in the socket. Before it is used again, a look that does not block finds bytes, an end or an error, and another connection is taken. Counted in wigeonsill_idle_connections_ended_total. Ruled out: a look beside a pending read. The read may have taken the bytes already, with its handler still to run, and the look would find nothing. Tests, each failed before on "another connection is taken": bytesOnIdleConnectionBelongToNoRequest, idleConnectionThatEndedIsNotTakenUp, idleConnectionThatWasResetIsNotTakenUp. connectionIsTakenUpAgainAndAgain passed before and after. connections_test: 12 of 12 pass.

--- a/src/libforward/connections_test.cpp
+++ b/src/libforward/connections_test.cpp
@@ -194,5 +194,48 @@
     EXPECT_TRUE(first.complete);
 }
 
+/// The bytes are there, but the entry has not read them when the connection is taken up again.
+TEST_F(TargetConnections, bytesOnIdleConnectionBelongToNoRequest)
+{
+    ASSERT_NO_FATAL_FAILURE(this->carryOneRequest());
+    asio::write(this->connection, asio::buffer(answer("second", "not asked for")));
+    const Exchange &second = this->send("second");
+    ASSERT_TRUE(this->acceptNew()) << "another connection is taken";
+    this->write(answer("second", "two"));
+    EXPECT_EQ(second.body, "two");
+}
+
+TEST_F(TargetConnections, idleConnectionThatEndedIsNotTakenUp)
+{
+    ASSERT_NO_FATAL_FAILURE(this->carryOneRequest());
+    this->connection.close();
+    const Exchange &second = this->send("second");
+    ASSERT_TRUE(this->acceptNew()) << "another connection is taken";
+    this->write(answer("second", "two"));
+    EXPECT_EQ(second.body, "two");
+}
+
+TEST_F(TargetConnections, idleConnectionThatWasResetIsNotTakenUp)
+{
+    ASSERT_NO_FATAL_FAILURE(this->carryOneRequest());
+    this->connection.set_option(asio::socket_base::linger(true, 0));
+    this->connection.close();
+    const Exchange &second = this->send("second");
+    ASSERT_TRUE(this->acceptNew()) << "another connection is taken";
+    this->write(answer("second", "two"));
+    EXPECT_EQ(second.body, "two");
+}
+
+TEST_F(TargetConnections, connectionIsTakenUpAgainAndAgain)
+{
+    ASSERT_NO_FATAL_FAILURE(this->carryOneRequest());
+    for (const std::string id : { "second", "third", "fourth" }) {
+        const Exchange &next = this->send(id);
+        ASSERT_FALSE(this->acceptNew());
+        this->write(answer(id, id));
+        EXPECT_EQ(next.body, id);
+    }
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -5,8 +5,11 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 
+#include <sys/socket.h>
+
 namespace wigeonsill {
 
 namespace asio = boost::asio;
@@ -54,11 +57,14 @@
     while (!idleConnections.empty()) {
         std::shared_ptr<TargetConnection> connection = std::move(idleConnections.back());
         idleConnections.pop_back();
-        if (connection->idleUntil > now && connection->socket.is_open()) {
+        if (connection->idleUntil <= now) {
+            connection->close();
+        } else if (connection->socket.is_open() && !connection->hasUnexpectedInput()) {
             connection->begin(std::move(request), handler);
             return connection;
+        } else {
+            connection->closeIdle();
         }
-        connection->close();
     }
     const auto endpoint = parseEndpoint(target.address);
     auto connection = std::make_shared<TargetConnection>(
@@ -166,10 +172,34 @@
         });
 }
 
+void TargetConnection::awaitIdleInput()
+{
+    const auto self = this->shared_from_this();
+    this->socket.async_wait(asio::ip::tcp::socket::wait_read, [self](const error_code &) {
+        if (self->handler == nullptr) {
+            self->closeIdle();
+        }
+    });
+}
+
+bool TargetConnection::hasUnexpectedInput()
+{
+    char peeked = 0;
+    return ::recv(this->socket.native_handle(), &peeked, 1, MSG_PEEK | MSG_DONTWAIT) >= 0
+        || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void TargetConnection::closeIdle()
+{
+    if (this->socket.is_open()) {
+        this->pool.metrics.count("wigeonsill_idle_connections_ended_total");
+    }
+    this->close();
+}
+
 void TargetConnection::onReadable(const error_code &error, std::size_t bytes)
 {
     if (this->handler == nullptr) {
-        // The target closed the idle connection or sent bytes that belong to no request.
         this->close();
         return;
     }
@@ -328,7 +358,7 @@
         auto &idleConnections = this->pool.idle[this->targetId];
         if (idleConnections.size() < maximumIdlePerTarget) {
             idleConnections.push_back(self);
-            this->read();
+            this->awaitIdleInput();
         } else {
             this->close();
         }
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -93,6 +93,12 @@
     void connect();
     void write();
     void read();
+    /// Notices that the target ends the idle connection or sends bytes. They stay unread, so that
+    /// hasUnexpectedInput() finds them until then.
+    void awaitIdleInput();
+    /// Whether bytes or an end of the idle connection are there. They belong to no request.
+    bool hasUnexpectedInput();
+    void closeIdle();
     void onReadable(const boost::system::error_code &error, std::size_t bytes);
     /// Returns false when the answer ended and the connection was closed or returned to the pool.
     bool parse();
