An answer that ends with its connection is broken off by a reset

Cause: an HTTP/1.0 caller knows the end of a relayed answer only by that of its connection. CallerConnection:: abort closed it, as after a whole answer, and so did the kernel at the end of the process. Change: from the head of such an answer to its proper end the socket lingers for zero time, so that every end other than the proper one is a reset: abort, the send buffer over its limit, the destructor, a killed process. The proper end sets that back first, after all bytes are with the kernel. Chunked and sized answers are as they were; their missing end shows. Ruled out: a reset in abort() alone, which leaves the end of the process looking complete.

--- a/src/libforward/callerconnection.cpp
+++ b/src/libforward/callerconnection.cpp
@@ -37,7 +37,14 @@
 {
 }
 
-CallerConnection::~CallerConnection() = default;
+CallerConnection::~CallerConnection()
+{
+    // The socket's destructor would end the connection without a reset.
+    if (this->resetAtEnd) {
+        error_code ignored;
+        this->socket.close(ignored);
+    }
+}
 
 void CallerConnection::start()
 {
@@ -269,6 +276,7 @@
 {
     if (!this->chunkedAnswer) {
         this->keepAlive = false;
+        this->setResetAtEnd(true);
     }
     std::string head = this->formatHead(status, reason, fields);
     if (this->chunkedAnswer) {
@@ -310,6 +318,13 @@
     this->flush();
 }
 
+void CallerConnection::setResetAtEnd(bool enabled)
+{
+    this->resetAtEnd = enabled;
+    error_code ignored; // The connection has ended already.
+    this->socket.set_option(asio::socket_base::linger(enabled, 0), ignored);
+}
+
 void CallerConnection::enqueue(std::string_view bytes)
 {
     this->sendBuffer += bytes;
@@ -382,6 +397,9 @@
         return;
     }
     this->phase = Phase::Closing;
+    if (this->resetAtEnd) {
+        this->setResetAtEnd(false);
+    }
     error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     // Closing a socket with unread bytes sends a reset, which may discard the answer before the
--- a/src/libforward/callerconnection.h
+++ b/src/libforward/callerconnection.h
@@ -24,7 +24,7 @@
     void writeBody(std::string_view bytes);
     void endAnswer();
     /// Closes the connection immediately, so that the caller does not mistake a truncated answer
-    /// for a complete one.
+    /// for a complete one. Where the end of the connection would complete it, it is reset.
     void abort();
     /// Closes the connection unless a request is being received or answered.
     void closeIfIdle();
@@ -44,6 +44,9 @@
     void enqueue(std::string_view bytes);
     void flush();
     void onAnswerComplete();
+    /// Whether each end of the connection other than closeGracefully() is a reset, also the one at
+    /// the end of the process.
+    void setResetAtEnd(bool enabled);
     std::string formatHead(int status, std::string_view reason, const HttpFields &fields) const;
     void closeGracefully();
     void close();
@@ -63,6 +66,7 @@
     bool writePending = false;
     bool keepAlive = true;
     bool chunkedAnswer = false;
+    bool resetAtEnd = false;
     bool isHeadRequest = false;
     bool answerComplete = false;
     std::uint64_t timerGeneration = 0; ///< Older timer waits are ignored.
--- a/src/libforward/connections_test.cpp
+++ b/src/libforward/connections_test.cpp
@@ -237,5 +237,68 @@
     }
 }
 
+/// A stream to a caller whose answers end with the connection.
+class UnsizedStream : public SentRequest
+{
+protected:
+    UnsizedStream()
+        : SentRequest({ .callerVersion = "HTTP/1.0" })
+    {
+        this->writeStreamHead();
+        this->writeEvent(1);
+        EXPECT_TRUE(this->received().ends_with(event(1)));
+    }
+};
+
+TEST_F(UnsizedStream, wholeAnswerEndsCleanly)
+{
+    this->writeEvent(2);
+    this->write("0\r\n\r\n");
+    EXPECT_TRUE(this->received().ends_with(event(1) + event(2)));
+    EXPECT_EQ(this->readError, asio::error::eof);
+}
+
+TEST_F(UnsizedStream, brokenOffAnswerEndsWithReset)
+{
+    this->connection.close();
+    this->runFor(milliseconds(100));
+    this->received();
+    EXPECT_EQ(this->readError, asio::error::connection_reset);
+}
+
+class UnsizedCall : public SentRequest
+{
+protected:
+    UnsizedCall()
+        : SentRequest({ .routeType = RouteType::Idempotent, .callerVersion = "HTTP/1.0" })
+    {
+    }
+};
+
+/// The caller reads only after the entry has written everything.
+TEST_F(UnsizedCall, wholeAnswerIsNotDiscardedAtItsEnd)
+{
+    const std::string half(300'000, 'a');
+    this->write("HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n" + half);
+    this->write(half);
+    std::size_t size = 0;
+    while (!this->closed && size < 700'000) {
+        this->runFor(milliseconds(20));
+        size = this->received().size();
+    }
+    EXPECT_TRUE(this->receivedBytes.ends_with(half + half));
+    EXPECT_EQ(this->readError, asio::error::eof);
+}
+
+TEST_F(UnsizedCall, brokenOffAnswerEndsWithReset)
+{
+    this->write("HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n" + std::string(300'000, 'a'));
+    this->received();
+    this->connection.close();
+    this->runFor(milliseconds(100));
+    this->received();
+    EXPECT_EQ(this->readError, asio::error::connection_reset);
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -89,6 +89,7 @@
         int agentCount = 5;
         RouteType routeType = RouteType::Stream;
         bool resumable = false;
+        std::string callerVersion = "HTTP/1.1";
     };
     Reservations()
         : Reservations(Options{})
@@ -166,10 +167,10 @@
     }
 
     /// Sends a request as a caller.
-    void sendRequest(asio::ip::tcp::socket &caller)
+    void sendRequest(asio::ip::tcp::socket &caller, const std::string &version = "HTTP/1.1")
     {
         caller.connect({ asio::ip::make_address("127.0.0.1"), this->entry->port() });
-        asio::write(caller, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")));
+        asio::write(caller, asio::buffer("GET /x " + version + "\r\nHost: h\r\n\r\n"));
         caller.non_blocking(true);
     }
 
@@ -191,7 +192,7 @@
         , caller(this->io)
         , connection(this->io)
     {
-        this->sendRequest(this->caller);
+        this->sendRequest(this->caller, options.callerVersion);
         const auto [agent, reservation] = this->nextMessage(GrantKind::Reserve);
         this->firstAgent = agent;
         agent->reply(GrantKind::Granted, reservation);
@@ -223,6 +224,7 @@
             const std::size_t size = this->caller.read_some(asio::buffer(buffer), error);
             if (error) {
                 this->closed = this->closed || error != asio::error::would_block;
+                this->readError = error;
                 return this->receivedBytes;
             }
             this->receivedBytes.append(buffer.data(), size);
@@ -269,6 +271,7 @@
     std::pair<ManualAgent *, GrantMessage> lastReservation;
     std::string receivedBytes;
     bool closed = false;
+    boost::system::error_code readError; ///< Of the caller's last read.
     bool complete = false; ///< The answer, when receivedBody() was called last.
 };
 
--- a/testsuite/platform-path/run.py
+++ b/testsuite/platform-path/run.py
@@ -116,9 +116,9 @@
         self.store.put("servers/odd-2", {"backend": "engines", "address": 7})
         self.entry = self.start_entry("entry")
 
-    def start_entry(self, name):
+    def start_entry(self, name, address="127.0.0.1"):
         entry = Node(self.folder, name, {
-            "role": "entry", "grant": "127.0.0.1:%d" % self.grant_port, "failureDomain": "a", "region": "r",
+            "role": "entry", "grant": "%s:%d" % (address, self.grant_port), "failureDomain": "a", "region": "r",
             "regions": {"a": "r"}, "listen": "127.0.0.1:0", "readiness": "127.0.0.1:0",
             "store": self.store.address, "strictRevocation": True, "revocationMs": 3000, "graceMs": 6000,
             "drainMs": 1000, "retrySlack": 3000})
@@ -312,6 +312,39 @@
             "a resumable stream is resumed at another target")
 
 
+def answers_that_end_with_the_connection(deployment):
+    """An HTTP/1.0 caller knows the end of an answer only by that of its connection."""
+    def begin(entry, path):
+        caller = socket.create_connection(("127.0.0.1", entry.ports["listen"]), timeout=10)
+        caller.sendall((
+            "GET %s HTTP/1.0\r\nHost: %s\r\nAttempt-Id: r-unsized\r\nDeadline-Ms: 4000\r\n"
+            "Authorization: Bearer key-1\r\nToken-Count: 100,35\r\n\r\n" % (path, HOST)).encode())
+        return caller
+
+    def read(caller):
+        """Returns what the caller receives and whether the connection ends with a reset."""
+        data = b""
+        try:
+            while piece := caller.recv(65536):
+                data += piece
+        except ConnectionResetError:
+            return data, True
+        return data, False
+    whole = b"".join(events(1, 5))
+    data, was_reset = read(begin(deployment.entry, "/draft/x"))
+    check(data.endswith(b"\r\n\r\n" + whole) and not was_reset, "a whole answer ends cleanly: %r" % data)
+    _, was_reset = read(begin(deployment.entry, "/draft/torn"))
+    check(was_reset, "an answer that the engine breaks off ends with a reset")
+    entry = deployment.start_entry("killed", "127.0.0.2")
+    caller = begin(entry, "/draft/slow")
+    data = b""
+    while events(1, 1)[0] not in data:
+        data += caller.recv(65536)
+    entry.popen.kill()
+    _, was_reset = read(caller)
+    check(was_reset, "an answer that the entry's death breaks off ends with a reset")
+
+
 def resume_without_capacity(deployment):
     """A stream is truncated while every other target is full: no second response head may follow."""
     for engine in deployment.engines:
@@ -493,8 +526,9 @@
     with Deployment(pathlib.Path(folder_name)) as deployment:
         for case in (
             requests_served, request_smuggling, malformed_answers, target_refusals, target_replaced,
-            truncated_streams, resume_without_capacity, caller_disconnects, capacity_released, quota_exceeded,
-            route_timeout, agents_killed, key_revocation, store_goes_back, drain_and_exit,
+            truncated_streams, answers_that_end_with_the_connection, resume_without_capacity,
+            caller_disconnects, capacity_released, quota_exceeded, route_timeout,
+            agents_killed, key_revocation, store_goes_back, drain_and_exit,
         ):
             print(case.__name__, flush=True)
             case(deployment)
