A HEAD request behind an answer to another request whose head comes in pieces

Cause: the parser consumes the lines of a head one after another, so when the head of an answer to another request came in pieces, only its last piece was read again by the answer's own framing, and the request failed. The comment of MessageReader::consume said otherwise. Change: the bytes of a head are kept until it is complete where the request is HEAD; the comment says what is. Test: headRequestGetsItsAnswerBehindForeignOneInPieces; before, the request failed without its answer. connections_test: 17 of 17 pass.

--- a/src/libforward/connections_test.cpp
+++ b/src/libforward/connections_test.cpp
@@ -185,6 +185,19 @@
     EXPECT_TRUE(first.complete);
 }
 
+TEST_F(TargetConnections, headRequestGetsItsAnswerBehindForeignOneInPieces)
+{
+    const Exchange &first = this->send("first", true);
+    ASSERT_TRUE(this->acceptNew());
+    this->write("HTTP/1.1 200 OK\r\nId: other\r\nX: ");
+    this->write("y\r\nContent-Le");
+    this->write("ngth: 18\r\n\r\nof another ");
+    this->write("request");
+    this->write("HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 12\r\n\r\n");
+    EXPECT_EQ(first.status, 200);
+    EXPECT_TRUE(first.complete);
+}
+
 TEST_F(TargetConnections, headRequestGetsItsAnswerBehindInformationalHead)
 {
     const Exchange &first = this->send("first", true);
--- a/src/libforward/messagereader.h
+++ b/src/libforward/messagereader.h
@@ -25,8 +25,9 @@
         this->body_limit(bodyLimit);
     }
 
-    /// Parses as much as possible and returns the number of bytes consumed. Bytes of an incomplete
-    /// head are not consumed and have to be passed again together with further bytes.
+    /// Parses as much as possible and returns the number of bytes consumed. Those of an incomplete
+    /// line of a head, or chunk header, are not consumed and have to be passed again together with
+    /// further bytes.
     std::size_t consume(std::string_view bytes, ErrorCode &error)
     {
         error = {};
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -246,11 +246,14 @@
 bool TargetConnection::parseOnce(error_code &error)
 {
     const std::size_t consumed = this->reader->consume(this->receiveBuffer, error);
+    if (this->request.isHead && !this->headReceived && !this->skippingAnswer) {
+        this->headBytes.append(this->receiveBuffer, 0, consumed);
+    }
+    this->receiveBuffer.erase(0, consumed);
     if (this->reader->isHeadComplete() && !this->headReceived && !this->skippingAnswer
-        && !this->onHeadRead(std::string_view(this->receiveBuffer).substr(0, consumed))) {
+        && !this->onHeadRead()) {
         return false;
     }
-    this->receiveBuffer.erase(0, consumed);
     if (!this->reader->body().empty()) {
         const std::string bytes = std::move(this->reader->body());
         this->reader->body().clear();
@@ -278,10 +281,11 @@
     if (this->request.isHead) {
         this->reader->expectNoBody();
     }
+    this->headBytes.clear();
     this->skippingAnswer = false;
 }
 
-void TargetConnection::skipForeignAnswer(std::string_view headBytes)
+void TargetConnection::skipForeignAnswer()
 {
     this->skippingAnswer = true;
     this->boreForeignAnswer = true;
@@ -289,11 +293,11 @@
         // Only this request's answer is known to have no body.
         this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
         error_code ignored;
-        this->reader->consume(headBytes, ignored);
+        this->reader->consume(this->headBytes, ignored);
     }
 }
 
-bool TargetConnection::onHeadRead(std::string_view headBytes)
+bool TargetConnection::onHeadRead()
 {
     const auto self = this->shared_from_this();
     const MessageHead &head = this->reader->head();
@@ -311,7 +315,7 @@
         return false;
     }
     if (!facts.requestId.empty() && facts.requestId != this->request.id) {
-        this->skipForeignAnswer(headBytes);
+        this->skipForeignAnswer();
         this->pool.metrics.count("wigeonsill_foreign_answers_total");
         this->handler->onForeignAnswer(facts.requestId, this->requestsCarried - 1);
     } else {
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -105,9 +105,9 @@
     bool parseOnce(boost::system::error_code &error);
     void startReader();
     /// Decides whose answer begins. Returns false when the connection was closed.
-    bool onHeadRead(std::string_view headBytes);
-    /// Reads another request's answer by its own framing. \param headBytes What was read of it.
-    void skipForeignAnswer(std::string_view headBytes);
+    bool onHeadRead();
+    /// Reads another request's answer by its own framing.
+    void skipForeignAnswer();
     bool isAttributable(const AnswerFacts &facts) const;
     void finish();
     void fail(TargetFailure failure);
@@ -122,6 +122,7 @@
     std::array<char, 8'192> readBuffer;
     std::string receiveBuffer;
     std::unique_ptr<AnswerReader> reader;
+    std::string headBytes; ///< Of the answer being read; kept only for HEAD requests.
     OutgoingRequest request;
     AnswerHandler *handler = nullptr; ///< nullptr while idle.
     bool connected = false;
