--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -5,8 +5,11 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 
+#include <sys/socket.h>
+
 namespace wigeonsill {
 
 namespace asio = boost::asio;
@@ -54,11 +57,14 @@
     while (!idleConnections.empty()) {
         std::shared_ptr<TargetConnection> connection = std::move(idleConnections.back());
         idleConnections.pop_back();
-        if (connection->idleUntil > now && connection->socket.is_open()) {
+        if (connection->idleUntil <= now) {
+            connection->close();
+        } else if (connection->socket.is_open() && !connection->hasUnexpectedInput()) {
             connection->begin(std::move(request), handler);
             return connection;
+        } else {
+            connection->closeIdle();
         }
-        connection->close();
     }
     const auto endpoint = parseEndpoint(target.address);
     auto connection = std::make_shared<TargetConnection>(
@@ -96,12 +102,8 @@
 {
     this->request = std::move(outgoing);
     this->handler = &answerHandler;
-    this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
-    if (this->request.isHead) {
-        this->reader->expectNoBody();
-    }
+    this->startReader();
     this->headReceived = false;
-    this->skippingAnswer = false;
     this->sent = false;
     if (this->connected) {
         this->write();
@@ -170,10 +172,34 @@
         });
 }
 
+void TargetConnection::awaitIdleInput()
+{
+    const auto self = this->shared_from_this();
+    this->socket.async_wait(asio::ip::tcp::socket::wait_read, [self](const error_code &) {
+        if (self->handler == nullptr) {
+            self->closeIdle();
+        }
+    });
+}
+
+bool TargetConnection::hasUnexpectedInput()
+{
+    char peeked = 0;
+    return ::recv(this->socket.native_handle(), &peeked, 1, MSG_PEEK | MSG_DONTWAIT) >= 0
+        || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void TargetConnection::closeIdle()
+{
+    if (this->socket.is_open()) {
+        this->pool.metrics.count("wigeonsill_idle_connections_ended_total");
+    }
+    this->close();
+}
+
 void TargetConnection::onReadable(const error_code &error, std::size_t bytes)
 {
     if (this->handler == nullptr) {
-        // The target closed the idle connection or sent bytes that belong to no request.
         this->close();
         return;
     }
@@ -220,24 +246,12 @@
 bool TargetConnection::parseOnce(error_code &error)
 {
     const std::size_t consumed = this->reader->consume(this->receiveBuffer, error);
-    this->receiveBuffer.erase(0, consumed);
-    if (this->reader->isHeadComplete() && !this->headReceived && !this->skippingAnswer) {
-        const MessageHead &head = this->reader->head();
-        const AnswerFacts facts = this->pool.dialect.decodeAnswer(head);
-        const bool informational = head.status >= 100 && head.status < 200;
-        const bool foreign = !facts.requestId.empty() && facts.requestId != this->request.id;
-        this->skippingAnswer = informational || foreign;
-        if (foreign) {
-            this->pool.metrics.count("wigeonsill_foreign_answers_total");
-            this->handler->onForeignAnswer(facts.requestId, this->requestsCarried - 1);
-        }
-        if (!this->skippingAnswer) {
-            this->headReceived = true;
-            this->updateIdleTime(head);
-            this->handler->onAnswerHead(head);
-        }
+    if (this->request.isHead && !this->headReceived && !this->skippingAnswer) {
+        this->headBytes.append(this->receiveBuffer, 0, consumed);
     }
-    if (this->handler == nullptr) {
+    this->receiveBuffer.erase(0, consumed);
+    if (this->reader->isHeadComplete() && !this->headReceived && !this->skippingAnswer
+        && !this->onHeadRead()) {
         return false;
     }
     if (!this->reader->body().empty()) {
@@ -254,14 +268,70 @@
         return true;
     }
     if (this->skippingAnswer) {
-        this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
-        this->skippingAnswer = false;
+        this->startReader();
         return true;
     }
     this->finish();
     return false;
 }
 
+void TargetConnection::startReader()
+{
+    this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
+    if (this->request.isHead) {
+        this->reader->expectNoBody();
+    }
+    this->headBytes.clear();
+    this->skippingAnswer = false;
+}
+
+void TargetConnection::skipForeignAnswer()
+{
+    this->skippingAnswer = true;
+    this->boreForeignAnswer = true;
+    if (this->request.isHead) {
+        // Only this request's answer is known to have no body.
+        this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
+        error_code ignored;
+        this->reader->consume(this->headBytes, ignored);
+    }
+}
+
+bool TargetConnection::onHeadRead()
+{
+    const auto self = this->shared_from_this();
+    const MessageHead &head = this->reader->head();
+    if (head.status >= 100 && head.status < 200) {
+        this->skippingAnswer = true;
+        return true;
+    }
+    const AnswerFacts facts = this->pool.dialect.decodeAnswer(head);
+    if (!this->isAttributable(facts)) {
+        this->pool.metrics.count("wigeonsill_unattributed_answers_total");
+        this->handler->onForeignAnswer({}, this->requestsCarried - 1);
+        if (this->handler != nullptr) {
+            this->fail(TargetFailure::Unattributed);
+        }
+        return false;
+    }
+    if (!facts.requestId.empty() && facts.requestId != this->request.id) {
+        this->skipForeignAnswer();
+        this->pool.metrics.count("wigeonsill_foreign_answers_total");
+        this->handler->onForeignAnswer(facts.requestId, this->requestsCarried - 1);
+    } else {
+        this->headReceived = true;
+        this->updateIdleTime(head);
+        this->handler->onAnswerHead(head);
+    }
+    return this->handler != nullptr;
+}
+
+bool TargetConnection::isAttributable(const AnswerFacts &facts) const
+{
+    return this->request.id.empty() || !facts.requestId.empty()
+        || (this->requestsCarried == 1 && !this->boreForeignAnswer);
+}
+
 void TargetConnection::updateIdleTime(const MessageHead &head)
 {
     Duration idleTimeout = defaultIdleTime;
@@ -285,13 +355,14 @@
     this->handler = nullptr;
     // Bytes after a complete answer belong to no request, and a target that answered before it had
     // read the complete body would read the next request as the rest of that body.
-    if (!this->reusable || !this->receiveBuffer.empty() || this->writing) {
+    if (!this->reusable || this->boreForeignAnswer || !this->receiveBuffer.empty()
+        || this->writing) {
         this->close();
     } else {
         auto &idleConnections = this->pool.idle[this->targetId];
         if (idleConnections.size() < maximumIdlePerTarget) {
             idleConnections.push_back(self);
-            this->read();
+            this->awaitIdleInput();
         } else {
             this->close();
         }
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -13,6 +13,7 @@
     Malformed, ///< The received bytes are not an HTTP answer.
     Truncated, ///< The answer started but did not complete.
     NotResumed, ///< A stream that was to be resumed brought events that the caller has.
+    Unattributed, ///< An answer without an id came, perhaps to an earlier request.
 };
 inline constexpr std::array targetFailureNames = {
     EnumName<TargetFailure>{ TargetFailure::NotConnected, "not-connected" },
@@ -20,6 +21,7 @@
     EnumName<TargetFailure>{ TargetFailure::Malformed, "malformed-answer" },
     EnumName<TargetFailure>{ TargetFailure::Truncated, "answer-broken-off" },
     EnumName<TargetFailure>{ TargetFailure::NotResumed, "stream-not-resumed" },
+    EnumName<TargetFailure>{ TargetFailure::Unattributed, "unattributed-answer" },
 };
 
 /// Receives one answer. Exactly one of onAnswerEnd() and onAnswerFailed() is called, as the last
@@ -33,7 +35,9 @@
     virtual void onAnswerHead(const MessageHead &head) = 0;
     virtual void onAnswerBody(std::string_view bytes) = 0;
     virtual void onAnswerEnd() = 0;
-    /// An answer to another request was skipped. \param answerId Request id that it carries.
+    /// An answer that is not this request's was received and is kept from the handler.
+    /// \param answerId Request id that it carries, and it is skipped; empty when it carries none,
+    /// and onAnswerFailed() follows with Unattributed.
     /// \param earlierRequests Number of requests that the connection carried before this one.
     virtual void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) = 0;
     virtual void onAnswerFailed(TargetFailure failure) = 0;
@@ -43,7 +47,9 @@
 struct OutgoingRequest
 {
     std::string bytes; ///< Head and body.
-    std::string id; ///< Answers that carry another request's id are skipped.
+    /// Answers that carry another id are skipped. An answer without an id is accepted only as the
+    /// connection's first. Empty: any answer is accepted that carries no id.
+    std::string id;
     bool isHead = false; ///< A HEAD request, whose answer has no body.
 };
 
@@ -89,10 +95,22 @@
     void connect();
     void write();
     void read();
+    /// Notices that the target ends the idle connection or sends bytes. They stay unread, so that
+    /// hasUnexpectedInput() finds them until then.
+    void awaitIdleInput();
+    /// Whether bytes or an end of the idle connection are there. They belong to no request.
+    bool hasUnexpectedInput();
+    void closeIdle();
     void onReadable(const boost::system::error_code &error, std::size_t bytes);
     /// Returns false when the answer ended and the connection was closed or returned to the pool.
     bool parse();
     bool parseOnce(boost::system::error_code &error);
+    void startReader();
+    /// Decides whose answer begins. Returns false when the connection was closed.
+    bool onHeadRead();
+    /// Reads another request's answer by its own framing.
+    void skipForeignAnswer();
+    bool isAttributable(const AnswerFacts &facts) const;
     void finish();
     void fail(TargetFailure failure);
     void close();
@@ -106,6 +124,7 @@
     std::array<char, 8'192> readBuffer;
     std::string receiveBuffer;
     std::unique_ptr<AnswerReader> reader;
+    std::string headBytes; ///< Of the answer being read; kept only for HEAD requests.
     OutgoingRequest request;
     AnswerHandler *handler = nullptr; ///< nullptr while idle.
     bool connected = false;
@@ -114,6 +133,7 @@
     bool sent = false;
     bool headReceived = false;
     bool skippingAnswer = false; ///< The answer being read is informational or another request's.
+    bool boreForeignAnswer = false; ///< What follows on the connection is not trusted further.
     bool reusable = true;
     std::uint64_t requestsCarried = 0; ///< Including the current one.
     TimePoint idleUntil;
