Limits of the answer continuation as a setting of the entry

Tests of moves between targets had to wait 1.3 s for each silent target, which allows a generator only a few dozen of them. ForwardEntrySettings now carries AnswerContinuation::Limits, with the same defaults, and the wait for room asks the continuation for its least time left instead of default limits of its own. No change of behaviour with the defaults.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -8,6 +8,7 @@
 
 #include "wigeonsill/daemon.h"
 #include "wigeonsill/gateway.h"
+#include "wigeonsill/outcomes.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -160,6 +161,7 @@
     Duration gracePeriod = seconds(8); ///< From SIGTERM until the process exits.
     ServiceRetryBudget::Limits retryBudget;
     WaitPolicy wait;
+    AnswerContinuation::Limits continuation;
     QuotaLimiter::Limits quotas;
     int logLinesPerSecond = 400;
 };
--- a/src/include/wigeonsill/outcomes.h
+++ b/src/include/wigeonsill/outcomes.h
@@ -58,6 +58,8 @@
     void recordLost();
     /// Whether the target is connected but has made no progress for too long.
     bool isSilent(TimePoint now) const;
+    /// Whether a further target could still answer. \param timeLeft Of the request.
+    bool isTimeLeft(Duration timeLeft) const { return timeLeft > this->limits.minimumTimeLeft; }
     /// Time without progress; zero before the request was sent.
     Duration silence(TimePoint now) const;
     ContinuationStep nextStep(const Options &options, TimePoint now) const;
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -34,6 +34,7 @@
     , body(std::move(requestBody))
     , arrived(currentTime())
     , timer(entryState.io)
+    , continuation(entryState.settings.continuation)
 {
     this->state.flows.insert(this);
 }
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -173,7 +173,7 @@
 void RequestFlow::onReservingTimer()
 {
     if (this->elapsed() >= this->maximumWait
-        || this->timeLeft() <= AnswerContinuation::Limits{}.minimumTimeLeft) {
+        || !this->continuation.isTimeLeft(this->timeLeft())) {
         this->refuse(ResultCode::Overloaded, "no target had room within the maximum wait",
             this->retryDelay());
         return;
--- a/src/liboutcomes/answercontinuation.cpp
+++ b/src/liboutcomes/answercontinuation.cpp
@@ -40,8 +40,8 @@
 
 ContinuationStep AnswerContinuation::nextStep(const Options &options, TimePoint now) const
 {
-    const bool maySearch = options.repeatable && options.attemptsLeft > 0
-        && options.timeLeft > this->limits.minimumTimeLeft;
+    const bool maySearch
+        = options.repeatable && options.attemptsLeft > 0 && this->isTimeLeft(options.timeLeft);
     if (this->lost) {
         return maySearch ? ContinuationStep::SearchTarget : ContinuationStep::EndAnswer;
     }
