An event without end is neither kept nor searched through again

Cause: EventSplitter kept an event of any size, and looked for its end through all that it kept for each piece. Change: the end is looked for in the new bytes and the one before; an event that is not complete within 1 MiB is dropped, which isOversized() tells. The bound is far over what targets send in one event, a few tokens. The two on split and many events passed before and after.

--- a/src/libforward/eventsplitter.cpp
+++ b/src/libforward/eventsplitter.cpp
@@ -6,14 +6,23 @@
 
 std::string EventSplitter::feed(std::string_view bytes)
 {
-    const std::size_t scanFrom = this->partial.size() < 3 ? 0 : this->partial.size() - 3;
-    this->partial += bytes;
-    const std::size_t lastEnd = this->partial.rfind("\n\n");
-    if (lastEnd == std::string::npos || lastEnd < scanFrom) {
+    if (this->oversized) {
         return {};
     }
-    std::string completeEvents = this->partial.substr(0, lastEnd + 2);
-    this->partial.erase(0, lastEnd + 2);
+    // The end of an event may lie across the end of what is kept, which holds no complete one.
+    const std::size_t scanFrom = this->partial.empty() ? 0 : this->partial.size() - 1;
+    this->partial += bytes;
+    const std::size_t lastEnd = std::string_view(this->partial).substr(scanFrom).rfind("\n\n");
+    std::string completeEvents;
+    if (lastEnd != std::string_view::npos) {
+        const std::size_t size = scanFrom + lastEnd + 2;
+        completeEvents = this->partial.substr(0, size);
+        this->partial.erase(0, size);
+    }
+    if (this->partial.size() > maximumEventSize) {
+        this->oversized = true;
+        this->partial = std::string();
+    }
     std::size_t lineStart = 0;
     while (lineStart < completeEvents.size()) {
         const std::size_t lineEnd = completeEvents.find('\n', lineStart);
--- a/src/libforward/eventsplitter.h
+++ b/src/libforward/eventsplitter.h
@@ -8,25 +8,36 @@
 
 namespace wigeonsill {
 
-/// Buffers a stream of events so that only complete events are relayed.
+/// Buffers a stream of events so that only complete events are relayed. Not thread-safe.
 class EventSplitter
 {
 public:
-    /// Appends bytes and returns the events that are complete now.
+    /// Largest event that is kept, in bytes. Targets send a few tokens an event.
+    static constexpr std::size_t maximumEventSize = 1'048'576;
+
+    /// Appends bytes and returns the events that are complete now. An event that is not complete
+    /// within maximumEventSize is dropped, and nothing is returned from then on.
     std::string feed(std::string_view bytes);
+    /// Whether an event was dropped since it was too large.
+    bool isOversized() const { return this->oversized; }
     /// Id of the last complete event; empty before the first.
     const std::string &lastId() const { return this->lastEventId; }
     /// Number of id fields in the complete events.
     std::uint64_t count() const { return this->eventCount; }
     /// Bytes after the last complete event, to be relayed at the end of a complete answer.
     const std::string &remainder() const { return this->partial; }
-    /// Discards the bytes of an event that will not be completed.
-    void discardPartial() { this->partial.clear(); }
+    /// Discards the bytes of an event that will not be completed, also of one that was too large.
+    void discardPartial()
+    {
+        this->partial.clear();
+        this->oversized = false;
+    }
 
 private:
     std::string partial;
     std::string lastEventId;
     std::uint64_t eventCount = 0;
+    bool oversized = false;
 };
 
 } // namespace wigeonsill
--- /dev/null
+++ b/src/libforward/eventsplitter_test.cpp
@@ -0,0 +1,78 @@
+/// \file eventsplitter_test.cpp
+/// Tests of the extraction of events from streams, also from ones that never end an event.
+#include "eventsplitter.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <ctime>
+
+namespace wigeonsill {
+namespace {
+
+/// Processor time of feeding a number of bytes in small pieces, in clock ticks.
+std::clock_t feedPieces(EventSplitter &splitter, std::size_t size)
+{
+    const std::string piece(16, 'a');
+    const std::clock_t begin = std::clock();
+    for (std::size_t fed = 0; fed < size; fed += piece.size()) {
+        splitter.feed(piece);
+    }
+    return std::clock() - begin;
+}
+
+TEST(EventSplitter, eventsAreFoundWhereverThePiecesEnd)
+{
+    const std::string stream = "id: 1\ndata: a\n\n\n\nid: 2\n\nid:3\ndata: b\n\nrest";
+    for (std::size_t size = 1; size <= stream.size(); ++size) {
+        EventSplitter splitter;
+        std::string found;
+        for (std::size_t at = 0; at < stream.size(); at += size) {
+            found += splitter.feed(std::string_view(stream).substr(at, size));
+        }
+        EXPECT_EQ(found + splitter.remainder(), stream);
+        EXPECT_EQ(splitter.remainder(), "rest");
+        EXPECT_EQ(splitter.count(), 3U);
+        EXPECT_EQ(splitter.lastId(), "3");
+    }
+}
+
+TEST(EventSplitter, workPerByteDoesNotRiseWithWhatIsKept)
+{
+    constexpr std::size_t step = 131'072;
+    EventSplitter splitter;
+    const std::clock_t first = std::max<std::clock_t>(feedPieces(splitter, step), 1'000);
+    feedPieces(splitter, EventSplitter::maximumEventSize - 2 * step);
+    ASSERT_FALSE(splitter.isOversized());
+    EXPECT_LE(feedPieces(splitter, step), 3 * first);
+}
+
+TEST(EventSplitter, eventWithoutEndIsNotKept)
+{
+    EventSplitter splitter;
+    EXPECT_EQ(splitter.feed("id: 1\n\nid: 2\ndata: "), "id: 1\n\n");
+    feedPieces(splitter, EventSplitter::maximumEventSize);
+    EXPECT_TRUE(splitter.isOversized());
+    EXPECT_TRUE(splitter.remainder().empty());
+    EXPECT_TRUE(splitter.feed("\n\nid: 3\n\n").empty())
+        << "nothing is joined with what was dropped";
+    EXPECT_EQ(splitter.lastId(), "1");
+    splitter.discardPartial();
+    EXPECT_FALSE(splitter.isOversized()) << "the next attempt begins anew";
+    EXPECT_EQ(splitter.feed("id: 2\n\n"), "id: 2\n\n");
+}
+
+/// The pieces of a stream that has many events are larger than one event may be.
+TEST(EventSplitter, piecesOfManyEventsAreNotBounded)
+{
+    std::string events;
+    while (events.size() <= EventSplitter::maximumEventSize) {
+        events += "id: 1\ndata: a\n\n";
+    }
+    EventSplitter splitter;
+    EXPECT_TRUE(splitter.feed(events) == events);
+    EXPECT_FALSE(splitter.isOversized());
+}
+
+} // namespace
+} // namespace wigeonsill
