Chunk headers and trailers without end are not waited for

Change: MessageReader::consume fails (buffer_overflow) once more than 16,384 bytes are waited for behind a head. Tests: chunkHeaderWithoutEndIsBounded, chunkExtensionsWithoutEndAreBounded, trailersWithoutEndAreBounded failed before (all of the 262 kB fed were kept). The two of heads, which the parser bounds itself, and the two of messages within the limits passed before and after.

--- a/src/libforward/messagereader.h
+++ b/src/libforward/messagereader.h
@@ -18,6 +18,11 @@
     using View = boost::beast::string_view;
 
 public:
+    /// Largest chunk header with its extensions, and largest trailers, in bytes. Both are waited
+    /// for whole; targets send a few hundred bytes at most.
+    static constexpr std::size_t chunkFramingLimit = 16'384;
+
+    /// \param headerLimit Largest head. \param bodyLimit Largest body. Both in bytes.
     MessageReader(std::uint32_t headerLimit, std::uint64_t bodyLimit)
     {
         this->eager(true);
@@ -27,7 +32,8 @@
 
     /// Parses as much as possible and returns the number of bytes consumed. Those of an incomplete
     /// line of a head, or chunk header, are not consumed and have to be passed again together with
-    /// further bytes.
+    /// further bytes. Errors: those of Beast's http::error; header_limit and body_limit are those
+    /// of the constructor, buffer_overflow that of chunkFramingLimit.
     std::size_t consume(std::string_view bytes, ErrorCode &error)
     {
         error = {};
@@ -48,6 +54,11 @@
                 break;
             }
         }
+        // The parser waits for chunk headers and trailers of any size.
+        if (!error && this->is_header_done() && !this->is_done()
+            && bytes.size() - consumed > chunkFramingLimit) {
+            error = boost::beast::http::error::buffer_overflow;
+        }
         return consumed;
     }
 
--- /dev/null
+++ b/src/libforward/messagereader_test.cpp
@@ -0,0 +1,110 @@
+/// \file messagereader_test.cpp
+/// Tests of the limits on what is read of a message.
+#include "messagereader.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+namespace wigeonsill {
+namespace {
+
+using boost::beast::http::error;
+using ErrorCode = boost::beast::error_code;
+
+constexpr std::size_t headLimit = 65'536;
+constexpr std::size_t bodyLimit = 1'048'576;
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Feeds a beginning and then pieces without end, as a connection does; stops at four times the
+/// head limit.
+struct EndlessMessage
+{
+    EndlessMessage(const std::string &begin, const std::string &piece)
+        : pending(begin)
+    {
+        for (this->fed = begin.size(); this->fed < 4 * headLimit; this->fed += piece.size()) {
+            this->pending.erase(0, this->reader.consume(this->pending, this->failure));
+            this->largestPending = std::max(this->largestPending, this->pending.size());
+            if (this->failure) {
+                return;
+            }
+            this->pending += piece;
+        }
+    }
+
+    AnswerReader reader{ headLimit, bodyLimit };
+    std::string pending;
+    std::size_t fed = 0;
+    std::size_t largestPending = 0;
+    ErrorCode failure;
+};
+
+TEST(MessageReader, headOfOneLineWithoutEndIsBounded)
+{
+    const EndlessMessage message("HTTP/1.1 200 OK\r\nX: ", std::string(512, 'a'));
+    EXPECT_EQ(message.failure, error::header_limit);
+    EXPECT_LE(message.fed, headLimit + 1'024);
+}
+
+TEST(MessageReader, headOfManyLinesWithoutEndIsBounded)
+{
+    const EndlessMessage message("HTTP/1.1 200 OK\r\n", "X: a\r\n");
+    EXPECT_EQ(message.failure, error::header_limit);
+    EXPECT_LE(message.fed, headLimit + 1'024);
+}
+
+TEST(MessageReader, chunkHeaderWithoutEndIsBounded)
+{
+    const EndlessMessage message(chunkedHead + "5", std::string(512, '0'));
+    EXPECT_EQ(message.failure, error::buffer_overflow);
+    EXPECT_LE(message.largestPending, AnswerReader::chunkFramingLimit + 1'024);
+}
+
+TEST(MessageReader, chunkExtensionsWithoutEndAreBounded)
+{
+    const EndlessMessage message(chunkedHead + "5\r\nwhole\r\n5", ";a=bcdef");
+    EXPECT_EQ(message.failure, error::buffer_overflow);
+    EXPECT_LE(message.largestPending, AnswerReader::chunkFramingLimit + 1'024);
+}
+
+TEST(MessageReader, trailersWithoutEndAreBounded)
+{
+    const EndlessMessage message(chunkedHead + "5\r\nwhole\r\n0\r\n", "X: a\r\n");
+    EXPECT_EQ(message.failure, error::buffer_overflow);
+    EXPECT_LE(message.largestPending, AnswerReader::chunkFramingLimit + 1'024);
+}
+
+/// What is within the limits is read whatever the pieces in which it comes.
+TEST(MessageReader, messagesWithinTheLimitsAreReadInAnyPieces)
+{
+    const std::string message = "HTTP/1.1 200 OK\r\nX: " + std::string(60'000, 'a')
+        + "\r\nTransfer-Encoding: chunked\r\n\r\n5;x=" + std::string(16'000, 'b')
+        + "\r\nwhole\r\n0\r\nY: " + std::string(16'000, 'c') + "\r\n\r\n";
+    for (const std::size_t size : { 1UL, 7UL, 8'192UL, message.size() }) {
+        AnswerReader reader(headLimit, bodyLimit);
+        std::string pending;
+        ErrorCode failure;
+        for (std::size_t at = 0; at < message.size() && !failure; at += size) {
+            pending += message.substr(at, size);
+            pending.erase(0, reader.consume(pending, failure));
+        }
+        EXPECT_FALSE(failure) << failure.message() << " in pieces of " << size;
+        EXPECT_TRUE(reader.isComplete());
+        EXPECT_EQ(reader.body(), "whole");
+    }
+}
+
+/// A body is not held back, however much of it comes at once.
+TEST(MessageReader, bodyIsNotBoundedAsChunkFraming)
+{
+    AnswerReader reader(headLimit, bodyLimit);
+    ErrorCode failure;
+    const std::string begin = chunkedHead + "80000\r\n" + std::string(400'000, 'a');
+    EXPECT_EQ(reader.consume(begin, failure), begin.size());
+    EXPECT_FALSE(failure);
+    EXPECT_EQ(reader.body().size(), 400'000U);
+}
+
+} // namespace
+} // namespace wigeonsill
