--- a/src/libforward/eventsplitter.h
+++ b/src/libforward/eventsplitter.h
@@ -8,14 +8,20 @@
 
 namespace wigeonsill {
 
-/// Buffers a stream of events so that only complete events are relayed.
+/// Buffers a stream of events so that only complete events are relayed. Not thread-safe.
 class EventSplitter
 {
 public:
-    /// Appends bytes and returns the events that are complete now.
+    /// Largest event that is kept, in bytes. Targets send a few tokens an event.
+    static constexpr std::size_t maximumEventSize = 1'048'576;
+
+    /// Appends bytes and returns the events that are complete now. An event that is not complete
+    /// within maximumEventSize is dropped, and nothing is returned from then on.
     std::string feed(std::string_view bytes);
     /// Id of the first complete event; empty before it.
     const std::string &firstId() const { return this->firstEventId; }
+    /// Whether an event was dropped since it was too large.
+    bool isOversized() const { return this->oversized; }
     /// Id of the last complete event; empty before the first.
     const std::string &lastId() const { return this->lastEventId; }
     /// Number of id fields in the complete events.
@@ -28,6 +34,7 @@
     std::string firstEventId;
     std::string lastEventId;
     std::uint64_t eventCount = 0;
+    bool oversized = false;
 };
 
 } // namespace wigeonsill
