A search for another target ends when the relay of a body begins

Cause: whether a request may go on elsewhere was asked when the search began and not when a target granted room; meanwhile the relay of a large body had begun. Change: bytes of a body that is no stream are progress, which ends a search and keeps a slow but steady body from counting as silence; and each move asks mayMove() again. Tests failed before: searchEndsWhenTheRelayBegins, searchPastUnresponsiveAgentsEndsWhenTheRelayBegins, bodyInSmallPiecesIsNoSilence (another target was asked).

--- a/src/libforward/mixedanswers_test.cpp
+++ b/src/libforward/mixedanswers_test.cpp
@@ -132,5 +132,53 @@
     EXPECT_TRUE(this->complete);
 }
 
+/// Another target was asked for room before the relay of a large body began.
+TEST_F(IdempotentCall, searchEndsWhenTheRelayBegins)
+{
+    const std::string third(200'000, 'a');
+    this->write("HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n" + third);
+    this->queueReservations(milliseconds(1'700));
+    ASSERT_NE(this->lastReservation.first, nullptr);
+    this->write(third);
+    this->lastReservation.first->reply(GrantKind::Granted, this->lastReservation.second);
+    this->runFor(milliseconds(100));
+    boost::system::error_code error;
+    this->lastReservation.first->target.non_blocking(true);
+    this->lastReservation.first->target.accept(error);
+    EXPECT_TRUE(error) << "sent to another target though the caller has a part";
+    this->write(third);
+    EXPECT_TRUE(this->receivedBody() == third + third + third);
+    EXPECT_TRUE(this->complete);
+}
+
+/// As above, where the agents that were asked do not answer.
+TEST_F(IdempotentCall, searchPastUnresponsiveAgentsEndsWhenTheRelayBegins)
+{
+    const std::string third(200'000, 'a');
+    this->write("HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n" + third);
+    this->runFor(milliseconds(1'450));
+    this->write(third);
+    this->runFor(milliseconds(600));
+    for (const auto &agent : this->agents) {
+        boost::system::error_code error;
+        agent->target.non_blocking(true);
+        agent->target.accept(error);
+        EXPECT_TRUE(error) << "sent to another target though the caller has a part";
+    }
+}
+
+/// A body that comes slowly but steadily comes from a target that works.
+TEST_F(IdempotentCall, bodyInSmallPiecesIsNoSilence)
+{
+    this->write("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n");
+    for (int i = 0; i < 12; ++i) {
+        this->queueReservations(milliseconds(150));
+        this->write("x");
+    }
+    EXPECT_EQ(this->lastReservation.first, nullptr) << "no other target is asked";
+    EXPECT_EQ(this->receivedBody(), "xxxxxxxxxxxx");
+    EXPECT_TRUE(this->complete);
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -64,6 +64,8 @@
     bool mayHaveRun() const;
     /// Whether another target may answer in place of one that may have run the request.
     bool canContinueElsewhere() const;
+    /// Whether the request may be sent to a target that was reserved.
+    bool mayMove() const { return !this->attempt || this->canContinueElsewhere(); }
     AnswerContinuation::Options continuationOptions() const;
     /// Reserves at other targets while the current one is silent.
     void searchOtherTarget();
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -203,7 +203,7 @@
             this->state.grantClient.reserve(reservation.target, this->profile());
         }
     }
-    if (!anyAgentAnswered) {
+    if (!anyAgentAnswered && this->mayMove()) {
         this->sendPastUnresponsiveAgent();
     }
     if (this->reservationId != 0) {
@@ -348,7 +348,7 @@
     }
     const auto reservation = std::find_if(this->reservations.begin(), this->reservations.end(),
         [&targetId](const Reservation &record) { return record.target.id == targetId; });
-    if (reservation == this->reservations.end()) {
+    if (reservation == this->reservations.end() || !this->mayMove()) {
         return false;
     }
     const Target *listedTarget = this->state.targets.find(targetId);
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -89,6 +89,7 @@
         this->forwardEvents(bytes);
         return;
     }
+    this->recordProgress();
     // Larger answers are relayed as they arrive, so that memory stays bounded.
     constexpr std::size_t answerBufferLimit = 262'144;
     std::string &held = this->attempt->body;
