A grant under an earlier reservation is given back

Cause: agents' answers reached a request without the id of the reservation that they answer. Change: the listener gets the id and acts only on that of its reservations. The fixture lets a second agent be asked before the first grants, and drops what was asked before the send. Test failed before: BegunStream.grantUnderAnEarlierReservationIsGivenBack (no release came).

--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -195,8 +195,14 @@
         this->sendRequest(this->caller, options.callerVersion);
         const auto [agent, reservation] = this->nextMessage(GrantKind::Reserve);
         this->firstAgent = agent;
+        agent->reply(GrantKind::Queued, reservation);
+        std::tie(this->secondAgent, this->secondReservation)
+            = this->nextMessage(GrantKind::Reserve);
         agent->reply(GrantKind::Granted, reservation);
         this->runFor(milliseconds(50));
+        for (const auto &other : this->agents) {
+            while (other->receive(GrantKind::Reserve)) { } // Discards what was asked before.
+        }
         this->connection = agent->target.accept();
     }
 
@@ -273,6 +279,8 @@
     asio::ip::tcp::socket caller;
     asio::ip::tcp::socket connection; ///< Of the current target.
     ManualAgent *firstAgent = nullptr;
+    ManualAgent *secondAgent = nullptr; ///< Asked as well before the first granted.
+    GrantMessage secondReservation;
     std::pair<ManualAgent *, GrantMessage> lastReservation;
     std::string receivedBytes;
     bool closed = false;
--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -180,7 +180,8 @@
     }
     record.load = message.load;
     record.loadReceivedAt = currentTime();
-    const auto listener = this->listeners.find(message.profile.reservationId.number);
+    const std::uint64_t reservationId = message.profile.reservationId.number;
+    const auto listener = this->listeners.find(reservationId);
     if (listener == this->listeners.end()) {
         if (message.kind == GrantKind::Granted) {
             this->returnGrant(message, from);
@@ -190,15 +191,15 @@
     const std::string targetId = this->targetByAddress[from.address()];
     switch (message.kind) {
     case GrantKind::Granted:
-        if (!listener->second->onGranted(targetId)) {
+        if (!listener->second->onGranted(reservationId, targetId)) {
             this->returnGrant(message, from);
         }
         break;
     case GrantKind::Queued:
-        listener->second->onQueued(targetId);
+        listener->second->onQueued(reservationId, targetId);
         break;
     case GrantKind::Declined:
-        listener->second->onDeclined(targetId);
+        listener->second->onDeclined(reservationId, targetId);
         break;
     default:
         break;
--- a/src/libforward/grantclient.h
+++ b/src/libforward/grantclient.h
@@ -16,9 +16,9 @@
 public:
     virtual ~GrantListener() = default;
     /// Returns whether the request uses the grant. If not, the grant is released.
-    virtual bool onGranted(const std::string &targetId) = 0;
-    virtual void onQueued(const std::string &targetId) = 0;
-    virtual void onDeclined(const std::string &targetId) = 0;
+    virtual bool onGranted(std::uint64_t reservationId, const std::string &targetId) = 0;
+    virtual void onQueued(std::uint64_t reservationId, const std::string &targetId) = 0;
+    virtual void onDeclined(std::uint64_t reservationId, const std::string &targetId) = 0;
 };
 
 /// What the entry knows about an agent.
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -53,6 +53,7 @@
     /// Ranks the targets and reserves at the first. Returns false when no target is known.
     bool beginReservations();
     void reserveAtNext(std::size_t count);
+    void setReservationState(const std::string &targetId, ReservationState newState);
     /// Resends unanswered reservations and adds one.
     void maintainReservations();
     void onTimer();
@@ -94,12 +95,18 @@
     void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) override;
     void onAnswerEnd() override;
     void onAnswerFailed(TargetFailure failure) override;
-    bool onGranted(const std::string &targetId) override;
-    void onQueued(const std::string &targetId) override;
-    void onDeclined(const std::string &targetId) override;
+    bool onGranted(std::uint64_t reservation, const std::string &targetId) override;
+    void onQueued(std::uint64_t reservation, const std::string &targetId) override;
+    void onDeclined(std::uint64_t reservation, const std::string &targetId) override;
 
     void forwardEvents(std::string_view bytes);
+    /// \param eventsBefore Number of the attempt's events before these.
+    void relayEvents(const std::string &completeEvents, std::uint64_t eventsBefore);
+    /// Closes the target's connection, whose answer can't be used.
+    void dropAttempt(TargetFailure failure);
     void beginRelay();
+    /// Whether a target's answer can follow the part that the caller has.
+    bool continuesRelayedAnswer(const MessageHead &received) const;
     HttpFields relayedFields() const;
     void refuse(ResultCode code, std::string_view detail, Duration retryAfter = {});
     void fail(int status, std::string_view detail);
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -172,8 +172,7 @@
 
 void RequestFlow::onReservingTimer()
 {
-    if (this->elapsed() >= this->maximumWait
-        || !this->continuation.isTimeLeft(this->timeLeft())) {
+    if (this->elapsed() >= this->maximumWait || !this->continuation.isTimeLeft(this->timeLeft())) {
         this->refuse(ResultCode::Overloaded, "no target had room within the maximum wait",
             this->retryDelay());
         return;
@@ -312,43 +311,48 @@
     }
 }
 
-void RequestFlow::onQueued(const std::string &targetId)
+void RequestFlow::onQueued(std::uint64_t reservation, const std::string &targetId)
 {
     const auto self = this->shared_from_this();
-    if (this->reservationId == 0) {
+    if (reservation != this->reservationId) {
         return;
     }
+    this->setReservationState(targetId, ReservationState::Queued);
+    this->reserveAtNext(2);
+}
+
+void RequestFlow::setReservationState(const std::string &targetId, ReservationState newState)
+{
     for (Reservation &reservation : this->reservations) {
         if (reservation.target.id == targetId) {
-            reservation.state = ReservationState::Queued;
+            reservation.state = newState;
         }
     }
-    this->reserveAtNext(2);
 }
 
-void RequestFlow::onDeclined(const std::string &targetId)
+void RequestFlow::onDeclined(std::uint64_t reservation, const std::string &targetId)
 {
     const auto self = this->shared_from_this();
-    if (this->reservationId == 0) {
+    if (reservation != this->reservationId) {
         return;
     }
-    for (Reservation &reservation : this->reservations) {
-        if (reservation.target.id == targetId) {
-            reservation.state = ReservationState::Declined;
-        }
-    }
+    this->setReservationState(targetId, ReservationState::Declined);
     this->reserveAtNext(1);
 }
 
-bool RequestFlow::onGranted(const std::string &targetId)
+bool RequestFlow::onGranted(std::uint64_t reservation, const std::string &targetId)
 {
     const auto self = this->shared_from_this();
-    if (this->attempt && this->attempt->target.id == targetId) {
+    if (this->attempt && this->attempt->reservationId == reservation
+        && this->attempt->target.id == targetId) {
         return true; // A repeated grant.
     }
-    const auto reservation = std::find_if(this->reservations.begin(), this->reservations.end(),
+    if (reservation != this->reservationId || !this->mayMove()) {
+        return false;
+    }
+    const auto granted = std::find_if(this->reservations.begin(), this->reservations.end(),
         [&targetId](const Reservation &record) { return record.target.id == targetId; });
-    if (reservation == this->reservations.end() || !this->mayMove()) {
+    if (granted == this->reservations.end()) {
         return false;
     }
     const Target *listedTarget = this->state.targets.find(targetId);
@@ -359,7 +363,7 @@
         = this->state.grantClient.view(*listedTarget, currentTime()).load;
     if (load && listedTarget->startedMs != 0 && load->startedMs > listedTarget->startedMs) {
         // The incarnation that took over the address would refuse the request.
-        reservation->state = ReservationState::Declined;
+        granted->state = ReservationState::Declined;
         this->state.recordReplacement(targetId);
         this->reserveAtNext(1);
         return false;
--- a/src/libforward/reservations_test.cpp
+++ b/src/libforward/reservations_test.cpp
@@ -153,5 +153,19 @@
     ASSERT_NO_FATAL_FAILURE(this->continueAtLastReservation());
 }
 
+/// The release of a reservation was lost, and its grant comes while others are asked anew.
+TEST_F(BegunStream, grantUnderAnEarlierReservationIsGivenBack)
+{
+    ASSERT_TRUE(this->secondAgent);
+    this->queueReservations(milliseconds(1'700));
+    while (this->secondAgent->receive(GrantKind::Release)) { }
+    this->secondAgent->reply(GrantKind::Granted, this->secondReservation);
+    this->runFor(milliseconds(100));
+    const auto release = this->secondAgent->receive(GrantKind::Release);
+    ASSERT_TRUE(release) << "neither used nor given back";
+    EXPECT_EQ(release->profile.reservationId.number,
+        this->secondReservation.profile.reservationId.number);
+}
+
 } // namespace
 } // namespace wigeonsill
