A stream is resumed only after the last event that its caller has, by an answer of its kind

A begun stream was resumed after an older event when the last one had no id, so that one came twice; after an empty id, which sent no Last-Event-Id; by a 204 or an answer of another type, whose end or body was taken for the stream's. And an event over the splitter's bound was waited for. Change: the splitter counts events, not ids, and tells whether the last one has an id; only then can the stream go on elsewhere. A resumption has the status and type of the answer that the caller has; anything else fails the attempt (stream-not-resumed), as an oversized event does (answer-broken-off), and another target may be asked.

--- a/src/libforward/eventsplitter.cpp
+++ b/src/libforward/eventsplitter.cpp
@@ -26,19 +26,32 @@
     std::size_t lineStart = 0;
     while (lineStart < completeEvents.size()) {
         const std::size_t lineEnd = completeEvents.find('\n', lineStart);
-        const std::string_view lineText
-            = std::string_view(completeEvents).substr(lineStart, lineEnd - lineStart);
-        if (lineText.starts_with("id:")) {
-            const std::size_t valueStart = lineText.find_first_not_of(' ', 3);
-            this->lastEventId
-                = valueStart == std::string_view::npos ? "" : lineText.substr(valueStart);
-            if (this->eventCount++ == 0) {
-                this->firstEventId = this->lastEventId;
-            }
-        }
+        this->readLine(std::string_view(completeEvents).substr(lineStart, lineEnd - lineStart));
         lineStart = lineEnd + 1;
     }
     return completeEvents;
 }
 
+void EventSplitter::readLine(std::string_view line)
+{
+    if (line.empty()) {
+        if (this->inEvent) { // Comments alone are no event.
+            ++this->eventCount;
+            this->lastEventHasId = this->eventHasId;
+        }
+        this->inEvent = false;
+        this->eventHasId = false;
+        return;
+    }
+    this->inEvent = this->inEvent || !line.starts_with(':');
+    if (line.starts_with("id:")) {
+        const std::size_t valueStart = line.find_first_not_of(' ', 3);
+        this->lastEventId = valueStart == std::string_view::npos ? "" : line.substr(valueStart);
+        this->eventHasId = !this->lastEventId.empty();
+        if (this->eventCount == 0) {
+            this->firstEventId = this->lastEventId;
+        }
+    }
+}
+
 } // namespace wigeonsill
--- a/src/libforward/eventsplitter.h
+++ b/src/libforward/eventsplitter.h
@@ -24,17 +24,24 @@
     bool isOversized() const { return this->oversized; }
     /// Id of the last complete event; empty before the first.
     const std::string &lastId() const { return this->lastEventId; }
-    /// Number of id fields in the complete events.
+    /// Whether the last complete event has an id, so that a stream can be resumed after it.
+    bool endsAtId() const { return this->lastEventHasId; }
+    /// Number of complete events.
     std::uint64_t count() const { return this->eventCount; }
     /// Bytes after the last complete event, to be relayed at the end of a complete answer.
     const std::string &remainder() const { return this->partial; }
 
 private:
+    void readLine(std::string_view line);
+
     std::string partial;
     std::string firstEventId;
     std::string lastEventId;
     std::uint64_t eventCount = 0;
     bool oversized = false;
+    bool inEvent = false; ///< The block being read has a line that is no comment.
+    bool eventHasId = false;
+    bool lastEventHasId = false;
 };
 
 } // namespace wigeonsill
--- a/src/libforward/mixedanswers_test.cpp
+++ b/src/libforward/mixedanswers_test.cpp
@@ -1,6 +1,7 @@
 /// \file mixedanswers_test.cpp
 /// Regression tests of answers that were joined from two targets or lost a part on a move.
 #include "entryfixture.h"
+#include "eventsplitter.h"
 
 namespace wigeonsill {
 namespace {
@@ -22,6 +23,54 @@
     EXPECT_TRUE(this->complete);
 }
 
+/// The target that was to resume a stream has nothing more to say.
+TEST_F(BegunStream, resumptionWithoutContentDoesNotLookComplete)
+{
+    this->connection.close();
+    this->queueReservations(milliseconds(100));
+    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation());
+    this->write("HTTP/1.1 204 No Content\r\n\r\n");
+    this->receivedBody();
+    EXPECT_FALSE(this->complete);
+}
+
+/// The target that was to resume a stream sends something else than events.
+TEST_F(BegunStream, resumptionOfAnotherTypeIsNotAppended)
+{
+    this->connection.close();
+    this->queueReservations(milliseconds(100));
+    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation());
+    this->write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 13\r\n\r\n"
+                "{\"error\":\"x\"}");
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+}
+
+/// The last event that the caller has bears no id, so no target can be asked for what follows it.
+TEST_F(BegunStream, isNotResumedAfterAnOlderEventThanTheLast)
+{
+    this->writeChunk("data: untagged\n\n");
+    this->connection.close();
+    this->queueReservations(milliseconds(200));
+    EXPECT_EQ(this->lastReservation.first, nullptr);
+    EXPECT_EQ(this->receivedBody(), event(1) + "data: untagged\n\n");
+    EXPECT_FALSE(this->complete);
+}
+
+/// Comments that targets send to keep a connection open are no events.
+TEST_F(BegunStream, isResumedAfterAComment)
+{
+    this->writeChunk(": still here\n\n");
+    this->connection.close();
+    this->queueReservations(milliseconds(100));
+    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation());
+    this->writeStreamHead();
+    this->writeEvent(2);
+    this->write("0\r\n\r\n");
+    EXPECT_EQ(this->receivedBody(), event(1) + ": still here\n\n" + event(2));
+    EXPECT_TRUE(this->complete);
+}
+
 class UnbegunStream : public SentRequest
 {
 protected:
@@ -46,6 +95,32 @@
     EXPECT_TRUE(this->complete);
 }
 
+TEST_F(UnbegunStream, emptyIdCannotBeResumedAfter)
+{
+    this->writeChunk("id:\ndata: t\n\n");
+    this->connection.close();
+    this->queueReservations(milliseconds(200));
+    EXPECT_EQ(this->lastReservation.first, nullptr);
+    EXPECT_EQ(this->receivedBody(), "id:\ndata: t\n\n");
+    EXPECT_FALSE(this->complete);
+}
+
+/// An event without end is an answer that was broken off.
+TEST_F(UnbegunStream, oversizedEventEndsTheAttempt)
+{
+    this->writeEvent(1);
+    for (std::size_t size = 0; size <= EventSplitter::maximumEventSize; size += 65'535) {
+        this->writeChunk(std::string(65'535, 'x'));
+    }
+    this->queueReservations(milliseconds(100));
+    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation()) << "the stream goes on elsewhere";
+    this->writeStreamHead();
+    this->writeEvent(2);
+    this->write("0\r\n\r\n");
+    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+    EXPECT_TRUE(this->complete);
+}
+
 /// A target pauses within an event and goes on while no other has room.
 TEST_F(BegunStream, halfEventOfTargetThatGoesOnIsKept)
 {
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -150,8 +150,8 @@
     bool anyTargetMayHaveRun = false; ///< Of the earlier attempts, or the current one answered.
     bool headSentToCaller = false;
     MessageHead relayedHead; ///< That the caller got.
-    std::uint64_t relayedEvents = 0; ///< Number of events with an id that the caller got.
-    std::string lastRelayedEventId;
+    std::uint64_t relayedEvents = 0; ///< Number of events that the caller got.
+    std::string lastRelayedEventId; ///< Empty when the last event that the caller got has none.
     std::optional<Duration> timeToFirstEvent;
     std::optional<Duration> timeToSend;
     TimePoint lastEventAt;
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -424,7 +424,7 @@
     context.timeLeft = this->timeLeft();
     this->attempt->resumesAfter = this->lastRelayedEventId;
     context.lastEventId
-        = this->relayedEvents > 0 ? this->lastRelayedEventId : this->request.lastEventId;
+        = this->headSentToCaller ? this->lastRelayedEventId : this->request.lastEventId;
     const HttpFields fields = this->state.dialect.encodeRequest(this->head, context);
     OutgoingRequest outgoing;
     outgoing.id = this->request.id;
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -50,9 +50,8 @@
             return;
         }
     }
-    if (this->headSentToCaller && received.status >= 300) {
-        this->abortAnswer(
-            "the target that was to resume the stream answered without a success status");
+    if (this->headSentToCaller && !this->continuesRelayedAnswer(received)) {
+        this->dropAttempt(TargetFailure::NotResumed);
         return;
     }
     this->attempt->head = received;
@@ -61,6 +60,13 @@
     this->recordProgress();
 }
 
+bool RequestFlow::continuesRelayedAnswer(const MessageHead &received) const
+{
+    return received.status == this->relayedHead.status
+        && equalsIgnoringCase(fieldValue(received.fields, "Content-Type"),
+            fieldValue(this->relayedHead.fields, "Content-Type"));
+}
+
 HttpFields RequestFlow::relayedFields() const
 {
     HttpFields result;
@@ -108,17 +114,24 @@
     EventSplitter &events = this->attempt->events;
     const std::uint64_t eventsBefore = events.count();
     const std::string completeEvents = events.feed(bytes);
-    if (completeEvents.empty()) {
-        return;
+    if (!completeEvents.empty()) {
+        this->relayEvents(completeEvents, eventsBefore);
+    }
+    if (this->attempt && this->attempt->events.isOversized()) {
+        this->dropAttempt(TargetFailure::Truncated);
     }
+}
+
+void RequestFlow::relayEvents(const std::string &completeEvents, std::uint64_t eventsBefore)
+{
+    const EventSplitter &events = this->attempt->events;
     if (eventsBefore == 0 && this->attempt->beganAnew()) {
-        this->attempt->connection->cancel();
-        this->onAnswerFailed(TargetFailure::NotResumed);
+        this->dropAttempt(TargetFailure::NotResumed);
         return;
     }
     if (events.count() > eventsBefore) {
         this->relayedEvents += events.count() - eventsBefore;
-        this->lastRelayedEventId = events.lastId();
+        this->lastRelayedEventId = events.endsAtId() ? events.lastId() : "";
     }
     this->lastEventAt = currentTime();
     this->recordProgress();
@@ -200,6 +213,12 @@
     }
 }
 
+void RequestFlow::dropAttempt(TargetFailure failure)
+{
+    this->attempt->connection->cancel();
+    this->onAnswerFailed(failure);
+}
+
 void RequestFlow::logMove(std::string_view cause)
 {
     DecisionLine line("entry", "moved");
@@ -256,7 +275,7 @@
 bool RequestFlow::canContinueElsewhere() const
 {
     // Of an answer that the caller has in part, the rest can only be asked for by the last event.
-    return this->headSentToCaller ? this->route->resumable && this->relayedEvents > 0
+    return this->headSentToCaller ? this->route->resumable && !this->lastRelayedEventId.empty()
                                   : this->route->isRetrySafe();
 }
 
