Trailers are no fields of the head

Cause: Beast reports the fields of trailers like those of the head, so a caller's trailer "Model: other" reached the target as a header, and one of an answer that came in a single read could have decided whose it is or whether the request ran (found by the review). Change: fields behind the head are dropped; trailers are not forwarded. Test failed before: MessageReader.trailersAreNoFieldsOfTheHead (Model was "other").

--- a/src/libforward/messagereader.h
+++ b/src/libforward/messagereader.h
@@ -94,11 +94,15 @@
     void on_field_impl(
         boost::beast::http::field /*field*/, View name, View value, ErrorCode & /*error*/) override
     {
+        if (this->headEnded) {
+            return; // A trailer, which is not forwarded.
+        }
         this->message.fields.push_back(
             { { name.data(), name.size() }, { value.data(), value.size() } });
     }
     void on_header_impl(ErrorCode & /*error*/) override
     {
+        this->headEnded = true;
         this->message.chunked = this->chunked();
         if (const auto length = this->content_length()) {
             this->message.length = *length;
@@ -129,6 +133,7 @@
 
     MessageHead message;
     std::string content;
+    bool headEnded = false;
 };
 
 using RequestReader = MessageReader<true>;
--- a/src/libforward/messagereader_test.cpp
+++ b/src/libforward/messagereader_test.cpp
@@ -106,5 +106,20 @@
     EXPECT_EQ(reader.body().size(), 400'000U);
 }
 
+/// A trailer "Model: other" reached the target as a field of the head.
+TEST(MessageReader, trailersAreNoFieldsOfTheHead)
+{
+    RequestReader reader(8'192, 1'024);
+    boost::system::error_code error;
+    reader.consume("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "3\r\nabc\r\n0\r\nModel: other\r\n\r\n",
+        error);
+    EXPECT_FALSE(error);
+    EXPECT_TRUE(reader.isComplete());
+    EXPECT_EQ(reader.body(), "abc");
+    EXPECT_EQ(fieldValue(reader.head().fields, "Host"), "h");
+    EXPECT_EQ(fieldValue(reader.head().fields, "Model"), "");
+}
+
 } // namespace
 } // namespace wigeonsill
