A target that says in an answer that it leaves gets no more requests

Cause: an engine that leaves says so in all its answers (Server-Leaving: 1), and nothing read it. The entry went on sending to it until the store's record said `draining`, which an entry out of touch never reads.

Change: AnswerFacts::targetLeaving, from the header of any answer but one of another target (421), whose id is not known and which is never passed on. TargetDirectory has one rule (isUsable) for what is listed as leaving, stated its leaving, was replaced or superseded at its address. A stated departure belongs to the incarnation (id and start): no list and no older copy of the store undoes it, a later start under the id or another id at the address is used at once; it is forgotten 60 s after the target was listed last, the time for which TargetRecords remembers targets that are gone, now one constant. Ranking, grants, sends past an unresponsive agent and further reservations follow the rule; waiting requests are placed anew. Idle connections are closed when a target stops being usable, also by the store, and busy ones once their answer is complete. An agent that sees the header in its engine's report declines all reservations until another incarnation answers. The line target-leaving tells `by`, the counter wigeonsill_targets_leaving_total likewise.

Ruled out: marking by address, which would lose the successor; a mark in the relay beside the directory.

--- a/src/include/wigeonsill/directory.h
+++ b/src/include/wigeonsill/directory.h
@@ -23,7 +23,7 @@
     std::string failureDomain;
     std::string region;
     int slots = 1; ///< Maximum number of requests that it runs concurrently.
-    bool leaving = false; ///< Draining: takes no new requests.
+    bool leaving = false; ///< Listed as draining: takes no new requests.
     std::int64_t startedMs = 0; ///< Unix time of this incarnation's start; 0 when not stated.
 };
 
@@ -42,6 +42,17 @@
     /// Records that another target answers at this target's address. The target is not usable
     /// while it is listed at that address.
     void markReplaced(const std::string &id);
+    /// Records that a target itself stated that it is leaving. This incarnation is never usable
+    /// again, whatever a list says; one that started later under the same id is.
+    /// \param incarnation The target as it was when the request was sent to it; need not be listed.
+    /// \returns Whether this was unknown.
+    bool markLeaving(const Target &incarnation, TimePoint now);
+    /// Forgets the targets that stated that they are leaving and have not been listed for so long
+    /// that no older copy of the store brings them back. Must be called with each list.
+    void forgetDeparted(TimePoint now);
+    /// Whether a target is known and accepts new requests: it is not listed as leaving, did not
+    /// state that it is leaving, and no other target has taken over its address.
+    bool isUsable(std::string_view id) const;
     /// The targets of a service that accept new requests.
     std::vector<const Target *> usable(std::string_view service) const;
     /// Returns nullptr for an unknown target.
@@ -50,13 +61,22 @@
     const std::map<std::string, Target, std::less<>> &all() const { return this->targets; }
 
 private:
+    /// A target that stated that it is leaving.
+    struct Departure
+    {
+        std::int64_t startedMs = 0; ///< Of the incarnation, as Target::startedMs.
+        TimePoint lastKnownAt; ///< When it stated it or was listed last.
+    };
     void updateSuperseded();
+    bool statedDeparture(const Target &target) const;
+    bool acceptsRequests(const Target &target) const;
 
     std::map<std::string, Target, std::less<>> targets;
     std::set<std::string, std::less<>> listedSinceOutage; ///< Of the store.
     /// Targets with a more recently started one at the same address.
     std::set<std::string, std::less<>> superseded;
     std::map<std::string, std::string, std::less<>> replacedAddresses; ///< By target id.
+    std::map<std::string, Departure, std::less<>> departures; ///< By target id.
 };
 
 /// Distinguishes an outage of the store, during which records of live targets may expire, from a
@@ -112,6 +132,8 @@
 public:
     /// Time within which the operator and live targets write again what a copy lacks.
     static constexpr Duration rewriteTime = seconds(2);
+    /// How long a target that is gone is remembered. Longer than a copy of the store is old.
+    static constexpr Duration goneTargetMemory = seconds(60);
 
     /// Must be called with each answer before its content is used. After Replaced, the revision is
     /// unknown until recordRevision(). \param history Number stated by the store, empty if none.
--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -85,11 +85,12 @@
     bool keepAlive = true;
 };
 
-/// What the head of a target's answer states about the request.
+/// What the head of a target's answer states about the request and about the target.
 struct AnswerFacts
 {
     bool notRun = false; ///< The target guarantees that it did not run the request.
     bool isWrongTarget = false; ///< The reason: it is not the target the request was addressed to.
+    bool targetLeaving = false; ///< The target that answers takes no new requests from now on.
     std::string requestId; ///< Empty when the answer carries none.
 };
 
@@ -211,8 +212,13 @@
     int waiting = 0;
     std::int64_t startedMs = 0; ///< As Target::startedMs.
 };
-/// Decodes the body of a report; empty when it is malformed.
-using ReportDecoder = std::function<std::optional<TargetReport>(std::string_view body)>;
+/// What a target's answer to a request for its report states.
+struct ReportAnswer
+{
+    std::optional<TargetReport> report; ///< Empty when it is refused or malformed.
+    bool targetLeaving = false; ///< As AnswerFacts::targetLeaving.
+};
+using ReportDecoder = std::function<ReportAnswer(const HttpResponse &response)>;
 
 struct GrantAgentSettings
 {
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -521,8 +521,16 @@
     {
     }
 
-    /// Adds a request to the queue; repeating a reservation has no effect.
+    /// Adds a request to the queue; repeating a reservation has no effect. \pre !isClosed().
     void reserve(const ReservationProfile &profile, int slots, TimePoint now);
+    /// Records what the target states about itself in an answer. A target that is leaving gets no
+    /// grants until another incarnation answers in its place.
+    /// \param startedMs As TargetReport::startedMs; empty when the answer does not tell it.
+    void recordTargetState(std::optional<std::int64_t> startedMs, bool leaving);
+    /// Whether the target takes no requests at this time: nothing is granted.
+    bool isClosed() const { return this->leaving; }
+    /// Removes all waiting requests and returns them.
+    std::vector<ReservationProfile> removeWaiting();
     /// Removes a request that was sent to another target, was given up or has ended.
     /// \param generated Output tokens of a request that ended at this target, else 0.
     void release(const ReservationId &reservationId, std::uint32_t generated, TimePoint now);
@@ -572,6 +580,8 @@
 
     Limits limits;
     int slots = 1;
+    std::int64_t targetStartedMs = 0;
+    bool leaving = false; ///< Stated by this incarnation of the target.
     std::map<ReservationId, Waiting> waiting;
     std::map<ReservationId, Granted> granted;
     double prefillTokensPerMs = 60; ///< Initial value: half of the rate that the users published.
--- a/src/libdirectory/storehistory.cpp
+++ b/src/libdirectory/storehistory.cpp
@@ -6,13 +6,6 @@
 
 namespace wigeonsill {
 
-namespace {
-
-/// How long a target that is gone is remembered. Longer than a copy of the store is old.
-constexpr Duration goneTargetMemory = seconds(60);
-
-} // namespace
-
 HistoryChange StoreHistory::recordHistory(std::optional<std::uint64_t> history, TimePoint now)
 {
     if (!history || history == this->currentHistory) {
@@ -80,8 +73,9 @@
     this->records = std::move(this->found);
     this->found.clear();
     this->readIsFromCopy = false;
-    std::erase_if(this->goneAt,
-        [now](const auto &element) { return now - element.second > goneTargetMemory; });
+    std::erase_if(this->goneAt, [now](const auto &element) {
+        return now - element.second > StoreHistory::goneTargetMemory;
+    });
 }
 
 void TargetRecords::recordWritten(Target target)
--- a/src/libdirectory/targetdirectory.cpp
+++ b/src/libdirectory/targetdirectory.cpp
@@ -65,13 +65,55 @@
     }
 }
 
+bool TargetDirectory::markLeaving(const Target &incarnation, TimePoint now)
+{
+    if (this->statedDeparture(incarnation)) {
+        return false;
+    }
+    this->departures[incarnation.id] = { incarnation.startedMs, now };
+    return true;
+}
+
+void TargetDirectory::forgetDeparted(TimePoint now)
+{
+    for (auto &[id, departure] : this->departures) {
+        if (this->find(id) != nullptr) {
+            departure.lastKnownAt = now;
+        }
+    }
+    std::erase_if(this->departures, [now](const auto &element) {
+        return now - element.second.lastKnownAt > StoreHistory::goneTargetMemory;
+    });
+}
+
+bool TargetDirectory::statedDeparture(const Target &target) const
+{
+    const auto found = this->departures.find(target.id);
+    if (found == this->departures.end()) {
+        return false;
+    }
+    const std::int64_t departed = found->second.startedMs;
+    // Without a stated start, a list cannot show that another incarnation took over the id.
+    return departed == 0 || target.startedMs <= departed;
+}
+
+bool TargetDirectory::acceptsRequests(const Target &target) const
+{
+    return !target.leaving && !this->statedDeparture(target)
+        && !this->replacedAddresses.contains(target.id) && !this->superseded.contains(target.id);
+}
+
+bool TargetDirectory::isUsable(std::string_view id) const
+{
+    const Target *target = this->find(id);
+    return target != nullptr && this->acceptsRequests(*target);
+}
+
 std::vector<const Target *> TargetDirectory::usable(std::string_view service) const
 {
     std::vector<const Target *> result;
     for (const auto &[id, target] : this->targets) {
-        const bool current
-            = !this->replacedAddresses.contains(id) && !this->superseded.contains(id);
-        if (target.service == service && !target.leaving && current) {
+        if (target.service == service && this->acceptsRequests(target)) {
             result.push_back(&target);
         }
     }
--- a/src/libdirectory/targetdirectory_test.cpp
+++ b/src/libdirectory/targetdirectory_test.cpp
@@ -94,6 +94,125 @@
     EXPECT_EQ(directory.usable("engines").front()->id, "i1");
 }
 
+Target makeIncarnation(
+    const std::string &id, std::int64_t startedMs, const std::string &address = {})
+{
+    Target result = makeTarget(id, address);
+    result.startedMs = startedMs;
+    return result;
+}
+
+/// A target states in an answer that it is leaving, and the list does not show it.
+class StatedDeparture : public testing::Test
+{
+protected:
+    StatedDeparture()
+    {
+        this->directory.replace({ this->leaver, this->other }, false);
+        this->directory.markLeaving(this->leaver, this->now);
+    }
+    std::vector<std::string> usableIds() const
+    {
+        std::vector<std::string> result;
+        for (const Target *target : this->directory.usable("engines")) {
+            result.push_back(target->id);
+        }
+        return result;
+    }
+    void list(const std::vector<Target> &targets, bool mayBeIncomplete = false)
+    {
+        this->directory.replace(targets, mayBeIncomplete);
+        this->directory.forgetDeparted(this->now);
+    }
+
+    using Ids = std::vector<std::string>;
+
+    TimePoint now{ seconds(100) };
+    TargetDirectory directory;
+    Target leaver = makeIncarnation("i1", 1'000);
+    Target other = makeIncarnation("i2", 1'000);
+};
+
+TEST_F(StatedDeparture, isBelievedAgainstAListThatSaysReady)
+{
+    EXPECT_EQ(this->usableIds(), Ids{ "i2" });
+    EXPECT_FALSE(this->directory.isUsable("i1"));
+    EXPECT_NE(this->directory.find("i1"), nullptr) << "requests in progress go on there";
+    for (const bool mayBeIncomplete : { false, true, false }) {
+        this->now += seconds(50);
+        this->list({ this->leaver, this->other }, mayBeIncomplete);
+        EXPECT_EQ(this->usableIds(), Ids{ "i2" });
+    }
+    EXPECT_FALSE(this->directory.markLeaving(this->leaver, this->now)) << "known already";
+}
+
+TEST_F(StatedDeparture, outlivesARecordThatAnOlderCopyOfTheStoreBringsBack)
+{
+    this->list({ this->other });
+    EXPECT_FALSE(this->directory.isUsable("i1"));
+    this->now += seconds(30);
+    this->list({ this->leaver, this->other });
+    EXPECT_EQ(this->usableIds(), Ids{ "i2" });
+    this->now += seconds(50); // Kept in the directory while the list may be incomplete.
+    this->list({ this->other }, true);
+    EXPECT_EQ(this->usableIds(), Ids{ "i2" });
+}
+
+TEST_F(StatedDeparture, isForgottenOnceNoCopyOfTheStoreHoldsTheTarget)
+{
+    this->list({ this->other });
+    this->now += seconds(61);
+    this->list({ this->other });
+    EXPECT_TRUE(this->directory.markLeaving(this->leaver, this->now)) << "memory is bounded";
+}
+
+TEST_F(StatedDeparture, doesNotHoldForSuccessors)
+{
+    const Target successor = makeIncarnation("i3", 9'000, this->leaver.address);
+    this->list({ this->leaver, successor, this->other });
+    EXPECT_EQ(this->usableIds(), (Ids{ "i2", "i3" })) << "another id at the same address";
+    const Target restarted = makeIncarnation("i1", 9'000);
+    this->list({ restarted, this->other });
+    EXPECT_EQ(this->usableIds(), (Ids{ "i1", "i2" })) << "started again under the same id";
+    EXPECT_FALSE(this->directory.markLeaving(this->leaver, this->now))
+        << "an answer of the first incarnation that arrives late";
+    EXPECT_EQ(this->usableIds(), (Ids{ "i1", "i2" }));
+    this->list({ this->leaver, this->other });
+    EXPECT_EQ(this->usableIds(), Ids{ "i2" }) << "an older list brings the first one back";
+    EXPECT_TRUE(this->directory.markLeaving(restarted, this->now));
+    this->list({ restarted, this->other });
+    EXPECT_EQ(this->usableIds(), Ids{ "i2" }) << "the successor leaves too";
+}
+
+/// The successor stated its departure before any list showed it.
+TEST_F(StatedDeparture, holdsForTargetThatIsListedLater)
+{
+    const Target unlisted = makeIncarnation("i4", 0);
+    this->directory.markLeaving(unlisted, this->now);
+    this->list({ unlisted, this->other });
+    EXPECT_EQ(this->usableIds(), Ids{ "i2" });
+}
+
+TEST(TargetDirectory, oneRuleForAllReasonsNotToUseATarget)
+{
+    TargetDirectory directory;
+    Target draining = makeTarget("i1");
+    draining.leaving = true;
+    const Target superseded = makeIncarnation("i5", 1'000);
+    const Target successor = makeIncarnation("i6", 2'000, superseded.address);
+    directory.replace(
+        { draining, makeTarget("i2"), makeTarget("i3"), makeTarget("i4"), superseded, successor },
+        false);
+    directory.markReplaced("i2");
+    directory.markLeaving(*directory.find("i3"), TimePoint{ seconds(1) });
+    for (const char *id : { "i1", "i2", "i3", "i5", "unknown" }) {
+        EXPECT_FALSE(directory.isUsable(id)) << id;
+    }
+    EXPECT_TRUE(directory.isUsable("i4"));
+    EXPECT_TRUE(directory.isUsable("i6"));
+    EXPECT_EQ(directory.usable("engines").size(), 2U);
+}
+
 TEST(StoreOutageDetector, distinguishesStoreOutageFromOwnDisconnection)
 {
     EXPECT_TRUE(outageDetectedAfterGap(seconds(5), 20))
--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -29,7 +29,13 @@
     {
         return head.fields;
     }
-    AnswerFacts decodeAnswer(const MessageHead & /*head*/) const override { return {}; }
+    AnswerFacts decodeAnswer(const MessageHead &head) const override
+    {
+        AnswerFacts facts;
+        facts.notRun = !fieldValue(head.fields, "Test-Not-Run").empty();
+        facts.targetLeaving = !fieldValue(head.fields, "Test-Leaving").empty();
+        return facts;
+    }
 };
 
 /// An agent and its target that act only when the test calls them.
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -32,6 +32,13 @@
     bool isConfigurationCurrent() const;
     /// Records that another incarnation answers at a target's address and requests a new list.
     void recordReplacement(const std::string &targetId);
+    /// Applies what an answer states about the target that gave it. Must be called with each answer
+    /// to a request. \param target As it was when the request was sent to it.
+    void recordTargetFacts(const Target &target, const AnswerFacts &facts);
+    /// Counts and logs that a target leaves. \param source Who stated it: "answer" or "store".
+    void recordLeaving(const Target &target, std::string_view source);
+    /// Closes the idle connections of a target that takes no more requests.
+    void closeIdleIfUnusable(const std::string &targetId);
     void recordFailure(const std::string &targetId);
     void recordSuccess(const std::string &targetId);
     bool isFailing(const std::string &targetId, TimePoint now) const;
@@ -48,7 +55,7 @@
     QuotaLimiter quotas;
     ServedShareTracker served;
     TargetDirectory targets;
-    /// Incremented when a target is added or starts or stops leaving.
+    /// Incremented when a target is added or starts or stops being usable.
     std::uint64_t targetsVersion = 0;
     std::function<void()> refreshTargets; ///< Re-reads the list of targets.
     std::shared_ptr<const ServingConfiguration> configuration;
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -88,6 +88,34 @@
     }
 }
 
+void EntryState::recordTargetFacts(const Target &target, const AnswerFacts &facts)
+{
+    if (facts.isWrongTarget) {
+        return; // What the answer states is about another target, whose id is not known.
+    }
+    if (facts.targetLeaving && this->targets.markLeaving(target, currentTime())) {
+        ++this->targetsVersion;
+        this->pool.closeIdle(target.id);
+        this->recordLeaving(target, "answer");
+    }
+}
+
+void EntryState::recordLeaving(const Target &target, std::string_view source)
+{
+    this->metrics.count("wigeonsill_targets_leaving_total", "by=\"" + std::string(source) + "\"");
+    this->log.stateChange(DecisionLine("entry", "target-leaving")
+                              .text("target", target.id)
+                              .text("service", target.service)
+                              .text("by", source));
+}
+
+void EntryState::closeIdleIfUnusable(const std::string &targetId)
+{
+    if (!this->targets.isUsable(targetId)) {
+        this->pool.closeIdle(targetId);
+    }
+}
+
 void EntryState::recordFailure(const std::string &targetId)
 {
     TargetHealth &record = this->health[targetId];
@@ -282,26 +310,40 @@
 void ForwardEntry::setTargets(std::vector<Target> targets, bool listMayBeIncomplete)
 {
     EntryState &state = this->d->state;
-    std::map<std::string, bool, std::less<>> previouslyLeaving;
+    struct Previous
+    {
+        bool leaving = false; ///< As listed.
+        bool usable = false;
+    };
+    std::map<std::string, Previous, std::less<>> previous;
     for (const auto &[id, target] : state.targets.all()) {
-        previouslyLeaving[id] = target.leaving;
+        previous[id] = { target.leaving, state.targets.isUsable(id) };
     }
     const bool isFirstList = state.targets.size() == 0;
     state.targets.replace(std::move(targets), listMayBeIncomplete);
+    state.targets.forgetDeparted(currentTime());
     if (isFirstList) {
         this->d->reportUsage(); // More can be admitted once the others' usage is known.
     }
     state.targetsReadAt = timeSinceBoot();
     for (const auto &[id, target] : state.targets.all()) {
-        const auto known = previouslyLeaving.find(id);
-        if (known == previouslyLeaving.end() || known->second != target.leaving) {
+        const auto known = previous.find(id);
+        const bool isNew = known == previous.end();
+        const bool usable = state.targets.isUsable(id);
+        if (isNew || known->second.usable != usable) {
             ++state.targetsVersion;
-            DecisionLine line("entry", target.leaving ? "target-leaving" : "target-listed");
-            state.log.stateChange(line.text("target", id).text("service", target.service));
+            state.closeIdleIfUnusable(id);
+        }
+        if (target.leaving && (isNew || !known->second.leaving)) {
+            state.recordLeaving(target, "store");
+        } else if (!target.leaving && (isNew || known->second.leaving)) {
+            state.log.stateChange(DecisionLine("entry", "target-listed")
+                                      .text("target", id)
+                                      .text("service", target.service));
         }
-        previouslyLeaving.erase(id);
+        previous.erase(id);
     }
-    for (const auto &[id, leaving] : previouslyLeaving) {
+    for (const auto &[id, record] : previous) {
         state.log.stateChange(DecisionLine("entry", "target-gone").text("target", id));
     }
     state.pool.closeUnlisted(state.targets);
@@ -342,7 +384,8 @@
         const AgentView agent = state.grantClient.view(target, currentTime());
         const auto own = state.ownRequests.find(id);
         boost::json::object record{ { "id", id }, { "service", target.service },
-            { "leaving", target.leaving }, { "agentSilent", agent.unresponsive },
+            { "leaving", target.leaving }, { "usable", state.targets.isUsable(id) },
+            { "agentSilent", agent.unresponsive },
             { "ownRequests", own == state.ownRequests.end() ? 0 : own->second } };
         if (agent.load) {
             record["prefillPerMs"] = agent.load->prefillTokensPerMs;
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -45,6 +45,9 @@
     void reply(GrantKind kind, const ReservationProfile &profile);
     void sendTo(const asio::ip::udp::endpoint &endpoint, GrantMessage message);
     void sendGrants();
+    void decline(const std::vector<ReservationProfile> &profiles);
+    /// Applies what the target states about itself.
+    void recordTargetState(const ReportAnswer &answer);
     void scheduleExpiry();
     void scheduleReport();
     void requestReport();
@@ -97,6 +100,12 @@
     profile.reservationId.entry = message.sender;
     switch (message.kind) {
     case GrantKind::Reserve: {
+        if (this->admission.isClosed()) {
+            // Also when it was granted: the entry still waits, so it has not used the grant.
+            this->admission.release(profile.reservationId, 0, now);
+            this->decline({ profile });
+            return;
+        }
         if (this->admission.isGranted(profile.reservationId)) {
             this->reply(GrantKind::Granted, profile);
             return;
@@ -178,6 +187,30 @@
     }
 }
 
+void GrantAgent::Private::decline(const std::vector<ReservationProfile> &profiles)
+{
+    for (const ReservationProfile &profile : profiles) {
+        this->metrics.count("wigeonsill_reservations_declined_total");
+        this->reply(GrantKind::Declined, profile);
+    }
+}
+
+void GrantAgent::Private::recordTargetState(const ReportAnswer &answer)
+{
+    const bool wasClosed = this->admission.isClosed();
+    const auto startedMs = answer.report ? std::optional(answer.report->startedMs) : std::nullopt;
+    this->admission.recordTargetState(startedMs, answer.targetLeaving);
+    if (wasClosed || !this->admission.isClosed()) {
+        return;
+    }
+    const auto declined = this->admission.removeWaiting();
+    this->metrics.count("wigeonsill_targets_leaving_total", "by=\"answer\"");
+    this->log.stateChange(DecisionLine("agent", "target-leaving")
+                              .text("by", "answer")
+                              .number("declined", static_cast<double>(declined.size())));
+    this->decline(declined);
+}
+
 void GrantAgent::Private::scheduleExpiry()
 {
     if (this->expiryScheduled) {
@@ -190,10 +223,7 @@
             return;
         }
         this->expiryScheduled = false;
-        for (const ReservationProfile &profile : this->admission.expire(currentTime())) {
-            this->metrics.count("wigeonsill_reservations_declined_total");
-            this->reply(GrantKind::Declined, profile);
-        }
+        this->decline(this->admission.expire(currentTime()));
         this->sendGrants();
         if (this->admission.waitingCount() > 0) {
             this->scheduleExpiry();
@@ -231,8 +261,9 @@
         }
         return;
     }
-    const auto report
-        = response.value().status == 200 ? this->decoder(response.value().body) : std::nullopt;
+    const ReportAnswer answer = this->decoder(response.value());
+    this->recordTargetState(answer);
+    const std::optional<TargetReport> &report = answer.report;
     if (!report) {
         this->metrics.count("wigeonsill_reports_malformed_total");
         return;
@@ -283,6 +314,7 @@
         { "decodePerMs", load.decodeTokensPerMs },
         { "entries", this->d->usage.entryCount() },
         { "targetReachable", this->d->targetReachable },
+        { "targetLeaving", this->d->admission.isClosed() },
     };
 }
 
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -145,11 +145,15 @@
 
 void RequestFlow::reserveAtNext(std::size_t count)
 {
-    for (; count > 0 && this->reservations.size() < maximumReservations
-         && this->nextRankedTarget < this->rankedTargets.size();
-         --count) {
+    while (count > 0 && this->reservations.size() < maximumReservations
+        && this->nextRankedTarget < this->rankedTargets.size()) {
+        const Target &candidate = this->rankedTargets[this->nextRankedTarget++];
+        if (!this->state.targets.isUsable(candidate.id)) {
+            continue;
+        }
+        --count;
         Reservation reservation;
-        reservation.target = this->rankedTargets[this->nextRankedTarget++];
+        reservation.target = candidate;
         reservation.lastSentAt = currentTime();
         reservation.sendCount = 1;
         ++this->state.requestsAt(reservation.target.id);
@@ -304,7 +308,7 @@
         const bool unresponsive
             = this->state.grantClient.view(reservation.target, now).unresponsive;
         // The count includes the current request.
-        if (unresponsive
+        if (unresponsive && this->state.targets.isUsable(reservation.target.id)
             && this->state.requestsAt(reservation.target.id) <= maximumPastUnresponsiveAgent) {
             const Target chosen = reservation.target;
             this->state.metrics.count("wigeonsill_sent_without_agent_total");
@@ -353,10 +357,12 @@
     if (reservation == this->reservations.end()) {
         return false;
     }
-    const Target *listedTarget = this->state.targets.find(targetId);
-    if (listedTarget == nullptr || listedTarget->leaving) {
+    if (!this->state.targets.isUsable(targetId)) {
+        reservation->state = ReservationState::Declined;
+        this->reserveAtNext(1);
         return false;
     }
+    const Target *listedTarget = this->state.targets.find(targetId);
     const std::optional<TargetLoad> load
         = this->state.grantClient.view(*listedTarget, currentTime()).load;
     if (load && listedTarget->startedMs != 0 && load->startedMs > listedTarget->startedMs) {
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -19,6 +19,7 @@
 {
     const auto self = this->shared_from_this();
     const AnswerFacts facts = this->state.dialect.decodeAnswer(received);
+    this->state.recordTargetFacts(*this->target, facts);
     if (facts.isWrongTarget) {
         this->state.recordReplacement(this->target->id);
         // The intended target never received it, so this was not an attempt.
@@ -140,6 +141,7 @@
 {
     const auto self = this->shared_from_this();
     this->connection.reset();
+    this->state.closeIdleIfUnusable(this->target->id);
     if (this->answerHead.status < 500) {
         this->state.recordSuccess(this->target->id);
     }
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -68,6 +68,18 @@
     return connection;
 }
 
+void TargetPool::closeIdle(std::string_view targetId)
+{
+    const auto record = this->d->idle.find(targetId);
+    if (record == this->d->idle.end()) {
+        return;
+    }
+    for (const auto &connection : record->second) {
+        connection->close();
+    }
+    this->d->idle.erase(record);
+}
+
 void TargetPool::closeUnlisted(const TargetDirectory &directory)
 {
     for (auto record = this->d->idle.begin(); record != this->d->idle.end();) {
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -61,6 +61,8 @@
     /// its last call or until cancel() of the returned connection.
     std::shared_ptr<TargetConnection> send(
         const Target &target, OutgoingRequest request, AnswerHandler &handler);
+    /// Closes the idle connections of a target.
+    void closeIdle(std::string_view targetId);
     /// Closes the idle connections of targets that are not in the directory.
     void closeUnlisted(const TargetDirectory &directory);
 
--- a/src/libgateway/targetadmission.cpp
+++ b/src/libgateway/targetadmission.cpp
@@ -58,6 +58,26 @@
     }
 }
 
+void TargetAdmission::recordTargetState(std::optional<std::int64_t> startedMs, bool isLeaving)
+{
+    if (startedMs && *startedMs != this->targetStartedMs) {
+        this->targetStartedMs = *startedMs;
+        this->leaving = false;
+    }
+    this->leaving = this->leaving || isLeaving;
+}
+
+std::vector<ReservationProfile> TargetAdmission::removeWaiting()
+{
+    std::vector<ReservationProfile> result;
+    result.reserve(this->waiting.size());
+    for (const auto &[reservationId, record] : this->waiting) {
+        result.push_back(record.profile);
+    }
+    this->waiting.clear();
+    return result;
+}
+
 void TargetAdmission::release(
     const ReservationId &reservationId, std::uint32_t generated, TimePoint now)
 {
@@ -130,6 +150,9 @@
 std::vector<ReservationProfile> TargetAdmission::grant(TimePoint now)
 {
     std::vector<ReservationProfile> result;
+    if (this->isClosed()) {
+        return result;
+    }
     while (
         !this->waiting.empty() && this->occupiedSlots() < this->slots + this->limits.queueAhead) {
         const double aheadMs = this->prefillAheadMs(now);
--- a/src/libgateway/targetadmission_test.cpp
+++ b/src/libgateway/targetadmission_test.cpp
@@ -142,6 +142,31 @@
     EXPECT_EQ(admission.waitingCount(), 0U);
 }
 
+/// The target's report states that it is leaving while requests wait and one was granted.
+TEST(TargetAdmission, grantsNothingAtATargetThatStatedThatItIsLeaving)
+{
+    TargetAdmission admission({});
+    const TimePoint now{ seconds(1) };
+    admission.recordTargetState(1'000, false);
+    admission.reserve(makeProfile(1, 10, 1), 1, now);
+    ASSERT_EQ(admission.grant(now).size(), 1U);
+    admission.reserve(makeProfile(2, 10, 1), 1, now);
+    admission.recordTargetState(std::nullopt, true);
+    EXPECT_TRUE(admission.isClosed());
+    admission.release({ 1, 1 }, 0, now);
+    EXPECT_TRUE(admission.grant(now).empty()) << "its slot is free, but it is leaving";
+    const auto removed = admission.removeWaiting();
+    ASSERT_EQ(removed.size(), 1U);
+    EXPECT_EQ(removed.front().reservationId.number, 2U);
+    EXPECT_EQ(admission.waitingCount(), 0U);
+
+    admission.recordTargetState(1'000, false);
+    EXPECT_TRUE(admission.isClosed()) << "an incarnation that left does not come back";
+    admission.recordTargetState(9'000, false);
+    admission.reserve(makeProfile(3, 10, 1), 1, now);
+    EXPECT_EQ(admission.grant(now).size(), 1U) << "a successor is used at once";
+}
+
 RC_GTEST_PROP(TargetAdmission, neverExceedsSlotsOrGrantsTwice, ())
 {
     TargetAdmission admission({});
--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -191,6 +191,10 @@
         self.event_count = event_count
         self.runs = []
         self.disconnected = []
+        self.born = 0  # Unix time of its start in milliseconds.
+        self.leaving = False  # Says in all answers that it leaves, and still runs requests.
+        self.request_connections = set()  # All but those on which only reports were asked for.
+        self.arrivals = []  # Times at which requests to it arrived, also refused ones.
         self.running = 0
         self.lock = threading.Lock()
         super().__init__()
@@ -210,21 +214,29 @@
                 return
             method, target, headers, body, data = request
             if target == "/report":
-                report = {"running": self.running, "waiting": 0}
-                connection.sendall(format_answer(200, [], json.dumps(report).encode()))
+                report = {"running": self.running, "waiting": 0, "born": self.born}
+                connection.sendall(format_answer(200, self.own_state_headers(), json.dumps(report).encode()))
                 continue
             if not self.handle_request(connection, method, target, dict(headers), body):
                 return
 
+    def own_state_headers(self):
+        """Returns the fields with which all its answers tell its own state."""
+        return [("Server-Leaving", "1")] if self.leaving else []
+
     def handle_request(self, connection, method, target, headers, body):
         """Answers one request and returns whether the connection stays open."""
         behaviour = target.split("?")[0].rstrip("/").split("/")[-1]
-        common_headers = [("Attempt-Id", headers.get("Attempt-Id", "")), ("Server-Stamp", "stamp-" + self.instance)]
+        id_headers = [("Attempt-Id", headers.get("Attempt-Id", ""))] + self.own_state_headers()
+        common_headers = id_headers + [("Server-Stamp", "stamp-" + self.instance)]
         if headers.get("Expect-Instance") != self.instance:
-            connection.sendall(format_answer(421, common_headers[:1], b""))
+            connection.sendall(format_answer(421, id_headers, b""))
             return True
+        with self.lock:
+            self.request_connections.add(connection)
+            self.arrivals.append(time.monotonic())
         if behaviour == "refuse" or behaviour == "refuse-" + self.instance:
-            connection.sendall(format_answer(503, common_headers[:1] + [("Not-Executed", "1")], b""))
+            connection.sendall(format_answer(503, id_headers + [("Not-Executed", "1")], b""))
             return True
         with self.lock:
             self.runs.append({"method": method, "target": target, "headers": headers, "body": body})
