--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -20,6 +20,7 @@
 {
     const auto self = this->shared_from_this();
     const AnswerFacts facts = this->state.dialect.decodeAnswer(received);
+    this->state.recordTargetFacts(this->attempt->target, facts);
     if (facts.isWrongTarget) {
         this->state.recordReplacement(this->attempt->target.id);
         // The intended target never received it, so this was not an attempt.
@@ -170,6 +171,7 @@
         return;
     }
     this->attempt->connection.reset();
+    this->state.closeIdleIfUnusable(this->attempt->target.id);
     if (this->attempt->head.status < 500) {
         this->state.recordSuccess(this->attempt->target.id);
     }
