Bounds on what is skipped on a connection and on one event; a line and a counter for each bound

Cause: answers to other requests and informational heads were skipped without bound, in bytes and in time, while a caller waited; an event that the splitter drops was not yet the end of its attempt; and no line told a bound from other malformed answers. Change: at 262,144 bytes before the own answer's head, or 2 s of one other answer, the connection is closed and the attempt fails: malformed before the head, truncated after it. An event over its bound ends the attempt as truncated, so a resumable stream goes on elsewhere and another is broken off. The target counts as failing by the path of all failed answers. wigeonsill_answer_bounds_total and the line answer-bound name the bound. Received bytes are moved once for each read, no longer once for each message in it. What is owed to a caller keeps its limits. AnswerHandler::onBoundExceeded does nothing by default, since calls to the store have no log. Ruled out: counting the bytes of the own body among the skipped. Tests: foreignAnswerThatDoesNotEndIsNotWaitedFor, BegunStream.eventWithoutEndEndsTheAttempt and EndlessAnswers informationalHeads, foreignAnswers, foreignBody failed with the new limits out of the way and the event's end not wired (nothing ended within 8 MiB or the time).

--- a/src/libforward/connections_test.cpp
+++ b/src/libforward/connections_test.cpp
@@ -31,12 +31,14 @@
     {
         this->foreignAnswers.emplace_back(answerId);
     }
+    void onBoundExceeded(AnswerBound bound) override { this->exceeded = bound; }
     void onAnswerFailed(TargetFailure why) override { this->failure = why; }
 
     int status = 0;
     std::string body;
     bool complete = false;
     std::vector<std::string> foreignAnswers;
+    std::optional<AnswerBound> exceeded;
     std::optional<TargetFailure> failure;
     std::shared_ptr<TargetConnection> connection;
 };
@@ -85,6 +87,26 @@
         asio::write(this->connection, asio::buffer(bytes), ignored);
         this->runFor(milliseconds(30));
     }
+    /// Writes pieces until the entry closes the connection or 8 MiB were written.
+    void writeEndless(const std::string &begin, const std::string &piece)
+    {
+        this->write(begin);
+        std::string block;
+        while (block.size() < 65'536) {
+            block += piece;
+        }
+        boost::system::error_code error;
+        for (std::size_t written = 0; written < 8'388'608 && !error;) {
+            this->connection.non_blocking(true);
+            written += this->connection.write_some(asio::buffer(block), error);
+            if (error == asio::error::would_block) {
+                error = {};
+            }
+            this->io.restart();
+            this->io.poll();
+        }
+        this->runFor(milliseconds(30));
+    }
     static std::string answer(const std::string &id, const std::string &body)
     {
         return "HTTP/1.1 200 OK\r\n" + (id.empty() ? "" : "Id: " + id + "\r\n")
@@ -250,6 +272,108 @@
     }
 }
 
+/// A target sends bytes without end. What is read before is given up at a bound.
+struct EndlessAnswer
+{
+    const char *name;
+    std::string begin;
+    std::string piece;
+    AnswerBound bound;
+    TargetFailure failure;
+};
+
+class EndlessAnswers : public TargetConnections, public testing::WithParamInterface<EndlessAnswer>
+{
+};
+
+TEST_P(EndlessAnswers, areEndedAtTheirBound)
+{
+    const Exchange &first = this->send("first");
+    ASSERT_TRUE(this->acceptNew());
+    this->writeEndless(this->GetParam().begin, this->GetParam().piece);
+    EXPECT_EQ(first.exceeded, this->GetParam().bound);
+    EXPECT_EQ(first.failure, this->GetParam().failure);
+    this->send("second");
+    EXPECT_TRUE(this->acceptNew()) << "the connection is closed";
+}
+
+const std::string ownChunkedHead
+    = "HTTP/1.1 200 OK\r\nId: first\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string foreignChunkedHead
+    = "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(Kinds, EndlessAnswers,
+    testing::Values(EndlessAnswer{ "head", "HTTP/1.1 200 OK\r\n", "X: abcdef\r\n",
+                        AnswerBound::Head, TargetFailure::Malformed },
+        EndlessAnswer{ "chunkHeader", ownChunkedHead + "5\r\nwhole\r\n5", "0",
+            AnswerBound::ChunkFraming, TargetFailure::Truncated },
+        EndlessAnswer{ "trailers", ownChunkedHead + "0\r\n", "X: abcdef\r\n",
+            AnswerBound::ChunkFraming, TargetFailure::Truncated },
+        EndlessAnswer{ "informationalHeads", "", "HTTP/1.1 100 Continue\r\n\r\n",
+            AnswerBound::SkippedBytes, TargetFailure::Malformed },
+        EndlessAnswer{ "foreignAnswers", "",
+            "HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 0\r\n\r\n", AnswerBound::SkippedBytes,
+            TargetFailure::Malformed },
+        EndlessAnswer{ "foreignBody", foreignChunkedHead, "5\r\nwhole\r\n",
+            AnswerBound::SkippedBytes, TargetFailure::Malformed },
+        EndlessAnswer{ "foreignChunkHeader", foreignChunkedHead, "0", AnswerBound::ChunkFraming,
+            TargetFailure::Malformed }),
+    [](const auto &instance) { return std::string(instance.param.name); });
+
+/// The rest of another request's answer never comes.
+TEST_F(TargetConnections, foreignAnswerThatDoesNotEndIsNotWaitedFor)
+{
+    const Exchange &first = this->send("first");
+    ASSERT_TRUE(this->acceptNew());
+    this->write("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1000\r\n\r\n");
+    this->runFor(milliseconds(1'500));
+    EXPECT_FALSE(first.failure);
+    this->runFor(milliseconds(1'000));
+    EXPECT_EQ(first.exceeded, AnswerBound::SkippedTime);
+    EXPECT_EQ(first.failure, TargetFailure::Malformed);
+}
+
+/// Its own answer may take as long as the caller waits.
+TEST_F(TargetConnections, timeOfSkippedAnswerIsNotThatOfTheNext)
+{
+    const Exchange &first = this->send("first");
+    ASSERT_TRUE(this->acceptNew());
+    this->write(answer("other", "of another request"));
+    this->write("HTTP/1.1 100 Continue\r\n\r\n");
+    this->runFor(milliseconds(2'500));
+    this->write(answer("first", "one"));
+    EXPECT_EQ(first.body, "one");
+}
+
+/// An answer that is owed may be as large as ever.
+TEST_F(TargetConnections, ownBodyIsNotBoundedAsSkippedBytes)
+{
+    const Exchange &first = this->send("first");
+    ASSERT_TRUE(this->acceptNew());
+    this->write("HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 1000000\r\n\r\n");
+    for (int i = 0; i < 20; ++i) {
+        this->write(std::string(50'000, 'a'));
+    }
+    EXPECT_TRUE(first.complete);
+    EXPECT_EQ(first.body.size(), 1'000'000U);
+}
+
+/// Targets send an event without end: what the caller has is not passed off as whole.
+TEST_F(BegunStream, eventWithoutEndEndsTheAttempt)
+{
+    const auto isExceeded = [this] {
+        return this->metrics.prometheusText().find("bound=\"event\"") != std::string::npos;
+    };
+    for (int i = 0; i < 20 && !isExceeded(); ++i) {
+        this->writeChunk(std::string(65'536, 'a'));
+    }
+    EXPECT_TRUE(isExceeded());
+    this->queueReservations(milliseconds(300));
+    EXPECT_NE(this->lastReservation.first, nullptr) << "another target is looked for";
+    ASSERT_NO_FATAL_FAILURE(this->continueAtLastReservation());
+    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+}
+
 /// A stream to a caller whose answers end with the connection.
 class UnsizedStream : public SentRequest
 {
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -87,6 +87,7 @@
     void onAnswerBody(std::string_view bytes) override;
     void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) override;
     void onAnswerEnd() override;
+    void onBoundExceeded(AnswerBound bound) override;
     void onAnswerFailed(TargetFailure failure) override;
     bool onGranted(const std::string &targetId) override;
     void onQueued(const std::string &targetId) override;
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -88,6 +88,9 @@
     const auto self = this->shared_from_this();
     if (this->streaming) {
         this->forwardEvents(bytes);
+        if (this->connection && this->events.isOversized()) {
+            this->connection->endAtBound(AnswerBound::Event);
+        }
         return;
     }
     // Larger answers are relayed as they arrive, so that memory stays bounded.
@@ -136,6 +139,15 @@
     this->state.log.decision(line);
 }
 
+void RequestFlow::onBoundExceeded(AnswerBound bound)
+{
+    DecisionLine line("entry", "answer-bound");
+    line.text("request", this->request.id)
+        .text("target", this->target->id)
+        .text("bound", enumName(answerBoundNames, bound));
+    this->state.log.decision(line);
+}
+
 void RequestFlow::onAnswerEnd()
 {
     const auto self = this->shared_from_this();
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -3,6 +3,7 @@
 #include "targetpool.h"
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <cerrno>
@@ -13,6 +14,7 @@
 namespace wigeonsill {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace {
@@ -29,6 +31,18 @@
 /// once its head was received.
 constexpr std::uint32_t answerHeadLimit = 65'536;
 constexpr std::uint64_t answerBodyLimit = 268'435'456;
+/// Bytes of informational and other requests' answers that are read for one request before the
+/// connection is closed. A new connection costs less than reading more.
+constexpr std::size_t skippedBytesLimit = 262'144;
+/// Time within which another request's answer has to end. It is late already, so what is left of it
+/// is due at once.
+constexpr Duration skippedTimeLimit = seconds(2);
+/// The bounds that the reader checks.
+constexpr std::array readerBounds = {
+    std::pair{ http::error::header_limit, AnswerBound::Head },
+    std::pair{ http::error::body_limit, AnswerBound::Body },
+    std::pair{ http::error::buffer_overflow, AnswerBound::ChunkFraming },
+};
 /// Maximum number of idle connections kept for each target.
 constexpr std::size_t maximumIdlePerTarget = 16;
 
@@ -94,7 +108,7 @@
     , targetId(std::move(id))
     , endpoint(address)
     , socket(targetPool.io)
-    , connectTimer(targetPool.io)
+    , timer(targetPool.io)
 {
 }
 
@@ -103,6 +117,7 @@
     this->request = std::move(outgoing);
     this->handler = &answerHandler;
     this->startReader();
+    this->skippedBytes = 0;
     this->headReceived = false;
     this->sent = false;
     if (this->connected) {
@@ -115,14 +130,14 @@
 void TargetConnection::connect()
 {
     const auto self = this->shared_from_this();
-    this->connectTimer.expires_after(connectTimeout);
-    this->connectTimer.async_wait([self](const error_code &error) {
+    this->timer.expires_after(connectTimeout);
+    this->timer.async_wait([self](const error_code &error) {
         if (!error && !self->connected) {
             self->fail(TargetFailure::NotConnected);
         }
     });
     this->socket.async_connect(this->endpoint, [self](const error_code &error) {
-        self->connectTimer.cancel();
+        self->timer.cancel();
         if (self->handler == nullptr) {
             return;
         }
@@ -216,7 +231,7 @@
         this->reader->consumeEnd(endError);
         if (!endError && this->reader->isComplete()) {
             this->reusable = false;
-            this->finish();
+            this->finish(false);
             return;
         }
     }
@@ -226,34 +241,57 @@
 bool TargetConnection::parse()
 {
     const auto self = this->shared_from_this();
-    while (!this->receiveBuffer.empty()) {
+    std::string received = std::move(this->receiveBuffer);
+    this->receiveBuffer.clear();
+    std::string_view pending(received);
+    while (!pending.empty()) {
         error_code error;
-        const std::size_t sizeBefore = this->receiveBuffer.size();
-        if (!this->parseOnce(error)) {
+        const std::size_t sizeBefore = pending.size();
+        if (!this->parseOnce(pending, error)) {
             return false;
         }
         if (error) {
-            this->fail(this->headReceived ? TargetFailure::Truncated : TargetFailure::Malformed);
+            this->failParsing(error);
             return false;
         }
-        if (this->receiveBuffer.size() == sizeBefore) {
+        if (pending.size() == sizeBefore) {
             break;
         }
     }
+    received.erase(0, received.size() - pending.size());
+    this->receiveBuffer = std::move(received);
     return true;
 }
 
-bool TargetConnection::parseOnce(error_code &error)
+void TargetConnection::failParsing(const error_code &error)
+{
+    for (const auto &[limitError, bound] : readerBounds) {
+        if (error == limitError) {
+            this->endAtBound(bound);
+            return;
+        }
+    }
+    this->fail(this->headReceived ? TargetFailure::Truncated : TargetFailure::Malformed);
+}
+
+bool TargetConnection::parseOnce(std::string_view &pending, error_code &error)
 {
-    const std::size_t consumed = this->reader->consume(this->receiveBuffer, error);
+    const std::size_t consumed = this->reader->consume(pending, error);
     if (this->request.isHead && !this->headReceived && !this->skippingAnswer) {
-        this->headBytes.append(this->receiveBuffer, 0, consumed);
+        this->headBytes.append(pending.substr(0, consumed));
     }
-    this->receiveBuffer.erase(0, consumed);
+    pending.remove_prefix(consumed);
     if (this->reader->isHeadComplete() && !this->headReceived && !this->skippingAnswer
         && !this->onHeadRead()) {
         return false;
     }
+    if (!this->headReceived) {
+        this->skippedBytes += consumed;
+        if (this->skippedBytes > skippedBytesLimit) {
+            this->endAtBound(AnswerBound::SkippedBytes);
+            return false;
+        }
+    }
     if (!this->reader->body().empty()) {
         const std::string bytes = std::move(this->reader->body());
         this->reader->body().clear();
@@ -268,13 +306,22 @@
         return true;
     }
     if (this->skippingAnswer) {
+        this->timer.cancel();
         this->startReader();
         return true;
     }
-    this->finish();
+    this->finish(!pending.empty());
     return false;
 }
 
+void TargetConnection::onSkippedTimeOver()
+{
+    // A later answer may be skipped by now.
+    if (this->skippingAnswer && this->timer.expiry() <= asio::steady_timer::clock_type::now()) {
+        this->endAtBound(AnswerBound::SkippedTime);
+    }
+}
+
 void TargetConnection::startReader()
 {
     this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
@@ -289,6 +336,13 @@
 {
     this->skippingAnswer = true;
     this->boreForeignAnswer = true;
+    const auto self = this->shared_from_this();
+    this->timer.expires_after(skippedTimeLimit);
+    this->timer.async_wait([self](const error_code &error) {
+        if (!error) {
+            self->onSkippedTimeOver();
+        }
+    });
     if (this->request.isHead) {
         // Only this request's answer is known to have no body.
         this->reader = std::make_unique<AnswerReader>(answerHeadLimit, answerBodyLimit);
@@ -348,15 +402,14 @@
     this->reusable = this->reusable && head.keepAlive && idleTimeout > Duration::zero();
 }
 
-void TargetConnection::finish()
+void TargetConnection::finish(bool bytesFollow)
 {
     const auto self = this->shared_from_this();
     AnswerHandler *finishedHandler = this->handler;
     this->handler = nullptr;
     // Bytes after a complete answer belong to no request, and a target that answered before it had
     // read the complete body would read the next request as the rest of that body.
-    if (!this->reusable || this->boreForeignAnswer || !this->receiveBuffer.empty()
-        || this->writing) {
+    if (!this->reusable || this->boreForeignAnswer || bytesFollow || this->writing) {
         this->close();
     } else {
         auto &idleConnections = this->pool.idle[this->targetId];
@@ -381,6 +434,20 @@
     }
 }
 
+void TargetConnection::endAtBound(AnswerBound bound)
+{
+    const auto self = this->shared_from_this();
+    if (this->handler == nullptr) {
+        return;
+    }
+    this->pool.metrics.count("wigeonsill_answer_bounds_total",
+        "bound=\"" + std::string(enumName(answerBoundNames, bound)) + "\"");
+    this->handler->onBoundExceeded(bound);
+    if (this->handler != nullptr) {
+        this->fail(this->headReceived ? TargetFailure::Truncated : TargetFailure::Malformed);
+    }
+}
+
 void TargetConnection::cancel()
 {
     this->handler = nullptr;
@@ -389,7 +456,7 @@
 
 void TargetConnection::close()
 {
-    this->connectTimer.cancel();
+    this->timer.cancel();
     if (this->socket.is_open()) {
         error_code ignored;
         this->socket.close(ignored);
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -22,6 +22,24 @@
     EnumName<TargetFailure>{ TargetFailure::Unattributed, "unattributed-answer" },
 };
 
+/// Bounds on what is read of an answer, so that no target can hold memory or time of the process.
+enum class AnswerBound : std::uint8_t {
+    Head,
+    Body,
+    ChunkFraming,
+    Event,
+    SkippedBytes,
+    SkippedTime
+};
+inline constexpr std::array answerBoundNames = {
+    EnumName<AnswerBound>{ AnswerBound::Head, "head" },
+    EnumName<AnswerBound>{ AnswerBound::Body, "body" },
+    EnumName<AnswerBound>{ AnswerBound::ChunkFraming, "chunk-framing" },
+    EnumName<AnswerBound>{ AnswerBound::Event, "event" },
+    EnumName<AnswerBound>{ AnswerBound::SkippedBytes, "skipped-bytes" },
+    EnumName<AnswerBound>{ AnswerBound::SkippedTime, "skipped-time" },
+};
+
 /// Receives one answer. Exactly one of onAnswerEnd() and onAnswerFailed() is called, as the last
 /// call.
 class AnswerHandler
@@ -38,6 +56,8 @@
     /// and onAnswerFailed() follows with Unattributed.
     /// \param earlierRequests Number of requests that the connection carried before this one.
     virtual void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) = 0;
+    /// The answer exceeds a bound; onAnswerFailed() follows. Does nothing by default.
+    virtual void onBoundExceeded(AnswerBound /*bound*/) { }
     virtual void onAnswerFailed(TargetFailure failure) = 0;
 };
 
@@ -86,6 +106,9 @@
 
     /// Closes the connection. The handler is not called again.
     void cancel();
+    /// Closes the connection since its answer exceeds a bound. The handler is told, and that the
+    /// answer failed. Does nothing on an idle connection. May be called from within the handler.
+    void endAtBound(AnswerBound bound);
 
 private:
     friend class TargetPool;
@@ -102,14 +125,17 @@
     void onReadable(const boost::system::error_code &error, std::size_t bytes);
     /// Returns false when the answer ended and the connection was closed or returned to the pool.
     bool parse();
-    bool parseOnce(boost::system::error_code &error);
+    /// \param pending Received bytes; those that were parsed are removed from its beginning.
+    bool parseOnce(std::string_view &pending, boost::system::error_code &error);
+    void failParsing(const boost::system::error_code &error);
     void startReader();
     /// Decides whose answer begins. Returns false when the connection was closed.
     bool onHeadRead();
     /// Reads another request's answer by its own framing.
     void skipForeignAnswer();
     bool isAttributable(const AnswerFacts &facts) const;
-    void finish();
+    void onSkippedTimeOver();
+    void finish(bool bytesFollow);
     void fail(TargetFailure failure);
     void close();
     void updateIdleTime(const MessageHead &head);
@@ -118,7 +144,7 @@
     std::string targetId;
     boost::asio::ip::tcp::endpoint endpoint;
     boost::asio::ip::tcp::socket socket;
-    boost::asio::steady_timer connectTimer;
+    boost::asio::steady_timer timer; ///< Of connecting, later of skipping an answer.
     std::array<char, 8'192> readBuffer;
     std::string receiveBuffer;
     std::unique_ptr<AnswerReader> reader;
@@ -132,6 +158,7 @@
     bool headReceived = false;
     bool skippingAnswer = false; ///< The answer being read is informational or another request's.
     bool boreForeignAnswer = false; ///< What follows on the connection is not trusted further.
+    std::size_t skippedBytes = 0; ///< Read for the current request before its own answer's head.
     bool reusable = true;
     std::uint64_t requestsCarried = 0; ///< Including the current one.
     TimePoint idleUntil;
