--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -94,9 +94,6 @@
     const auto self = this->shared_from_this();
     if (this->attempt->streaming) {
         this->forwardEvents(bytes);
-        if (this->connection && this->events.isOversized()) {
-            this->connection->endAtBound(AnswerBound::Event);
-        }
         return;
     }
     this->recordProgress();
@@ -122,7 +119,7 @@
         this->relayEvents(completeEvents, eventsBefore);
     }
     if (this->attempt && this->attempt->events.isOversized()) {
-        this->dropAttempt(TargetFailure::Truncated);
+        this->attempt->connection->endAtBound(AnswerBound::Event);
     }
 }
 
@@ -170,7 +167,7 @@
 {
     DecisionLine line("entry", "answer-bound");
     line.text("request", this->request.id)
-        .text("target", this->target->id)
+        .text("target", this->attempt->target.id)
         .text("bound", enumName(answerBoundNames, bound));
     this->state.log.decision(line);
 }
