--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -265,11 +265,33 @@
             head = "HTTP/1.1 200 X\r\n" + "".join("%s: %s\r\n" % header for header in common_headers) + "\r\n"
             connection.sendall(head.encode() + b"whole answer")
             return False
+        if behaviour.startswith("endless-"):
+            return self.send_without_end(connection, behaviour.removeprefix("endless-"), common_headers)
         if behaviour == "garbage":
             connection.sendall(b"\x00\x01 this is no answer\r\n\r\n")
             return False
         return self.stream(connection, behaviour, headers, common_headers)
 
+    def send_without_end(self, connection, kind, common_headers):
+        """Sends bytes of one kind until the peer closes the connection."""
+        def head(fields):
+            return "HTTP/1.1 200 X\r\n" + "".join("%s: %s\r\n" % field for field in fields) + "\r\n"
+        chunked = [("Transfer-Encoding", "chunked")]
+        foreign = [("Attempt-Id", "another-request")]
+        begin, piece = {
+            "head": ("HTTP/1.1 200 X\r\n", "Filler: 0123456789\r\n"),
+            "garbage": ("", "\x00\x01 this is no answer"),
+            "chunk-header": (head(common_headers + chunked) + "5\r\nwhole\r\n5", "0"),
+            "event": (head(common_headers + chunked), "1000\r\n" + 4096 * "a" + "\r\n"),
+            "body": (head(common_headers + chunked), "1000\r\n" + 4096 * "a" + "\r\n"),
+            "after": (head(common_headers + [("Content-Length", "12")]) + "whole answer", "more"),
+            "foreign": (head(foreign + chunked), "1000\r\n" + 4096 * "a" + "\r\n"),
+        }[kind]
+        connection.sendall(begin.encode())
+        block = (piece * (65536 // len(piece))).encode()
+        while True:
+            connection.sendall(block)
+
     def stream(self, connection, behaviour, headers, common_headers):
         """Streams the events after Last-Event-Id; the "torn" behaviours truncate the stream."""
         response_headers = common_headers + [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
