--- a/testsuite/endless-answers/run.py
+++ b/testsuite/endless-answers/run.py
@@ -91,7 +91,7 @@
     sys.stdin.read()
 
 
-def run_callers(port):
+def run_callers(port, name):
     """Keeps a hundred requests to these targets in flight at a time, and prints how each ended."""
     lines = []
     end = time.monotonic() + PHASE_S
@@ -103,7 +103,7 @@
             begin = time.monotonic()
             wave += 1
             path = "/%s/endless-%s" % ("drown" if kind == "event" else "flood", kind)
-            exchange = Exchange(port, path, "f-%d-%d" % (number, wave), 0.05 if kind == "body" else 0)
+            exchange = Exchange(port, path, "%s-%d-%d" % (name, number, wave), 0.05 if kind == "body" else 0)
             lines.append({
                 "kind": kind, "status": exchange.status, "whole": exchange.ends_whole, "took_s": exchange.took_s})
             time.sleep(max(0, begin + 1 - time.monotonic()))
@@ -189,12 +189,12 @@
         port = entry.ports["listen"]
         without, beside, ends = {"look": [], "draft": []}, {"look": [], "draft": []}, []
         memory_before = None
-        for _ in range(ROUNDS):
-            well_behaved_traffic(port, "without", without)
+        for number in range(ROUNDS):
+            well_behaved_traffic(port, "without%d" % number, without)
             memory_before = memory_before or entry.peak_memory()
             callers = subprocess.Popen(
-                [sys.executable, __file__, "callers", str(port)], stdout=subprocess.PIPE, text=True)
-            well_behaved_traffic(port, "beside", beside)
+                [sys.executable, __file__, "callers", str(port), "f%d" % number], stdout=subprocess.PIPE, text=True)
+            well_behaved_traffic(port, "beside%d" % number, beside)
             ends += json.loads(callers.communicate(timeout=60)[0])
         memory = entry.peak_memory()
         metrics = entry.get("admin", "/metrics")
@@ -251,7 +251,7 @@
 if sys.argv[1:2] == ["targets"]:
     run_targets()
 elif sys.argv[1:2] == ["callers"]:
-    run_callers(int(sys.argv[2]))
+    run_callers(int(sys.argv[2]), sys.argv[3])
 else:
     target_process = subprocess.Popen(
         [sys.executable, __file__, "targets"], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
