A caller that pipelines much keeps its connection, and its leaving is noticed

Cause: once 64 KiB of further requests were buffered while a request was answered, no read was pending any more; the timer had been cancelled and nothing was written, so nothing owned the connection. It was destroyed together with its unfinished request, and the connection to the target called a handler that was gone.

Change: while the pipeline is full, the connection's timer runs and asks every 100 ms, without reading, whether the caller has closed its sending side or the connection. So each connection still has a pending operation that keeps it alive, and a caller that leaves is noticed well within 0.5 s. The same rule is now used after an answer: it read another 8 KiB for each answer even when the buffer was full, so that many small requests could fill memory. That part has no test of its own.

Ruled out: a reference from the request to its connection makes a cycle that outlives the io_context, and the caller's leaving still goes unseen; asio's wait for errors reports a reset but not the end of sending, and an urgent byte makes it busy. A caller that closes while its own system still holds bytes that do not fit here cannot be seen, since its end is queued behind them.

Tests, before: all three fail in the write of the pipeline with a broken pipe; then the first is closed while its request is at the target, and in the other two the request at the target is not cancelled.

--- a/src/libforward/callerconnection.cpp
+++ b/src/libforward/callerconnection.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <poll.h>
+
 namespace wigeonsill {
 
 namespace asio = boost::asio;
@@ -17,6 +19,8 @@
 
 /// Maximum bytes of pipelined requests that are read while a request is answered.
 constexpr std::size_t pipelineLimit = 65'536;
+/// Interval between checks whether a caller whose pipeline is full has left.
+constexpr Duration leaveCheckInterval = milliseconds(100);
 /// Maximum bytes of buffered answers. The connection of a slower caller is aborted.
 constexpr std::size_t sendBufferLimit = 4'194'304;
 /// How long the caller may take to read the last answer and close, before the connection is closed.
@@ -81,6 +85,11 @@
         this->close();
         break;
     case Phase::Answering:
+        if (this->isPipelineFull() && this->hasCallerLeft()) {
+            this->onDisconnected();
+        } else {
+            this->continueReading();
+        }
         break;
     }
 }
@@ -99,14 +108,41 @@
         });
 }
 
+bool CallerConnection::isPipelineFull() const
+{
+    return this->phase == Phase::Answering && this->receiveBuffer.size() >= pipelineLimit;
+}
+
+void CallerConnection::continueReading()
+{
+    if (!this->isPipelineFull()) {
+        this->read();
+    } else if (!this->readPending && this->socket.is_open()) {
+        // Without a pending read, the timer keeps the connection alive.
+        this->startTimer(leaveCheckInterval);
+    }
+}
+
+bool CallerConnection::hasCallerLeft()
+{
+    // Behind unread bytes, asio does not report the end of the caller's sending.
+    pollfd entry{ this->socket.native_handle(), POLLRDHUP, 0 };
+    return poll(&entry, 1, 0) > 0;
+}
+
+void CallerConnection::onDisconnected()
+{
+    if (this->flow) {
+        const std::shared_ptr<RequestFlow> endedFlow = std::move(this->flow);
+        endedFlow->onCallerDisconnected();
+    }
+    this->close();
+}
+
 void CallerConnection::onRead(const error_code &error, std::size_t bytes)
 {
     if (error) {
-        if (this->flow) {
-            const std::shared_ptr<RequestFlow> endedFlow = std::move(this->flow);
-            endedFlow->onCallerDisconnected();
-        }
-        this->close();
+        this->onDisconnected();
         return;
     }
     if (this->phase == Phase::Closing) {
@@ -117,9 +153,7 @@
     if (this->phase != Phase::Answering) {
         this->parse();
     }
-    if (this->phase != Phase::Answering || this->receiveBuffer.size() < pipelineLimit) {
-        this->read();
-    }
+    this->continueReading();
 }
 
 void CallerConnection::parse()
@@ -358,7 +392,7 @@
             if (self->phase == Phase::Idle) {
                 self->parse();
             }
-            self->read();
+            self->continueReading();
         });
         return;
     }
@@ -377,11 +411,7 @@
 
 void CallerConnection::abort()
 {
-    if (this->flow) {
-        const std::shared_ptr<RequestFlow> endedFlow = std::move(this->flow);
-        endedFlow->onCallerDisconnected();
-    }
-    this->close();
+    this->onDisconnected();
 }
 
 void CallerConnection::closeIfIdle()
--- a/src/libforward/callerconnection.h
+++ b/src/libforward/callerconnection.h
@@ -33,6 +33,12 @@
     enum class Phase : std::uint8_t { Idle, Head, Body, Answering, Closing };
 
     void read();
+    /// Reads on, or watches for the caller's leaving while as much as allowed is pipelined.
+    void continueReading();
+    bool isPipelineFull() const;
+    /// Whether the caller has closed its sending side or the connection. Reads nothing.
+    bool hasCallerLeft();
+    void onDisconnected();
     void onRead(const boost::system::error_code &error, std::size_t bytes);
     void parse();
     bool parseHead();
--- /dev/null
+++ b/src/libforward/callerconnections_test.cpp
@@ -0,0 +1,88 @@
+/// \file callerconnections_test.cpp
+/// Tests of connections from callers that pipeline, leave early, read slowly or use HTTP/1.0.
+#include "entryfixture.h"
+
+namespace wigeonsill {
+namespace {
+
+class PipelinedCall : public SentRequest
+{
+protected:
+    PipelinedCall()
+        : SentRequest({ .routeType = RouteType::Idempotent })
+    {
+        const std::string next
+            = "GET /x HTTP/1.1\r\nHost: h\r\nX-Fill: " + std::string(7'000, 'f') + "\r\n\r\n";
+        for (int i = 0; i < 12; ++i) {
+            boost::system::error_code error;
+            asio::write(this->caller, asio::buffer(next), error);
+            EXPECT_FALSE(error) << error.message();
+            this->runFor(milliseconds(20));
+        }
+    }
+    /// Grants what is reserved until the next request is sent, for at most 2 s.
+    bool acceptNext()
+    {
+        for (int i = 0; i < 200; ++i) {
+            for (const auto &agent : this->agents) {
+                while (const auto reservation = agent->receive(GrantKind::Reserve)) {
+                    agent->reply(GrantKind::Granted, *reservation);
+                }
+                boost::system::error_code error;
+                agent->target.non_blocking(true);
+                asio::ip::tcp::socket next = agent->target.accept(error);
+                if (!error) {
+                    this->connection = std::move(next);
+                    return true;
+                }
+            }
+            this->runFor(milliseconds(10));
+        }
+        return false;
+    }
+    /// Whether the entry has closed the connection to the target.
+    bool isCancelled()
+    {
+        std::array<char, 8'192> buffer{};
+        boost::system::error_code error;
+        this->connection.non_blocking(true);
+        while (!error) {
+            this->connection.read_some(asio::buffer(buffer), error);
+        }
+        return error != asio::error::would_block;
+    }
+};
+
+/// The connection is destroyed while its request is at a target.
+TEST_F(PipelinedCall, callerThatPipelinesMuchGetsItsAnswers)
+{
+    this->received();
+    ASSERT_FALSE(this->closed) << "the connection ends while its request is at a target";
+    for (const std::string part : { "one", "two", "six" }) {
+        this->write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\n" + part);
+        EXPECT_TRUE(this->received().ends_with(part)) << this->receivedBytes;
+        ASSERT_TRUE(this->acceptNext()) << "the next request is sent";
+    }
+}
+
+/// No read is pending that would end with the connection.
+TEST_F(PipelinedCall, callerThatLeavesWithAFullPipelineIsNoticed)
+{
+    EXPECT_FALSE(this->isCancelled());
+    this->caller.close();
+    this->runFor(milliseconds(300));
+    EXPECT_TRUE(this->isCancelled());
+}
+
+/// As above, with a reset.
+TEST_F(PipelinedCall, callerThatResetsWithAFullPipelineIsNoticed)
+{
+    EXPECT_FALSE(this->isCancelled());
+    this->caller.set_option(asio::socket_base::linger(true, 0));
+    this->caller.close();
+    this->runFor(milliseconds(300));
+    EXPECT_TRUE(this->isCancelled());
+}
+
+} // namespace
+} // namespace wigeonsill
