Test: a caller that closes its sending side amid an answer sees a reset

The end of the connection is the end of an answer to HTTP/1.0. That a caller which closes its sending side counts as gone stays as it is; what it has got must then not look whole. The reset that is set from the head of such an answer on covers this already, so no code changes.

Passes on the code as it is.

--- a/src/libforward/callerconnections_test.cpp
+++ b/src/libforward/callerconnections_test.cpp
@@ -84,5 +84,28 @@
     EXPECT_TRUE(this->isCancelled());
 }
 
+/// A large answer to a caller whose answers end with the connection. It is relayed as it arrives.
+class OldCall : public SentRequest
+{
+protected:
+    OldCall()
+        : SentRequest({ .routeType = RouteType::Idempotent, .callerVersion = "HTTP/1.0" })
+    {
+        this->write(
+            "HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n" + std::string(300'000, 'a'));
+    }
+};
+
+/// Closing the sending side counts as leaving; the answer must not end cleanly.
+TEST_F(OldCall, callerThatClosesHalfDoesNotTakeAPartForTheWhole)
+{
+    this->caller.shutdown(asio::ip::tcp::socket::shutdown_send);
+    this->runFor(milliseconds(100));
+    this->received();
+    EXPECT_TRUE(this->closed);
+    EXPECT_NE(this->readError, asio::error::eof)
+        << "a clean end after " << this->receivedBytes.size() << " bytes";
+}
+
 } // namespace
 } // namespace wigeonsill
