A process is drained only when its answers are written

Cause: the end of a drain asked only whether requests were left. A request ends when its answer is buffered; the process then exited with the bytes that a slow caller had not taken yet.

Change: the process is drained when no request is left and no connection still has an answer to write or is closing, which lasts at most the linger time of 1 s; an exit amid it could discard the end of an answer by a reset. The end of the grace period ends the drain as before, at the same time.

Ruled out: waiting for requests that are still being received. They are not read whole, and a caller could hold the process with one.

Tests, before: the process is drained 5 s after SIGTERM though a caller has read nothing of 3,900,000 bytes. After: it is not, the caller gets all of them, and the process is drained within 0.3 s of the caller's close. A caller that never reads does not hold it beyond the grace period (passed before and after).

--- a/src/libforward/callerconnection.cpp
+++ b/src/libforward/callerconnection.cpp
@@ -421,6 +421,12 @@
     }
 }
 
+bool CallerConnection::hasUnfinishedAnswer() const
+{
+    return this->socket.is_open()
+        && (this->phase == Phase::Answering || this->phase == Phase::Closing);
+}
+
 void CallerConnection::closeGracefully()
 {
     if (this->phase == Phase::Closing) {
--- a/src/libforward/callerconnection.h
+++ b/src/libforward/callerconnection.h
@@ -28,6 +28,9 @@
     void abort();
     /// Closes the connection unless a request is being received or answered.
     void closeIfIdle();
+    /// Whether bytes of an answer are still to be written, or the caller may still be reading the
+    /// last one.
+    bool hasUnfinishedAnswer() const;
 
 private:
     enum class Phase : std::uint8_t { Idle, Head, Body, Answering, Closing };
--- a/src/libforward/callerconnections_test.cpp
+++ b/src/libforward/callerconnections_test.cpp
@@ -107,5 +107,86 @@
         << "a clean end after " << this->receivedBytes.size() << " bytes";
 }
 
+/// The whole answer has come from the target, but the caller does not read it.
+class SlowCaller : public Reservations
+{
+protected:
+    explicit SlowCaller(const Options &options = { .routeType = RouteType::Idempotent })
+        : Reservations(options)
+        , caller(this->io)
+    {
+        this->caller.open(asio::ip::tcp::v4());
+        this->caller.set_option(asio::socket_base::receive_buffer_size(4'096));
+        this->caller.connect({ asio::ip::make_address("127.0.0.1"), this->entry->port() });
+        asio::write(this->caller, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")));
+        this->caller.non_blocking(true);
+        const auto [agent, reservation] = this->nextMessage(GrantKind::Reserve);
+        agent->reply(GrantKind::Granted, reservation);
+        this->runFor(milliseconds(50));
+        asio::ip::tcp::socket connection = agent->target.accept();
+        connection.non_blocking(true);
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodySize)
+            + "\r\n\r\n" + std::string(bodySize, 'a');
+        boost::system::error_code error;
+        for (std::size_t sent = 0; sent < answer.size();) {
+            sent += connection.write_some(
+                asio::buffer(answer.data() + sent, answer.size() - sent), error);
+            this->runFor(milliseconds(2));
+        }
+        this->runFor(milliseconds(100));
+    }
+    /// Reads until nothing more comes for 200 ms, and returns how much of the body came.
+    std::size_t readBody()
+    {
+        std::string bytes;
+        for (int idle = 0; idle < 20;) {
+            std::array<char, 65'536> buffer{};
+            boost::system::error_code error;
+            const std::size_t size = this->caller.read_some(asio::buffer(buffer), error);
+            bytes.append(buffer.data(), size);
+            idle = error ? idle + 1 : 0;
+            this->runFor(error ? milliseconds(10) : Duration::zero());
+        }
+        AnswerReader reader(65'536, 2 * bodySize);
+        boost::system::error_code error;
+        reader.consume(bytes, error);
+        EXPECT_FALSE(error) << error.message();
+        EXPECT_TRUE(reader.isComplete());
+        return reader.body().size();
+    }
+
+    /// More than socket buffers hold, and less than the entry buffers for a caller.
+    static constexpr std::size_t bodySize = 3'900'000;
+    asio::ip::tcp::socket caller;
+};
+
+/// The request has ended; most of its answer is only buffered.
+TEST_F(SlowCaller, processIsNotDrainedBeforeAnswersAreWritten)
+{
+    this->entry->drain();
+    this->runFor(seconds(5));
+    EXPECT_FALSE(this->entry->isDrained()) << "drained before the answer was written";
+    EXPECT_EQ(this->readBody(), bodySize);
+    this->caller.close();
+    this->runFor(milliseconds(300));
+    EXPECT_TRUE(this->entry->isDrained());
+}
+
+class SlowCallerOfShortGrace : public SlowCaller
+{
+protected:
+    SlowCallerOfShortGrace()
+        : SlowCaller({ .routeType = RouteType::Idempotent, .gracePeriod = seconds(1) })
+    {
+    }
+};
+
+TEST_F(SlowCallerOfShortGrace, isNotWaitedForBeyondIt)
+{
+    this->entry->drain();
+    this->runFor(seconds(1));
+    EXPECT_TRUE(this->entry->isDrained());
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -90,6 +90,7 @@
         RouteType routeType = RouteType::Stream;
         bool resumable = false;
         std::string callerVersion = "HTTP/1.1";
+        Duration gracePeriod = seconds(8);
     };
     Reservations()
         : Reservations(Options{})
@@ -104,6 +105,7 @@
         settings.grantAddress = "127.0.0.1";
         settings.grantPort = this->port;
         settings.wait.objectiveShare = options.waitShare;
+        settings.gracePeriod = options.gracePeriod;
         // Before any report, the entry has the smallest share of the slack; it covers five retries.
         settings.retryBudget.retrySlack = 5.0 * QuotaLimiter::largestDeploymentEntries;
         this->entry = std::make_unique<ForwardEntry>(
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -131,6 +131,7 @@
     void scheduleUsageReport();
     void reportUsage();
     void continueDrain();
+    bool hasUnfinishedAnswers() const;
     void removeUnlistedTargets();
 
     std::shared_ptr<EntryState> stateOwner;
@@ -208,6 +209,14 @@
     });
 }
 
+bool ForwardEntry::Private::hasUnfinishedAnswers() const
+{
+    return std::any_of(this->connections.begin(), this->connections.end(), [](const auto &record) {
+        const auto connection = record.lock();
+        return connection && connection->hasUnfinishedAnswer();
+    });
+}
+
 void ForwardEntry::Private::continueDrain()
 {
     const Duration timeDraining = currentTime() - this->state.drainStartedAt;
@@ -219,7 +228,8 @@
                 connection->closeIfIdle();
             }
         }
-        this->drained = this->state.flows.empty();
+        // A request ends when its answer is buffered, which may be long before it is written.
+        this->drained = this->state.flows.empty() && !this->hasUnfinishedAnswers();
     }
     if (timeDraining > this->state.settings.gracePeriod - shutdownMargin) {
         // A copy, since ending a flow removes it from the set.
