What a caller's connection notes of a request ends with it

Cause: whether the request was a HEAD request was set when a request was complete, and so still held when the next message was rejected before that: 400 with a Content-Length, and no body.

Change: the state that belongs to one request has a value of its own, which is replaced when the next message begins. Whether the connection ends by a reset stays with the connection, as it is set on its socket and such a connection carries no further request.

Test, before: 400 with Content-Length: 246 and nothing behind the head. After: its body comes.

--- a/src/libforward/callerconnection.cpp
+++ b/src/libforward/callerconnection.cpp
@@ -163,6 +163,7 @@
         const CallerLimits limits
             = this->state.configuration ? this->state.configuration->limits() : CallerLimits{};
         this->reader = std::make_unique<RequestReader>(limits.headerBytes, limits.bodyBytes);
+        this->answer = {};
         this->phase = Phase::Head;
         this->startTimer(limits.headerTimeout);
     }
@@ -244,7 +245,7 @@
 
 void CallerConnection::rejectAndClose(ResultCode code, std::string_view detail)
 {
-    this->keepAlive = false;
+    this->answer.keepAlive = false;
     this->phase = Phase::Answering;
     const HttpResponse response = problemResponse(code, detail);
     this->state.metrics.count("wigeonsill_requests_total",
@@ -260,10 +261,9 @@
     ++this->timerGeneration;
     this->timer.cancel();
     MessageHead head = this->reader->head();
-    this->keepAlive = head.keepAlive;
-    this->isHeadRequest = head.method == "HEAD";
-    this->chunkedAnswer = head.httpVersion == 11;
-    this->answerComplete = false;
+    this->answer.keepAlive = head.keepAlive;
+    this->answer.toHeadRequest = head.method == "HEAD";
+    this->answer.chunked = head.httpVersion == 11;
     std::string body = std::move(this->reader->body());
     this->reader.reset();
     this->flow
@@ -284,7 +284,7 @@
         head += field.value;
         head += "\r\n";
     }
-    if (!this->keepAlive || this->state.draining) {
+    if (!this->answer.keepAlive || this->state.draining) {
         head += "Connection: close\r\n";
     }
     return head;
@@ -300,7 +300,7 @@
     }
     head += "\r\n";
     this->enqueue(head);
-    if (!bodyless && !this->isHeadRequest) {
+    if (!bodyless && !this->answer.toHeadRequest) {
         this->enqueue(body);
     }
     this->onAnswerComplete();
@@ -308,12 +308,12 @@
 
 void CallerConnection::beginAnswer(int status, std::string_view reason, const HttpFields &fields)
 {
-    if (!this->chunkedAnswer) {
-        this->keepAlive = false;
+    if (!this->answer.chunked) {
+        this->answer.keepAlive = false;
         this->setResetAtEnd(true);
     }
     std::string head = this->formatHead(status, reason, fields);
-    if (this->chunkedAnswer) {
+    if (this->answer.chunked) {
         head += "Transfer-Encoding: chunked\r\n";
     }
     head += "\r\n";
@@ -322,10 +322,10 @@
 
 void CallerConnection::writeBody(std::string_view bytes)
 {
-    if (bytes.empty() || this->isHeadRequest) {
+    if (bytes.empty() || this->answer.toHeadRequest) {
         return;
     }
-    if (this->chunkedAnswer) {
+    if (this->answer.chunked) {
         std::array<char, 20> size{};
         const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
         this->enqueue({ size.data(), static_cast<std::size_t>(length) });
@@ -339,7 +339,7 @@
 
 void CallerConnection::endAnswer()
 {
-    if (this->chunkedAnswer && !this->isHeadRequest) {
+    if (this->answer.chunked && !this->answer.toHeadRequest) {
         this->enqueue("0\r\n\r\n");
     }
     this->onAnswerComplete();
@@ -348,7 +348,7 @@
 void CallerConnection::onAnswerComplete()
 {
     this->flow.reset();
-    this->answerComplete = true;
+    this->answer.complete = true;
     this->flush();
 }
 
@@ -375,11 +375,11 @@
     }
     const auto self = this->shared_from_this();
     if (this->sendBuffer.empty()) {
-        if (!this->answerComplete) {
+        if (!this->answer.complete) {
             return;
         }
-        this->answerComplete = false;
-        if (!this->keepAlive || this->state.draining) {
+        this->answer.complete = false;
+        if (!this->answer.keepAlive || this->state.draining) {
             this->closeGracefully();
             return;
         }
--- a/src/libforward/callerconnection.h
+++ b/src/libforward/callerconnection.h
@@ -34,6 +34,14 @@
 
 private:
     enum class Phase : std::uint8_t { Idle, Head, Body, Answering, Closing };
+    /// How the current request is answered.
+    struct Answer
+    {
+        bool keepAlive = true;
+        bool chunked = false;
+        bool toHeadRequest = false;
+        bool complete = false; ///< Its last byte is buffered.
+    };
 
     void read();
     /// Reads on, or watches for the caller's leaving while as much as allowed is pipelined.
@@ -71,13 +79,10 @@
     std::string sendBuffer;
     std::string writeBuffer;
     Phase phase = Phase::Idle;
+    Answer answer;
     bool readPending = false;
     bool writePending = false;
-    bool keepAlive = true;
-    bool chunkedAnswer = false;
     bool resetAtEnd = false;
-    bool isHeadRequest = false;
-    bool answerComplete = false;
     std::uint64_t timerGeneration = 0; ///< Older timer waits are ignored.
 };
 
--- a/src/libforward/callerconnections_test.cpp
+++ b/src/libforward/callerconnections_test.cpp
@@ -188,5 +188,50 @@
     EXPECT_TRUE(this->entry->isDrained());
 }
 
+/// A caller that sends and receives text on one connection.
+class TextCaller : public Reservations
+{
+protected:
+    TextCaller()
+        : caller(this->io)
+    {
+        this->caller.connect({ asio::ip::make_address("127.0.0.1"), this->entry->port() });
+        this->caller.non_blocking(true);
+    }
+    /// Sends bytes and returns what comes within 100 ms.
+    std::string exchange(const std::string &bytes)
+    {
+        asio::write(this->caller, asio::buffer(bytes));
+        return this->receive();
+    }
+    std::string receive()
+    {
+        this->runFor(milliseconds(100));
+        std::array<char, 8'192> buffer{};
+        boost::system::error_code error;
+        return { buffer.data(), this->caller.read_some(asio::buffer(buffer), error) };
+    }
+
+    asio::ip::tcp::socket caller;
+};
+
+TEST_F(TextCaller, rejectionAfterHeadRequestHasItsBody)
+{
+    this->exchange("HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto [agent, reservation] = this->nextMessage(GrantKind::Reserve);
+    agent->reply(GrantKind::Granted, reservation);
+    this->runFor(milliseconds(50));
+    asio::ip::tcp::socket connection = agent->target.accept();
+    asio::write(
+        connection, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n")));
+    EXPECT_TRUE(this->receive().starts_with("HTTP/1.1 200 "));
+    const std::string answer = this->exchange("GET /x HTTP/1.1\r\nfolded:\r\n line\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 400 ")) << answer;
+    AnswerReader reader(65'536, 65'536);
+    boost::system::error_code error;
+    reader.consume(answer, error);
+    EXPECT_TRUE(reader.isComplete()) << answer;
+}
+
 } // namespace
 } // namespace wigeonsill
