HTTP server: an answer that ends with its connection ends whole or with a reset

Cause: only abort() reset the connection of such an answer. When the caller was too slow, the stream's time limit closed the socket before; when it closed its sending side, or the handler ended without finish(), the end was clean too, and a part looked like the whole.

A handler that ends without finish() aborts it.

Tests, before: clean end (end of file) instead of a reset for a caller that is too slow, one that closes half, and an unfinished answer. After: a reset. A whole answer ends cleanly before and after, also where the caller closes half behind it.

--- a/src/libhttp/httpresponse.cpp
+++ b/src/libhttp/httpresponse.cpp
@@ -107,9 +107,9 @@
     this->bodyless = this->isHeadRequest || !statusHasBody(status);
     const bool hasLength = !fieldValue(fields, "Content-Length").empty();
     this->chunked = !this->bodyless && !hasLength && this->version >= http11;
-    this->closeDelimited = !this->bodyless && !hasLength && !this->chunked;
-    if (this->closeDelimited) {
+    if (!this->bodyless && !hasLength && !this->chunked) {
         this->keepAlive = false;
+        this->setCloseDelimited(true);
     }
     http::response_header<> head = this->makeHead(status, fields);
     if (this->chunked) {
@@ -135,6 +135,9 @@
 
 asio::awaitable<bool> HttpSession::finish(HttpFields trailers)
 {
+    if (this->closeDelimited && !this->closed) {
+        this->setCloseDelimited(false);
+    }
     if (!this->chunked) {
         co_return !this->closed;
     }
--- a/src/libhttp/httpsession.cpp
+++ b/src/libhttp/httpsession.cpp
@@ -40,6 +40,14 @@
 
 } // namespace
 
+HttpSession::~HttpSession()
+{
+    // The socket's destructor would end the connection without a reset.
+    if (this->closeDelimited) {
+        this->closeSocket();
+    }
+}
+
 asio::awaitable<void> HttpSession::run()
 {
     const auto self = this->shared_from_this();
@@ -68,6 +76,10 @@
     if (this->closed) {
         co_return;
     }
+    if (this->closeDelimited) {
+        this->abort();
+        co_return;
+    }
     error_code ignored;
     if (this->stream.socket().available(ignored) > 0) {
         co_await this->discardInput();
@@ -258,14 +270,16 @@
 {
     this->closed = true;
     this->disconnectHandler = nullptr;
-    if (this->closeDelimited) {
-        // For a body delimited by the end of the connection, only a reset indicates truncation.
-        error_code ignored;
-        this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    }
     this->closeSocket();
 }
 
+void HttpSession::setCloseDelimited(bool enabled)
+{
+    this->closeDelimited = enabled;
+    error_code ignored; // The connection has ended already.
+    this->stream.socket().set_option(asio::socket_base::linger(enabled, 0), ignored);
+}
+
 void HttpSession::closeSocket()
 {
     this->stopReadTimeout();
--- a/src/libhttp/httpsession.h
+++ b/src/libhttp/httpsession.h
@@ -36,6 +36,9 @@
     {
         setTcpOptions(this->stream.socket());
     }
+    ~HttpSession() override;
+    HttpSession(const HttpSession &) = delete;
+    HttpSession &operator=(const HttpSession &) = delete;
 
     /// Serves the connection until it ends. \pre called once.
     asio::awaitable<void> run();
@@ -82,6 +85,9 @@
     bool readAhead(std::size_t available);
     void handleDisconnect();
     void closeSocket();
+    /// Until such a body is complete, each end of the connection is a reset, also the one at the
+    /// end of the process: only a reset indicates truncation.
+    void setCloseDelimited(bool enabled);
 
     beast::tcp_stream stream;
     HttpHandler handler;
@@ -95,7 +101,8 @@
     unsigned version = http11;
     bool isHeadRequest = false;
     bool bodyless = false; ///< The current response has no body.
-    bool closeDelimited = false; ///< The end of the connection ends the current response's body.
+    /// The end of the connection ends the current response's body, which is not complete yet.
+    bool closeDelimited = false;
     bool timedOut = false;
     bool keepAlive = true;
     bool draining = false;
