HTTP client: interim heads are not the answer

Cause: the first head that came was taken for the answer's, so 100 before 200 gave status 100 and an empty body.

Tests, before: status 100 instead of 200 for GET and HEAD, and success for 1,000 interim heads and for 101. After: 200 with its body, and errors.

--- a/src/include/wigeonsill/http.h
+++ b/src/include/wigeonsill/http.h
@@ -157,7 +157,9 @@
     /// Errors: ConnectionClosed; part of the request may have been sent in that case.
     /// \pre connect() succeeded.
     boost::asio::awaitable<Result<void>> send(HttpRequest request, Duration timeout);
-    /// Reads the status and the header fields. Errors: ConnectionClosed. \pre send() succeeded.
+    /// Reads the status and the header fields. Interim heads (1xx) are skipped. Errors:
+    /// ConnectionClosed; MessageMalformed after too many interim heads or an unasked switch of
+    /// protocols. \pre send() succeeded.
     boost::asio::awaitable<Result<HttpHead>> readHead(Duration timeout);
     /// Reads the next part of the body; empty at its end. Errors: ConnectionClosed, also when the
     /// connection ends before the body is complete. \pre readHead() succeeded.
--- /dev/null
+++ b/src/libhttp/exchange_test.cpp
@@ -0,0 +1,79 @@
+/// \file exchange_test.cpp
+/// Tests of the HTTP client with servers that send interim heads.
+#include "wigeonsill/http.h"
+
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace wigeonsill {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// An exchange with a server that sends the given bytes.
+class Exchange : public testing::Test
+{
+protected:
+    Result<HttpResponse> fetchFrom(const std::string &bytes, const std::string &method = "GET")
+    {
+        tcp::acceptor acceptor(this->io, { asio::ip::make_address("127.0.0.1"), 0 });
+        tcp::socket served(this->io);
+        acceptor.async_accept(served, [&](const boost::system::error_code &) {
+            boost::system::error_code ignored;
+            asio::write(served, asio::buffer(bytes), ignored);
+        });
+        Result<HttpResponse> result = Error{ ResultCode::ConnectionClosed, "not ended" };
+        spawn(this->io, this->run(acceptor.local_endpoint(), method, result));
+        this->io.run_for(seconds(3));
+        return result;
+    }
+    asio::awaitable<void> run(
+        tcp::endpoint endpoint, std::string method, Result<HttpResponse> &result)
+    {
+        HttpRequest request;
+        request.method = method;
+        result = co_await fetch(this->io, endpoint, std::move(request), seconds(1));
+    }
+
+    asio::io_context io{ 1 };
+};
+
+const std::string interimHead = "HTTP/1.1 100 Continue\r\n\r\n";
+const std::string finalAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+
+TEST_F(Exchange, interimHeadsAreNotTheAnswer)
+{
+    const Result<HttpResponse> response = this->fetchFrom(
+        interimHead + "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + finalAnswer);
+    ASSERT_TRUE(response) << response.error().detail;
+    EXPECT_EQ(response.value().status, 200);
+    EXPECT_EQ(response.value().body, "abc");
+    EXPECT_EQ(fieldValue(response.value().fields, "Link"), "");
+}
+
+TEST_F(Exchange, answerToHeadBehindInterimHeadHasNoBody)
+{
+    const Result<HttpResponse> response
+        = this->fetchFrom(interimHead + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "HEAD");
+    ASSERT_TRUE(response) << response.error().detail;
+    EXPECT_EQ(response.value().status, 200);
+}
+
+TEST_F(Exchange, endlessInterimHeadsAreAnError)
+{
+    std::string bytes;
+    for (int i = 0; i < 1'000; ++i) {
+        bytes += interimHead;
+    }
+    EXPECT_FALSE(this->fetchFrom(bytes + finalAnswer));
+}
+
+/// No protocol was offered to switch to.
+TEST_F(Exchange, switchOfProtocolsIsAnError)
+{
+    EXPECT_FALSE(this->fetchFrom("HTTP/1.1 101 Switching Protocols\r\n\r\n" + finalAnswer));
+}
+
+} // namespace
+} // namespace wigeonsill
--- a/src/libhttp/httpexchange.cpp
+++ b/src/libhttp/httpexchange.cpp
@@ -20,6 +20,10 @@
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t bodyPartSize = 65'536;
 constexpr std::uint32_t maximumHeaderBytes = 65'536;
+/// Number of interim (1xx) heads that are skipped before the answer's own.
+constexpr int maximumInterimHeads = 16;
+constexpr int firstFinalStatus = 200;
+constexpr int statusSwitchingProtocols = 101;
 
 Error closedError(const error_code &error)
 {
@@ -33,13 +37,22 @@
     explicit Private(asio::io_context &context)
         : stream(context)
     {
-        this->parser.header_limit(maximumHeaderBytes);
-        this->parser.body_limit(boost::none);
+        this->beginAnswer();
+    }
+
+    /// Forgets the head that was read, if any.
+    void beginAnswer()
+    {
+        this->parser.emplace();
+        this->parser->header_limit(maximumHeaderBytes);
+        this->parser->body_limit(boost::none);
+        this->parser->skip(this->isHeadRequest);
     }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    bool isHeadRequest = false;
     /// Read buffer for the body. Not initialised: most reads return a few hundred bytes only.
     std::unique_ptr<char[]> bodyPart = std::make_unique_for_overwrite<char[]>(bodyPartSize);
 };
@@ -68,7 +81,8 @@
 {
     http::request<http::string_body> message;
     message.method_string(request.method);
-    this->d->parser.skip(message.method() == http::verb::head);
+    this->d->isHeadRequest = message.method() == http::verb::head;
+    this->d->parser->skip(this->d->isHeadRequest);
     message.target(request.target);
     message.version(11);
     for (const HttpField &field : request.fields) {
@@ -92,29 +106,39 @@
 asio::awaitable<Result<HttpHead>> HttpExchange::readHead(Duration timeout)
 {
     this->d->stream.expires_after(timeout);
-    auto [error, size] = co_await http::async_read_header(
-        this->d->stream, this->d->buffer, this->d->parser, useTuple);
-    if (error) {
-        co_return closedError(error);
-    }
-    HttpHead head;
-    head.status = static_cast<int>(this->d->parser.get().result_int());
-    for (const auto &field : this->d->parser.get()) {
-        head.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    for (int heads = 0; heads <= maximumInterimHeads; ++heads) {
+        auto [error, size] = co_await http::async_read_header(
+            this->d->stream, this->d->buffer, *this->d->parser, useTuple);
+        if (error) {
+            co_return closedError(error);
+        }
+        HttpHead head;
+        head.status = static_cast<int>(this->d->parser->get().result_int());
+        if (head.status == statusSwitchingProtocols) {
+            co_return Error{ ResultCode::MessageMalformed, "the protocol was switched unasked" };
+        }
+        if (head.status >= firstFinalStatus) {
+            for (const auto &field : this->d->parser->get()) {
+                head.fields.push_back(
+                    { std::string(field.name_string()), std::string(field.value()) });
+            }
+            co_return head;
+        }
+        this->d->beginAnswer();
     }
-    co_return head;
+    co_return Error{ ResultCode::MessageMalformed, "too many interim heads" };
 }
 
 asio::awaitable<Result<std::string>> HttpExchange::readSome(Duration timeout)
 {
     std::size_t size = 0;
-    while (size == 0 && !this->d->parser.is_done()) {
-        this->d->parser.get().body().data = this->d->bodyPart.get();
-        this->d->parser.get().body().size = bodyPartSize;
+    while (size == 0 && !this->d->parser->is_done()) {
+        this->d->parser->get().body().data = this->d->bodyPart.get();
+        this->d->parser->get().body().size = bodyPartSize;
         this->d->stream.expires_after(timeout);
         auto [error, consumed] = co_await http::async_read_some(
-            this->d->stream, this->d->buffer, this->d->parser, useTuple);
-        size = bodyPartSize - this->d->parser.get().body().size;
+            this->d->stream, this->d->buffer, *this->d->parser, useTuple);
+        size = bodyPartSize - this->d->parser->get().body().size;
         if (error && error != http::error::need_buffer) {
             co_return closedError(error);
         }
