HTTP/1.0 callers are not told to continue

Cause: a request of HTTP/1.0 with Expect: 100-continue got an informational answer, which that version does not have and takes for the answer. The same in the entry for the platform and in the HTTP server.

Change: the field is ignored for HTTP/1.0.

Tests, before: 25 bytes of 100 Continue in both. After: none; HTTP/1.1 is told to continue before and after.

--- a/src/libforward/callerconnection.cpp
+++ b/src/libforward/callerconnection.cpp
@@ -28,7 +28,9 @@
 
 bool expectsContinue(const MessageHead &head)
 {
-    return equalsIgnoringCase(fieldValue(head.fields, "Expect"), "100-continue");
+    // HTTP/1.0 has no informational answers.
+    return head.httpVersion == 11
+        && equalsIgnoringCase(fieldValue(head.fields, "Expect"), "100-continue");
 }
 
 } // namespace
--- a/src/libforward/callerconnections_test.cpp
+++ b/src/libforward/callerconnections_test.cpp
@@ -233,5 +233,19 @@
     EXPECT_TRUE(reader.isComplete()) << answer;
 }
 
+TEST_F(TextCaller, oldCallerGetsNoInformationalAnswer)
+{
+    EXPECT_EQ(this->exchange("POST /x HTTP/1.0\r\nHost: h\r\nContent-Length: 3\r\n"
+                             "Expect: 100-continue\r\n\r\n"),
+        "");
+}
+
+TEST_F(TextCaller, isToldToContinue)
+{
+    EXPECT_EQ(this->exchange("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                             "Expect: 100-continue\r\n\r\n"),
+        "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libhttp/httpsession.cpp
+++ b/src/libhttp/httpsession.cpp
@@ -176,7 +176,8 @@
     this->version = parser.get().version();
     this->keepAlive = parser.get().keep_alive() && this->version >= http11;
     this->isHeadRequest = parser.get().method() == http::verb::head;
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    if (this->version >= http11
+        && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         co_await this->writeText("HTTP/1.1 100 Continue\r\n\r\n");
     }
     this->startReadTimeout(this->limits.bodyTimeout);
--- a/src/libhttp/oldcallers_test.cpp
+++ b/src/libhttp/oldcallers_test.cpp
@@ -140,5 +140,17 @@
     EXPECT_EQ(this->readError, asio::error::connection_reset);
 }
 
+TEST_F(OldCaller, getsNoInformationalAnswer)
+{
+    this->serve({});
+    tcp::socket other(this->io);
+    other.connect(this->server->endpoint());
+    asio::write(other,
+        asio::buffer(std::string("POST / HTTP/1.0\r\nHost: h\r\nContent-Length: 3\r\n"
+                                 "Expect: 100-continue\r\n\r\n")));
+    this->runFor(milliseconds(50));
+    EXPECT_EQ(other.available(), 0U);
+}
+
 } // namespace
 } // namespace wigeonsill
