--- a/src/libforward/callerconnection.cpp
+++ b/src/libforward/callerconnection.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <poll.h>
+
 namespace wigeonsill {
 
 namespace asio = boost::asio;
@@ -17,6 +19,8 @@
 
 /// Maximum bytes of pipelined requests that are read while a request is answered.
 constexpr std::size_t pipelineLimit = 65'536;
+/// Interval between checks whether a caller whose pipeline is full has left.
+constexpr Duration leaveCheckInterval = milliseconds(100);
 /// Maximum bytes of buffered answers. The connection of a slower caller is aborted.
 constexpr std::size_t sendBufferLimit = 4'194'304;
 /// How long the caller may take to read the last answer and close, before the connection is closed.
@@ -24,7 +28,9 @@
 
 bool expectsContinue(const MessageHead &head)
 {
-    return equalsIgnoringCase(fieldValue(head.fields, "Expect"), "100-continue");
+    // HTTP/1.0 has no informational answers.
+    return head.httpVersion == 11
+        && equalsIgnoringCase(fieldValue(head.fields, "Expect"), "100-continue");
 }
 
 } // namespace
@@ -81,6 +87,11 @@
         this->close();
         break;
     case Phase::Answering:
+        if (this->isPipelineFull() && this->hasCallerLeft()) {
+            this->onDisconnected();
+        } else {
+            this->continueReading();
+        }
         break;
     }
 }
@@ -99,14 +110,41 @@
         });
 }
 
+bool CallerConnection::isPipelineFull() const
+{
+    return this->phase == Phase::Answering && this->receiveBuffer.size() >= pipelineLimit;
+}
+
+void CallerConnection::continueReading()
+{
+    if (!this->isPipelineFull()) {
+        this->read();
+    } else if (!this->readPending && this->socket.is_open()) {
+        // Without a pending read, the timer keeps the connection alive.
+        this->startTimer(leaveCheckInterval);
+    }
+}
+
+bool CallerConnection::hasCallerLeft()
+{
+    // Behind unread bytes, asio does not report the end of the caller's sending.
+    pollfd entry{ this->socket.native_handle(), POLLRDHUP, 0 };
+    return poll(&entry, 1, 0) > 0;
+}
+
+void CallerConnection::onDisconnected()
+{
+    if (this->flow) {
+        const std::shared_ptr<RequestFlow> endedFlow = std::move(this->flow);
+        endedFlow->onCallerDisconnected();
+    }
+    this->close();
+}
+
 void CallerConnection::onRead(const error_code &error, std::size_t bytes)
 {
     if (error) {
-        if (this->flow) {
-            const std::shared_ptr<RequestFlow> endedFlow = std::move(this->flow);
-            endedFlow->onCallerDisconnected();
-        }
-        this->close();
+        this->onDisconnected();
         return;
     }
     if (this->phase == Phase::Closing) {
@@ -117,9 +155,7 @@
     if (this->phase != Phase::Answering) {
         this->parse();
     }
-    if (this->phase != Phase::Answering || this->receiveBuffer.size() < pipelineLimit) {
-        this->read();
-    }
+    this->continueReading();
 }
 
 void CallerConnection::parse()
@@ -129,6 +165,7 @@
         const CallerLimits limits
             = this->state.configuration ? this->state.configuration->limits() : CallerLimits{};
         this->reader = std::make_unique<RequestReader>(limits.headerBytes, limits.bodyBytes);
+        this->answer = {};
         this->phase = Phase::Head;
         this->startTimer(limits.headerTimeout);
     }
@@ -210,7 +247,7 @@
 
 void CallerConnection::rejectAndClose(ResultCode code, std::string_view detail)
 {
-    this->keepAlive = false;
+    this->answer.keepAlive = false;
     this->phase = Phase::Answering;
     const HttpResponse response = problemResponse(code, detail);
     this->state.metrics.count("wigeonsill_requests_total",
@@ -226,10 +263,9 @@
     ++this->timerGeneration;
     this->timer.cancel();
     MessageHead head = this->reader->head();
-    this->keepAlive = head.keepAlive;
-    this->isHeadRequest = head.method == "HEAD";
-    this->chunkedAnswer = head.httpVersion == 11;
-    this->answerComplete = false;
+    this->answer.keepAlive = head.keepAlive;
+    this->answer.toHeadRequest = head.method == "HEAD";
+    this->answer.chunked = head.httpVersion == 11;
     std::string body = std::move(this->reader->body());
     this->reader.reset();
     this->flow
@@ -250,7 +286,7 @@
         head += field.value;
         head += "\r\n";
     }
-    if (!this->keepAlive || this->state.draining) {
+    if (!this->answer.keepAlive || this->state.draining) {
         head += "Connection: close\r\n";
     }
     return head;
@@ -266,7 +302,7 @@
     }
     head += "\r\n";
     this->enqueue(head);
-    if (!bodyless && !this->isHeadRequest) {
+    if (!bodyless && !this->answer.toHeadRequest) {
         this->enqueue(body);
     }
     this->onAnswerComplete();
@@ -274,12 +310,12 @@
 
 void CallerConnection::beginAnswer(int status, std::string_view reason, const HttpFields &fields)
 {
-    if (!this->chunkedAnswer) {
-        this->keepAlive = false;
+    if (!this->answer.chunked) {
+        this->answer.keepAlive = false;
         this->setResetAtEnd(true);
     }
     std::string head = this->formatHead(status, reason, fields);
-    if (this->chunkedAnswer) {
+    if (this->answer.chunked) {
         head += "Transfer-Encoding: chunked\r\n";
     }
     head += "\r\n";
@@ -288,10 +324,10 @@
 
 void CallerConnection::writeBody(std::string_view bytes)
 {
-    if (bytes.empty() || this->isHeadRequest) {
+    if (bytes.empty() || this->answer.toHeadRequest) {
         return;
     }
-    if (this->chunkedAnswer) {
+    if (this->answer.chunked) {
         std::array<char, 20> size{};
         const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
         this->enqueue({ size.data(), static_cast<std::size_t>(length) });
@@ -305,7 +341,7 @@
 
 void CallerConnection::endAnswer()
 {
-    if (this->chunkedAnswer && !this->isHeadRequest) {
+    if (this->answer.chunked && !this->answer.toHeadRequest) {
         this->enqueue("0\r\n\r\n");
     }
     this->onAnswerComplete();
@@ -314,7 +350,7 @@
 void CallerConnection::onAnswerComplete()
 {
     this->flow.reset();
-    this->answerComplete = true;
+    this->answer.complete = true;
     this->flush();
 }
 
@@ -341,11 +377,11 @@
     }
     const auto self = this->shared_from_this();
     if (this->sendBuffer.empty()) {
-        if (!this->answerComplete) {
+        if (!this->answer.complete) {
             return;
         }
-        this->answerComplete = false;
-        if (!this->keepAlive || this->state.draining) {
+        this->answer.complete = false;
+        if (!this->answer.keepAlive || this->state.draining) {
             this->closeGracefully();
             return;
         }
@@ -358,7 +394,7 @@
             if (self->phase == Phase::Idle) {
                 self->parse();
             }
-            self->read();
+            self->continueReading();
         });
         return;
     }
@@ -377,11 +413,7 @@
 
 void CallerConnection::abort()
 {
-    if (this->flow) {
-        const std::shared_ptr<RequestFlow> endedFlow = std::move(this->flow);
-        endedFlow->onCallerDisconnected();
-    }
-    this->close();
+    this->onDisconnected();
 }
 
 void CallerConnection::closeIfIdle()
@@ -391,6 +423,12 @@
     }
 }
 
+bool CallerConnection::hasUnfinishedAnswer() const
+{
+    return this->socket.is_open()
+        && (this->phase == Phase::Answering || this->phase == Phase::Closing);
+}
+
 void CallerConnection::closeGracefully()
 {
     if (this->phase == Phase::Closing) {
--- a/src/libforward/callerconnection.h
+++ b/src/libforward/callerconnection.h
@@ -28,11 +28,28 @@
     void abort();
     /// Closes the connection unless a request is being received or answered.
     void closeIfIdle();
+    /// Whether bytes of an answer are still to be written, or the caller may still be reading the
+    /// last one.
+    bool hasUnfinishedAnswer() const;
 
 private:
     enum class Phase : std::uint8_t { Idle, Head, Body, Answering, Closing };
+    /// How the current request is answered.
+    struct Answer
+    {
+        bool keepAlive = true;
+        bool chunked = false;
+        bool toHeadRequest = false;
+        bool complete = false; ///< Its last byte is buffered.
+    };
 
     void read();
+    /// Reads on, or watches for the caller's leaving while as much as allowed is pipelined.
+    void continueReading();
+    bool isPipelineFull() const;
+    /// Whether the caller has closed its sending side or the connection. Reads nothing.
+    bool hasCallerLeft();
+    void onDisconnected();
     void onRead(const boost::system::error_code &error, std::size_t bytes);
     void parse();
     bool parseHead();
@@ -62,13 +79,10 @@
     std::string sendBuffer;
     std::string writeBuffer;
     Phase phase = Phase::Idle;
+    Answer answer;
     bool readPending = false;
     bool writePending = false;
-    bool keepAlive = true;
-    bool chunkedAnswer = false;
     bool resetAtEnd = false;
-    bool isHeadRequest = false;
-    bool answerComplete = false;
     std::uint64_t timerGeneration = 0; ///< Older timer waits are ignored.
 };
 
