A target that turns a request away for a time gets nothing until it is over

Cause: an engine's 503 may state with Retry-After for how long it wants nothing from this machine; nothing read it, and other requests went there at once.

Change: parseRetryAfter reads seconds, whole or with a fraction; all else is ignored and counted. AnswerFacts::quietFor from a 503, recorded for every answer head before the branches on the status, so that a 503 without Not-Executed is handled as before. Afterwards the concurrent requests are limited to one more than those from before, and the limit grows by one with each success (1, 2, 4 in rounds) up to the target's slots. Requests wait for a target that is being probed; when all want nothing, those that have not run are refused at once with the shortest time left plus a quarter of it (at least 250 ms) at random. An agent whose engine turns its call for a report away declines everything and asks for no report until then. Bound: 60 s are believed. An engine's load a minute ago says nothing of the present one, and one probe asks again: a stated time of up to three minutes meets at most the two requests that the rule allows.

--- a/src/include/wigeonsill/directory.h
+++ b/src/include/wigeonsill/directory.h
@@ -79,6 +79,54 @@
     std::map<std::string, Departure, std::less<>> departures; ///< By target id.
 };
 
+/// Targets that asked this process to send nothing for a time. When the time is over, requests
+/// probe the target: the number of concurrent ones starts at one and doubles with each round of
+/// successes, so that the requests that waited do not all reach the target at once. Performs no
+/// I/O. A record holds for one incarnation of a target (id and start). Replayed by
+/// quiettargets_test and the testsuite's case engine-signals.
+class QuietTargets
+{
+public:
+    /// Longest time that a target is believed; it is asked again by one request afterwards. Answers
+    /// and streams take seconds, so a target's load a minute ago does not describe the present one.
+    static constexpr Duration longestTime = seconds(60);
+
+    /// Records that a target asked for a time without requests. A time that is already running is
+    /// not shortened. \param ownRequests Requests of this process at the target, reserved or
+    /// running. \returns Whether the target was not quiet before.
+    bool recordQuiet(const Target &target, Duration time, int ownRequests, TimePoint now);
+    /// Time until the target wants requests again; zero when it does.
+    Duration remaining(const Target &target, TimePoint now) const;
+    bool isQuiet(const Target &target, TimePoint now) const
+    {
+        return this->remaining(target, now) > Duration::zero();
+    }
+    /// Whether one more request may be reserved or sent there. \param ownRequests As above, now.
+    bool admits(const Target &target, int ownRequests, TimePoint now);
+    /// Records that the target answered without a server error. \param sentAt When the request was
+    /// sent to it; a request from before the time was over is no probe.
+    void recordSuccess(const Target &target, TimePoint sentAt);
+    /// Shortest time until one of the targets wants requests again. Empty when one of them does or
+    /// when there are none.
+    std::optional<Duration> untilAnyWantsRequests(
+        const std::vector<const Target *> &targets, TimePoint now) const;
+    /// Forgets targets that are not listed any more and whose time is over.
+    void forgetUnlisted(const TargetDirectory &directory, TimePoint now);
+
+private:
+    struct Record
+    {
+        std::int64_t startedMs = 0; ///< Of the incarnation, as Target::startedMs.
+        TimePoint quietUntil;
+        int probeLimit = 1; ///< Maximum number of concurrent requests since then.
+        int earlierRequests = 0; ///< Requests from before that are still there, at most.
+    };
+    /// Returns nullptr when this incarnation has no record.
+    const Record *find(const Target &target) const;
+
+    std::map<std::string, Record, std::less<>> records; ///< By target id.
+};
+
 /// Distinguishes an outage of the store, during which records of live targets may expire, from a
 /// loss of connection of this process alone. While the store is available, each target rewrites its
 /// record at every heartbeat, and each write increases the store's revision.
--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -91,6 +91,9 @@
     bool notRun = false; ///< The target guarantees that it did not run the request.
     bool isWrongTarget = false; ///< The reason: it is not the target the request was addressed to.
     bool targetLeaving = false; ///< The target that answers takes no new requests from now on.
+    /// Time for which the target, which turned the request away, wants nothing from this process.
+    std::optional<Duration> quietFor;
+    bool quietUnreadable = false; ///< It stated such a time in a form that cannot be read.
     std::string requestId; ///< Empty when the answer carries none.
 };
 
@@ -217,6 +220,7 @@
 {
     std::optional<TargetReport> report; ///< Empty when it is refused or malformed.
     bool targetLeaving = false; ///< As AnswerFacts::targetLeaving.
+    std::optional<Duration> quietFor; ///< As AnswerFacts::quietFor.
 };
 using ReportDecoder = std::function<ReportAnswer(const HttpResponse &response)>;
 
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -521,14 +521,19 @@
     {
     }
 
-    /// Adds a request to the queue; repeating a reservation has no effect. \pre !isClosed().
+    /// Adds a request to the queue; repeating a reservation has no effect. \pre !isClosed(now).
     void reserve(const ReservationProfile &profile, int slots, TimePoint now);
     /// Records what the target states about itself in an answer. A target that is leaving gets no
     /// grants until another incarnation answers in its place.
     /// \param startedMs As TargetReport::startedMs; empty when the answer does not tell it.
     void recordTargetState(std::optional<std::int64_t> startedMs, bool leaving);
+    /// Records that the target wants no requests for a time, of which QuietTargets::longestTime is
+    /// believed. A time that is already running is not shortened.
+    void recordQuiet(Duration time, TimePoint now);
+    bool isQuiet(TimePoint now) const { return now < this->quietUntil; }
+    bool isLeaving() const { return this->leaving; }
     /// Whether the target takes no requests at this time: nothing is granted.
-    bool isClosed() const { return this->leaving; }
+    bool isClosed(TimePoint now) const { return this->leaving || this->isQuiet(now); }
     /// Removes all waiting requests and returns them.
     std::vector<ReservationProfile> removeWaiting();
     /// Removes a request that was sent to another target, was given up or has ended.
@@ -582,6 +587,7 @@
     int slots = 1;
     std::int64_t targetStartedMs = 0;
     bool leaving = false; ///< Stated by this incarnation of the target.
+    TimePoint quietUntil; ///< Stated by this incarnation of the target.
     std::map<ReservationId, Waiting> waiting;
     std::map<ReservationId, Granted> granted;
     double prefillTokensPerMs = 60; ///< Initial value: half of the rate that the users published.
--- a/src/include/wigeonsill/http.h
+++ b/src/include/wigeonsill/http.h
@@ -23,6 +23,10 @@
 /// Names are compared case-insensitively. Thread-safe.
 std::string_view fieldValue(const HttpFields &fields, std::string_view name);
 
+/// Reads the value of a Retry-After field that states a number of seconds, whole or with a
+/// fraction, rounded up; at most a day. Empty for everything else, dates included. Thread-safe.
+std::optional<Duration> parseRetryAfter(std::string_view text);
+
 /// Compares two field names case-insensitively. Thread-safe.
 bool equalsIgnoringCase(std::string_view left, std::string_view right);
 /// Whether a field must not be forwarded: a hop-by-hop field, or one of the scheduler's own fields
--- a/src/include/wigeonsill/outcomes.h
+++ b/src/include/wigeonsill/outcomes.h
@@ -79,4 +79,10 @@
 /// Uniformly distributed in [0, 1).
 Duration callerReturnDelay(Duration timeLeft, Duration untilRoom, double uniformRandom);
 
+/// How long a caller should wait before it comes back when all targets want no requests for a time:
+/// until the first of them does, and a little longer at scattered moments, so that it does not meet
+/// all callers at once. \param untilWanted Until the first target wants requests. \param
+/// uniformRandom Uniformly distributed in [0, 1).
+Duration quietReturnDelay(Duration untilWanted, double uniformRandom);
+
 } // namespace wigeonsill
--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -33,6 +33,7 @@
     {
         AnswerFacts facts;
         facts.notRun = !fieldValue(head.fields, "Test-Not-Run").empty();
+        facts.quietFor = parseRetryAfter(fieldValue(head.fields, "Test-Quiet-S"));
         facts.targetLeaving = !fieldValue(head.fields, "Test-Leaving").empty();
         return facts;
     }
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -35,6 +35,10 @@
     /// Applies what an answer states about the target that gave it. Must be called with each answer
     /// to a request. \param target As it was when the request was sent to it.
     void recordTargetFacts(const Target &target, const AnswerFacts &facts);
+    /// Whether a request may be sent to a target that has room for it.
+    bool isOpen(const Target &target, TimePoint now) const;
+    /// Whether one more request may be reserved or sent at a target.
+    bool admitsRequest(const Target &target, TimePoint now);
     /// Counts and logs that a target leaves. \param source Who stated it: "answer" or "store".
     void recordLeaving(const Target &target, std::string_view source);
     /// Closes the idle connections of a target that takes no more requests.
@@ -55,6 +59,7 @@
     QuotaLimiter quotas;
     ServedShareTracker served;
     TargetDirectory targets;
+    QuietTargets quiet;
     /// Incremented when a target is added or starts or stops being usable.
     std::uint64_t targetsVersion = 0;
     std::function<void()> refreshTargets; ///< Re-reads the list of targets.
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -98,6 +98,32 @@
         this->pool.closeIdle(target.id);
         this->recordLeaving(target, "answer");
     }
+    if (facts.quietUnreadable) {
+        this->metrics.count("wigeonsill_target_quiet_times_unreadable_total");
+    }
+    if (!facts.quietFor) {
+        return;
+    }
+    const TimePoint now = currentTime();
+    this->metrics.count("wigeonsill_target_quiet_times_total");
+    if (this->quiet.recordQuiet(target, *facts.quietFor, this->requestsAt(target.id), now)) {
+        this->log.stateChange(DecisionLine("entry", "target-quiet")
+                                  .text("target", target.id)
+                                  .text("service", target.service)
+                                  .ms("quiet_ms", this->quiet.remaining(target, now))
+                                  .ms("stated_ms", *facts.quietFor));
+    }
+}
+
+bool EntryState::isOpen(const Target &target, TimePoint now) const
+{
+    return this->targets.isUsable(target.id) && !this->quiet.isQuiet(target, now);
+}
+
+bool EntryState::admitsRequest(const Target &target, TimePoint now)
+{
+    return this->targets.isUsable(target.id)
+        && this->quiet.admits(target, this->requestsAt(target.id), now);
 }
 
 void EntryState::recordLeaving(const Target &target, std::string_view source)
@@ -231,6 +257,7 @@
 {
     std::erase_if(this->state.health,
         [this](const auto &record) { return this->state.targets.find(record.first) == nullptr; });
+    this->state.quiet.forgetUnlisted(this->state.targets, currentTime());
     std::erase_if(this->state.ownRequests, [this](const auto &record) {
         return record.second == 0 && this->state.targets.find(record.first) == nullptr;
     });
@@ -387,6 +414,8 @@
             { "leaving", target.leaving }, { "usable", state.targets.isUsable(id) },
             { "agentSilent", agent.unresponsive },
             { "ownRequests", own == state.ownRequests.end() ? 0 : own->second } };
+        const Duration quiet = state.quiet.remaining(target, currentTime());
+        record["quietMs"] = std::chrono::duration_cast<milliseconds>(quiet).count();
         if (agent.load) {
             record["prefillPerMs"] = agent.load->prefillTokensPerMs;
             record["startDelayMs"] = static_cast<double>(agent.load->startDelay.count()) / 1'000;
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -100,7 +100,7 @@
     profile.reservationId.entry = message.sender;
     switch (message.kind) {
     case GrantKind::Reserve: {
-        if (this->admission.isClosed()) {
+        if (this->admission.isClosed(now)) {
             // Also when it was granted: the entry still waits, so it has not used the grant.
             this->admission.release(profile.reservationId, 0, now);
             this->decline({ profile });
@@ -197,17 +197,30 @@
 
 void GrantAgent::Private::recordTargetState(const ReportAnswer &answer)
 {
-    const bool wasClosed = this->admission.isClosed();
+    const TimePoint now = currentTime();
+    const bool wasLeaving = this->admission.isLeaving();
+    const bool wasQuiet = this->admission.isQuiet(now);
     const auto startedMs = answer.report ? std::optional(answer.report->startedMs) : std::nullopt;
     this->admission.recordTargetState(startedMs, answer.targetLeaving);
-    if (wasClosed || !this->admission.isClosed()) {
-        return;
+    if (answer.quietFor) {
+        this->metrics.count("wigeonsill_target_quiet_times_total");
+        this->admission.recordQuiet(*answer.quietFor, now);
+    }
+    const std::vector<ReservationProfile> declined = this->admission.isClosed(now)
+        ? this->admission.removeWaiting()
+        : std::vector<ReservationProfile>();
+    const auto declinedCount = static_cast<double>(declined.size());
+    if (this->admission.isLeaving() && !wasLeaving) {
+        this->metrics.count("wigeonsill_targets_leaving_total", "by=\"answer\"");
+        this->log.stateChange(DecisionLine("agent", "target-leaving")
+                                  .text("by", "answer")
+                                  .number("declined", declinedCount));
+    }
+    if (this->admission.isQuiet(now) && !wasQuiet) {
+        this->log.stateChange(DecisionLine("agent", "target-quiet")
+                                  .ms("stated_ms", *answer.quietFor)
+                                  .number("declined", declinedCount));
     }
-    const auto declined = this->admission.removeWaiting();
-    this->metrics.count("wigeonsill_targets_leaving_total", "by=\"answer\"");
-    this->log.stateChange(DecisionLine("agent", "target-leaving")
-                              .text("by", "answer")
-                              .number("declined", static_cast<double>(declined.size())));
     this->decline(declined);
 }
 
@@ -239,7 +252,9 @@
             return;
         }
         this->admission.expire(currentTime());
-        this->requestReport();
+        if (!this->admission.isQuiet(currentTime())) {
+            this->requestReport();
+        }
         this->scheduleReport();
     });
 }
@@ -314,7 +329,7 @@
         { "decodePerMs", load.decodeTokensPerMs },
         { "entries", this->d->usage.entryCount() },
         { "targetReachable", this->d->targetReachable },
-        { "targetLeaving", this->d->admission.isClosed() },
+        { "targetLeaving", this->d->admission.isLeaving() },
     };
 }
 
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -184,6 +184,11 @@
 {
     this->state.retryBudget.recordRequest(this->service->name, this->arrived);
     this->maximumWait = this->waitEnd(Duration::zero());
+    this->place();
+}
+
+void RequestFlow::place()
+{
     if (this->service->isEngine) {
         this->placeByReservation();
     } else {
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -48,11 +48,19 @@
     bool checkQuota();
 
     void placeRequest();
+    /// Chooses a target, reserves at targets or waits for one that takes requests.
+    void place();
     void placeByReservation();
     void placeWithoutReservation();
     /// Ranks the targets and reserves at the first. Returns false when no target is known.
     bool beginReservations();
     void reserveAtNext(std::size_t count);
+    /// Withdraws the reservations at targets that take no requests any more.
+    void withdrawFromClosedTargets();
+    /// Whether a target that takes no request at this moment is worth waiting for.
+    bool isWaitUseful() const;
+    /// Waits for a target that takes requests, or refuses the request.
+    void waitOrRefuse();
     /// Resends unanswered reservations and adds one.
     void maintainReservations();
     void onTimer();
@@ -104,6 +112,9 @@
     Duration timeLeft() const;
     /// For the caller. \param untilRoom Expected time until a like request would fit, if known.
     Duration retryDelay(Duration untilRoom = {}) const;
+    /// As retryDelay(); where all targets of the service want no requests, until the first one
+    /// does.
+    Duration delayUntilTarget() const;
 
     std::shared_ptr<EntryState> stateOwner;
 
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -77,7 +77,8 @@
     const TimePoint now = currentTime();
     std::vector<TargetView> result;
     for (const Target *candidate : this->state.targets.usable(this->service->name)) {
-        if (this->excludedTargets.contains(candidate->id)) {
+        if (this->excludedTargets.contains(candidate->id)
+            || !this->state.admitsRequest(*candidate, now)) {
             continue;
         }
         TargetView view;
@@ -101,8 +102,7 @@
     const auto order = rankTargets(
         knownTargets, this->request, this->state.settings.location, this->state.random());
     if (order.empty()) {
-        this->refuse(
-            ResultCode::NoTargetAvailable, "no target of the service is known", this->retryDelay());
+        this->waitOrRefuse();
         return;
     }
     this->sendTo(*order.front()->target);
@@ -111,8 +111,7 @@
 void RequestFlow::placeByReservation()
 {
     if (!this->beginReservations()) {
-        this->refuse(
-            ResultCode::NoTargetAvailable, "no target of the service is known", this->retryDelay());
+        this->waitOrRefuse();
         return;
     }
     this->phase = Phase::Reserving;
@@ -125,6 +124,41 @@
     }
 }
 
+bool RequestFlow::isWaitUseful() const
+{
+    const TimePoint now = currentTime();
+    const auto targets = this->state.targets.usable(this->service->name);
+    return std::any_of(targets.begin(), targets.end(), [this, now](const Target *candidate) {
+        // A target that does not want requests is only worth waiting for where the caller has part
+        // of the answer; otherwise it is told at once when to come back.
+        return !this->excludedTargets.contains(candidate->id)
+            && (this->headSentToCaller || !this->state.quiet.isQuiet(*candidate, now));
+    });
+}
+
+void RequestFlow::waitOrRefuse()
+{
+    if (this->isWaitUseful()) {
+        this->rankedTargetsVersion = this->state.targetsVersion;
+        this->phase = Phase::Reserving;
+        this->startTimer(waitCheckInterval);
+        return;
+    }
+    const auto quiet = this->state.quiet.untilAnyWantsRequests(
+        this->state.targets.usable(this->service->name), currentTime());
+    this->refuse(quiet ? ResultCode::Overloaded : ResultCode::NoTargetAvailable,
+        quiet ? "all targets of the service want no requests for a time"
+              : "no target of the service is known",
+        this->delayUntilTarget());
+}
+
+Duration RequestFlow::delayUntilTarget() const
+{
+    const auto quiet = this->state.quiet.untilAnyWantsRequests(
+        this->state.targets.usable(this->service->name), currentTime());
+    return quiet ? quietReturnDelay(*quiet, this->state.uniformRandom()) : this->retryDelay();
+}
+
 bool RequestFlow::beginReservations()
 {
     const std::vector<TargetView> knownTargets = this->targetViews();
@@ -148,7 +182,7 @@
     while (count > 0 && this->reservations.size() < maximumReservations
         && this->nextRankedTarget < this->rankedTargets.size()) {
         const Target &candidate = this->rankedTargets[this->nextRankedTarget++];
-        if (!this->state.targets.isUsable(candidate.id)) {
+        if (!this->state.admitsRequest(candidate, currentTime())) {
             continue;
         }
         --count;
@@ -185,17 +219,37 @@
     if (this->rankedTargetsVersion != this->state.targetsVersion) {
         // The targets changed. Reservations at removed targets would never be answered.
         this->withdrawReservations();
-        this->placeByReservation();
+        this->place();
         return;
     }
     this->maintainReservations();
-    if (this->phase == Phase::Reserving) {
-        this->startTimer(waitCheckInterval);
+    if (this->phase != Phase::Reserving) {
+        return;
     }
+    if (this->reservations.empty()) {
+        this->withdrawReservations();
+        this->place();
+        return;
+    }
+    this->startTimer(waitCheckInterval);
+}
+
+void RequestFlow::withdrawFromClosedTargets()
+{
+    const TimePoint now = currentTime();
+    std::erase_if(this->reservations, [this, now](const Reservation &reservation) {
+        if (this->state.isOpen(reservation.target, now)) {
+            return false;
+        }
+        --this->state.requestsAt(reservation.target.id);
+        this->state.grantClient.release(reservation.target, this->reservationId);
+        return true;
+    });
 }
 
 void RequestFlow::maintainReservations()
 {
+    this->withdrawFromClosedTargets();
     const TimePoint now = currentTime();
     bool anyAgentAnswered = false;
     for (Reservation &reservation : this->reservations) {
@@ -308,7 +362,7 @@
         const bool unresponsive
             = this->state.grantClient.view(reservation.target, now).unresponsive;
         // The count includes the current request.
-        if (unresponsive && this->state.targets.isUsable(reservation.target.id)
+        if (unresponsive && this->state.isOpen(reservation.target, now)
             && this->state.requestsAt(reservation.target.id) <= maximumPastUnresponsiveAgent) {
             const Target chosen = reservation.target;
             this->state.metrics.count("wigeonsill_sent_without_agent_total");
@@ -357,7 +411,7 @@
     if (reservation == this->reservations.end()) {
         return false;
     }
-    if (!this->state.targets.isUsable(targetId)) {
+    if (!this->state.isOpen(reservation->target, currentTime())) {
         reservation->state = ReservationState::Declined;
         this->reserveAtNext(1);
         return false;
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -32,11 +32,14 @@
             = "the target refused the request with status " + std::to_string(received.status);
         this->state.metrics.count("wigeonsill_target_refusals_total");
         if (!this->retryAtOtherTarget(cause)) {
-            this->refuse(ResultCode::Overloaded, cause, this->retryDelay());
+            this->refuse(ResultCode::Overloaded, cause, this->delayUntilTarget());
         }
         return;
     }
     this->anyTargetMayHaveRun = true;
+    if (received.status < 500) {
+        this->state.quiet.recordSuccess(*this->target, this->arrived + *this->timeToSend);
+    }
     if (received.status >= 500) {
         this->state.recordFailure(this->target->id);
         this->excludedTargets.insert(this->target->id);
@@ -214,7 +217,7 @@
     AnswerContinuation::Options options = this->continuationOptions();
     options.repeatable = options.repeatable || !this->currentTargetMayHaveRun;
     if (this->continuation.nextStep(options, currentTime()) == ContinuationStep::EndAnswer
-        || this->targetViews().empty()) {
+        || (this->targetViews().empty() && !this->isWaitUseful())) {
         return false;
     }
     const bool wasSearching = this->isSearching(); // Then the retry is already acquired.
@@ -234,10 +237,10 @@
             this->phase = Phase::Reserving;
             this->onReservingTimer();
         } else {
-            this->placeByReservation();
+            this->place();
         }
     } else {
-        this->placeWithoutReservation();
+        this->place();
     }
     return true;
 }
--- a/src/libforward/targetstate_test.cpp
+++ b/src/libforward/targetstate_test.cpp
@@ -118,6 +118,98 @@
     EXPECT_EQ(error, asio::error::eof);
 }
 
+/// A target wants no requests while one is reserved there and its agent grants room.
+TEST_F(StatedState, grantOfTargetThatWantsNoRequestsIsNotUsedAndItsReservationGivenBack)
+{
+    asio::ip::tcp::socket second(this->io);
+    this->sendRequest(second);
+    const auto reserved = this->queueAll(milliseconds(100));
+    ASSERT_EQ(reserved.size(), 3U);
+    this->write("HTTP/1.1 503 X\r\nTest-Quiet-S: 0.6\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(this->received().starts_with("HTTP/1.1 503"))
+        << "it may have run: passed on as it is";
+    EXPECT_TRUE(this->firstAgent->receive(GrantKind::Release));
+    this->firstAgent->reply(GrantKind::Granted, reserved.at(this->firstAgent));
+    this->runFor(milliseconds(50));
+    EXPECT_FALSE(this->wasConnected(*this->firstAgent)) << "a request was sent to it";
+    const auto [agent, message] = *std::find_if(reserved.begin(), reserved.end(),
+        [this](const auto &element) { return element.first != this->firstAgent; });
+    agent->reply(GrantKind::Granted, message);
+    this->runFor(milliseconds(50));
+    EXPECT_TRUE(this->wasConnected(*agent)) << "the others take its load";
+}
+
+/// When the time is over, the requests that waited do not all reach the target at once.
+TEST_F(StatedState, targetIsProbedWhenItsTimeIsOver)
+{
+    this->write("HTTP/1.1 503 X\r\nTest-Quiet-S: 0.3\r\nContent-Length: 0\r\n\r\n");
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> callers;
+    const auto send = [this, &callers] {
+        callers.push_back(std::make_unique<asio::ip::tcp::socket>(this->io));
+        this->sendRequest(*callers.back());
+    };
+    const auto reservationsAtFirst = [this] {
+        int count = 0;
+        this->runFor(milliseconds(30));
+        for (const auto &agent : this->agents) {
+            while (const auto message = agent->receive(GrantKind::Reserve)) {
+                count += agent.get() == this->firstAgent ? 1 : 0;
+                agent->reply(GrantKind::Queued, *message);
+            }
+        }
+        return count;
+    };
+    for (int i = 0; i < 4; ++i) {
+        send();
+        EXPECT_EQ(reservationsAtFirst(), 0);
+    }
+    this->runFor(milliseconds(400));
+    int probes = 0;
+    for (int i = 0; i < 6; ++i) {
+        send();
+        probes += reservationsAtFirst();
+        probes += reservationsAtFirst();
+    }
+    EXPECT_EQ(probes, 1);
+}
+
+TEST_F(StatedState, callersAreToldWhenToReturnWhenNoTargetWantsRequests)
+{
+    const std::string answer = "HTTP/1.1 503 X\r\nTest-Quiet-S: 3\r\nTest-Not-Run: 1\r\n"
+                               "Content-Length: 0\r\n\r\n";
+    this->write(answer);
+    for (int i = 0; i < 2; ++i) {
+        bool sent = false;
+        for (int attempt = 0; attempt < 100 && !sent; ++attempt) {
+            for (const auto &agent : this->agents) {
+                while (const auto message = agent->receive(GrantKind::Reserve)) {
+                    agent->reply(GrantKind::Granted, *message);
+                }
+            }
+            this->runFor(milliseconds(5));
+            for (std::size_t j = 0; j < this->agents.size() && !sent; ++j) {
+                sent = this->wasConnected(*this->agents[j]);
+            }
+        }
+        ASSERT_TRUE(sent) << i;
+        this->connection = std::move(this->connections.back());
+        this->write(answer);
+    }
+    EXPECT_TRUE(this->received().starts_with("HTTP/1.1 503"));
+    asio::ip::tcp::socket second(this->io);
+    this->sendRequest(second);
+    this->runFor(milliseconds(100));
+    this->caller = std::move(second);
+    this->receivedBytes.clear();
+    const std::string reply = this->received();
+    ASSERT_TRUE(reply.starts_with("HTTP/1.1 503")) << "refused at once: " << reply;
+    const std::size_t field = reply.find("Retry-After: ");
+    ASSERT_NE(field, std::string::npos);
+    const double seconds = std::stod(reply.substr(field + 13));
+    EXPECT_GE(seconds, 2.5);
+    EXPECT_LE(seconds, 3 * 1.25);
+}
+
 /// A list that is read later still says that the target is ready.
 TEST_F(StatedState, listThatSaysReadyDoesNotBringTargetBack)
 {
--- a/src/libgateway/targetadmission.cpp
+++ b/src/libgateway/targetadmission.cpp
@@ -63,10 +63,16 @@
     if (startedMs && *startedMs != this->targetStartedMs) {
         this->targetStartedMs = *startedMs;
         this->leaving = false;
+        this->quietUntil = {};
     }
     this->leaving = this->leaving || isLeaving;
 }
 
+void TargetAdmission::recordQuiet(Duration time, TimePoint now)
+{
+    this->quietUntil = std::max(this->quietUntil, now + std::min(time, QuietTargets::longestTime));
+}
+
 std::vector<ReservationProfile> TargetAdmission::removeWaiting()
 {
     std::vector<ReservationProfile> result;
@@ -150,7 +156,7 @@
 std::vector<ReservationProfile> TargetAdmission::grant(TimePoint now)
 {
     std::vector<ReservationProfile> result;
-    if (this->isClosed()) {
+    if (this->isClosed(now)) {
         return result;
     }
     while (
--- a/src/libgateway/targetadmission_test.cpp
+++ b/src/libgateway/targetadmission_test.cpp
@@ -152,7 +152,7 @@
     ASSERT_EQ(admission.grant(now).size(), 1U);
     admission.reserve(makeProfile(2, 10, 1), 1, now);
     admission.recordTargetState(std::nullopt, true);
-    EXPECT_TRUE(admission.isClosed());
+    EXPECT_TRUE(admission.isClosed(now));
     admission.release({ 1, 1 }, 0, now);
     EXPECT_TRUE(admission.grant(now).empty()) << "its slot is free, but it is leaving";
     const auto removed = admission.removeWaiting();
@@ -161,12 +161,34 @@
     EXPECT_EQ(admission.waitingCount(), 0U);
 
     admission.recordTargetState(1'000, false);
-    EXPECT_TRUE(admission.isClosed()) << "an incarnation that left does not come back";
+    EXPECT_TRUE(admission.isClosed(now)) << "an incarnation that left does not come back";
     admission.recordTargetState(9'000, false);
     admission.reserve(makeProfile(3, 10, 1), 1, now);
     EXPECT_EQ(admission.grant(now).size(), 1U) << "a successor is used at once";
 }
 
+TEST(TargetAdmission, grantsNothingWhileTheTargetWantsNoRequests)
+{
+    TargetAdmission admission({});
+    TimePoint now{ seconds(1) };
+    admission.reserve(makeProfile(1, 10, 1), 1, now);
+    admission.recordQuiet(milliseconds(500), now);
+    admission.recordQuiet(milliseconds(100), now);
+    EXPECT_TRUE(admission.grant(now).empty());
+    EXPECT_EQ(admission.removeWaiting().size(), 1U);
+    now += milliseconds(499);
+    EXPECT_TRUE(admission.isClosed(now));
+    now += milliseconds(1);
+    EXPECT_FALSE(admission.isClosed(now));
+    admission.reserve(makeProfile(2, 10, 1), 1, now);
+    EXPECT_EQ(admission.grant(now).size(), 1U);
+    admission.release({ 1, 2 }, 0, now);
+    admission.recordQuiet(std::chrono::hours(24), now);
+    EXPECT_FALSE(admission.isClosed(now + QuietTargets::longestTime));
+    admission.recordTargetState(5'000, false);
+    EXPECT_FALSE(admission.isClosed(now)) << "a successor did not ask for it";
+}
+
 RC_GTEST_PROP(TargetAdmission, neverExceedsSlotsOrGrantsTwice, ())
 {
     TargetAdmission admission({});
--- a/src/liboutcomes/callerreturn.cpp
+++ b/src/liboutcomes/callerreturn.cpp
@@ -16,6 +16,9 @@
 constexpr Duration shortestWait = milliseconds(100);
 /// Longer than a burst, so that nothing is gained by a longer wait.
 constexpr Duration longestWait = seconds(5);
+/// Range over which returns after a quiet time are scattered, as a share of it and at least.
+constexpr double quietScatterShare = 0.25;
+constexpr Duration minimumQuietScatter = milliseconds(250);
 
 } // namespace
 
@@ -26,4 +29,11 @@
     return std::clamp<Duration>(std::max(wait, untilRoom), shortestWait, longestWait);
 }
 
+Duration quietReturnDelay(Duration untilWanted, double uniformRandom)
+{
+    const auto share = std::chrono::duration_cast<Duration>(untilWanted * quietScatterShare);
+    const Duration scatter = std::max<Duration>(share, minimumQuietScatter);
+    return untilWanted + std::chrono::duration_cast<Duration>(scatter * uniformRandom);
+}
+
 } // namespace wigeonsill
--- a/src/liboutcomes/callerreturn_test.cpp
+++ b/src/liboutcomes/callerreturn_test.cpp
@@ -31,5 +31,16 @@
     EXPECT_GE(last - first, seconds(1));
 }
 
+/// All targets of a service want no requests for a time.
+TEST(CallerReturn, afterQuietTimeIsNotBeforeItsEndAndScattered)
+{
+    for (const Duration quiet :
+        { Duration(1), Duration(milliseconds(300)), Duration(seconds(60)) }) {
+        EXPECT_EQ(quietReturnDelay(quiet, 0), quiet);
+        EXPECT_GE(quietReturnDelay(quiet, 0.999) - quiet, milliseconds(240));
+        EXPECT_LE(quietReturnDelay(quiet, 0.999), quiet * 5 / 4 + milliseconds(250));
+    }
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/testsuite/engine-signals/run.py
+++ b/testsuite/engine-signals/run.py
@@ -1,4 +1,4 @@
-"""What engines say of themselves in their answers: that they leave."""
+"""What engines say of themselves in their answers: that they leave, and that they want no requests for a time."""
 
 import json
 import pathlib
@@ -144,9 +144,88 @@
     deployment.store.put("servers/" + engine.instance, engine.instance_record("engines"))
 
 
+def quiet_service(deployment):
+    """A plain service turns requests away and wants none for a time; the other one takes its load."""
+    # The one that left before is gone; its successor is as good as new.
+    leaver, engine = deployment.plain_services
+    deployment.store.remove("servers/" + leaver.instance)
+    leaver.instance, leaver.leaving = "p-successor", False
+    deployment.store.put("servers/" + leaver.instance, leaver.instance_record("plain"))
+    wait_until(lambda: leaver.instance in str(deployment.entry.state()), "the successor is listed")
+    quiet_s = 2.0
+    load = Load(deployment.entry, 8, "/look/plain")
+    wait_until(lambda: len(engine.arrivals) > 20, "it serves requests")
+    engine.quiet_s = quiet_s
+    wait_until(lambda: entry_events(deployment, "target-quiet"), "the entry notices", timeout_s=5)
+    noticed_at = time.monotonic()
+    served_before = load.served()
+    time.sleep(quiet_s - 0.2)
+    within = [at - noticed_at for at in engine.arrivals if noticed_at + 0.5 < at < noticed_at + quiet_s - 0.1]
+    check(len(within) <= 2, "at most two requests reach it from half a second on: %s" % within)
+    check(
+        sent_after(deployment, "target-quiet", engine.instance) == 0,
+        "the entry sends it nothing until its time is over")
+    check(load.served() > served_before + 50, "the other one serves its load")
+    time.sleep(0.4)
+    probes = [at - noticed_at for at in engine.arrivals if at > noticed_at + quiet_s - 0.1]
+    check(len(probes) <= 1, "one request asks again, and it is turned away: %s" % probes)
+    engine.quiet_s = None
+    runs = len(engine.runs)
+    wait_until(lambda: len(engine.runs) > runs + 20, "it serves requests again", timeout_s=quiet_s + 3)
+    load.stop()
+    check(load.failed() == [], "no request fails: %s" % load.failed())
+
+
+def all_quiet(deployment):
+    """Both plain services want no requests for a time: callers are told at once when to come back."""
+    for engine, quiet_s in zip(deployment.plain_services, (3.0, 1.5)):
+        engine.quiet_s = quiet_s
+    client = Client(deployment.entry)
+    wait_until(lambda: client.exchange("/look/plain").status == 503, "both turn requests away")
+    arrivals = [len(engine.arrivals) for engine in deployment.plain_services]
+    told = []
+    for _ in range(20):
+        start = time.monotonic()
+        reply = client.exchange("/look/plain")
+        check(reply.status == 503 and time.monotonic() - start < 0.3, "callers are refused at once")
+        told.append(float(reply.headers["Retry-After"]))
+    check(1.0 <= min(told) and max(told) <= 1.5 * 1.25, "they are told the shorter time: %s" % told)
+    check(len(set(told)) > 10, "they return at scattered moments: %s" % told)
+    check(
+        arrivals == [len(engine.arrivals) for engine in deployment.plain_services],
+        "the services get no requests meanwhile")
+    for engine in deployment.plain_services:
+        engine.quiet_s = None
+    wait_until(lambda: client.exchange("/look/plain").status == 200, "requests are served again", timeout_s=4)
+
+
+def quiet_engine(deployment):
+    """The agent sees that its engine wants no requests: it grants nothing and asks for no report."""
+    engine, agent = deployment.engines[2], deployment.agents[2]
+    # A route with two attempts, so that the requests that the engine turns away run elsewhere.
+    load = Load(deployment.entry, 4, "/ask/x")
+    wait_until(lambda: len(engine.runs) >= 5, "the engine serves requests")
+    engine.quiet_s, engine.quiet_reports = 1.5, True
+    wait_until(
+        lambda: any('"target-quiet"' in line for line in agent.lines)
+        or any(line["target"] == engine.instance for line in entry_events(deployment, "target-quiet")),
+        "the agent or the entry notices", timeout_s=5)
+    noticed_at = time.monotonic()
+    time.sleep(1.2)
+    late = [at - noticed_at for at in engine.arrivals if at > noticed_at + 0.5]
+    check(len(late) <= 2, "at most two requests reach it from half a second on: %s" % late)
+    engine.quiet_s, engine.quiet_reports, runs = None, False, len(engine.runs)
+    wait_until(lambda: len(engine.runs) > runs, "it serves requests again", timeout_s=6)
+    load.stop()
+    check(load.failed() == [], "no request fails: %s" % load.failed())
+
+
 with tempfile.TemporaryDirectory() as folder_name:
     with Deployment(pathlib.Path(folder_name)) as deployment:
-        for case in (plain_service_leaves, engine_leaves, successor_is_used, store_says_leaving):
+        for case in (
+            plain_service_leaves, engine_leaves, successor_is_used, store_says_leaving, quiet_service, all_quiet,
+            quiet_engine,
+        ):
             print(case.__name__, flush=True)
             case(deployment)
 print("1 passed, 0 failed")
--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -192,6 +192,8 @@
         self.runs = []
         self.disconnected = []
         self.born = 0  # Unix time of its start in milliseconds.
+        self.quiet_s = None  # Turns requests away and says for how long it wants none.
+        self.quiet_reports = False  # Turns requests for its report away likewise.
         self.leaving = False  # Says in all answers that it leaves, and still runs requests.
         self.request_connections = set()  # All but those on which only reports were asked for.
         self.arrivals = []  # Times at which requests to it arrived, also refused ones.
@@ -213,6 +215,9 @@
             if request is None:
                 return
             method, target, headers, body, data = request
+            if target == "/report" and self.quiet_reports:
+                connection.sendall(format_answer(503, self.quiet_headers(), b""))
+                continue
             if target == "/report":
                 report = {"running": self.running, "waiting": 0, "born": self.born}
                 connection.sendall(format_answer(200, self.own_state_headers(), json.dumps(report).encode()))
@@ -224,6 +229,9 @@
         """Returns the fields with which all its answers tell its own state."""
         return [("Server-Leaving", "1")] if self.leaving else []
 
+    def quiet_headers(self):
+        return [("Not-Executed", "1"), ("Retry-After", str(self.quiet_s))]
+
     def handle_request(self, connection, method, target, headers, body):
         """Answers one request and returns whether the connection stays open."""
         behaviour = target.split("?")[0].rstrip("/").split("/")[-1]
@@ -235,6 +243,9 @@
         with self.lock:
             self.request_connections.add(connection)
             self.arrivals.append(time.monotonic())
+        if self.quiet_s is not None:
+            connection.sendall(format_answer(503, id_headers + self.quiet_headers(), b""))
+            return True
         if behaviour == "refuse" or behaviour == "refuse-" + self.instance:
             connection.sendall(format_answer(503, id_headers + [("Not-Executed", "1")], b""))
             return True
