--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -33,11 +33,14 @@
             = "the target refused the request with status " + std::to_string(received.status);
         this->state.metrics.count("wigeonsill_target_refusals_total");
         if (!this->retryAtOtherTarget(cause)) {
-            this->refuse(ResultCode::Overloaded, cause, this->retryDelay());
+            this->refuse(ResultCode::Overloaded, cause, this->delayUntilTarget());
         }
         return;
     }
     this->anyTargetMayHaveRun = true;
+    if (received.status < 500) {
+        this->state.quiet.recordSuccess(this->attempt->target, this->arrived + *this->timeToSend);
+    }
     if (received.status >= 500) {
         this->state.recordFailure(this->attempt->target.id);
         this->excludedTargets.insert(this->attempt->target.id);
@@ -250,7 +253,7 @@
     AnswerContinuation::Options options = this->continuationOptions();
     options.repeatable = options.repeatable || !this->attempt->mayHaveRun;
     if (this->continuation.nextStep(options, currentTime()) == ContinuationStep::EndAnswer
-        || this->targetViews().empty()) {
+        || (this->targetViews().empty() && !this->isWaitUseful())) {
         return false;
     }
     const bool wasSearching = this->isSearching(); // Then the retry is already acquired.
@@ -270,10 +273,10 @@
             this->phase = Phase::Reserving;
             this->onReservingTimer();
         } else {
-            this->placeByReservation();
+            this->place();
         }
     } else {
-        this->placeWithoutReservation();
+        this->place();
     }
     return true;
 }
