Callers that leave, streams begun anew and more garbage in the generated answers

The generator gains callers that close their connection, targets that begin a resumed stream with its first event, a malformed status line and garbage without a line end. Twelve draws instead of ten.

--- a/src/libforward/answerbytes_test.cpp
+++ b/src/libforward/answerbytes_test.cpp
@@ -16,7 +16,7 @@
 using tcp = asio::ip::tcp;
 
 /// Keeps a value of RC_PARAMS from the environment. A draw is a batch of worlds.
-const int defaultParametersResult = setenv("RC_PARAMS", "seed=20261203 max_success=10", 0);
+const int defaultParametersResult = setenv("RC_PARAMS", "seed=20261203 max_success=12", 0);
 constexpr int largestBatch = 50;
 
 // ---------------------------------------------------------------------------------------------
@@ -72,6 +72,7 @@
     std::vector<Message> before;
     Message own;
     std::vector<Message> after;
+    bool startsAnew = false; ///< A resumed stream begins with the first event.
     int bodySize = 20;
     std::vector<Pause> pauses;
     EndKind end = EndKind::Keep;
@@ -88,6 +89,7 @@
     bool atEngines = false;
     bool isHead = false;
     int gapMs = 0; ///< From the end of the previous answer.
+    int leavesAfterMs = 0; ///< The caller closes its connection then; 0 for never.
     int eventCount = 3; ///< Of the whole stream.
     std::vector<Script> scripts; ///< By attempt; the last one repeats.
 };
@@ -144,7 +146,7 @@
     for (const Message &message : script.before) {
         out << " " << message;
     }
-    out << " " << script.own;
+    out << (script.startsAnew ? " anew " : " ") << script.own;
     for (const Message &message : script.after) {
         out << " " << message;
     }
@@ -157,8 +159,8 @@
 std::ostream &operator<<(std::ostream &out, const RequestPlan &plan)
 {
     out << "\n    " << (plan.isHead ? "HEAD " : "GET ") << nameOf(routeNames, plan.route)
-        << (plan.atEngines ? " engines" : " plain") << " gap " << plan.gapMs << " events "
-        << plan.eventCount;
+        << (plan.atEngines ? " engines" : " plain") << " gap " << plan.gapMs << " leaves "
+        << plan.leavesAfterMs << " events " << plan.eventCount;
     for (const Script &script : plan.scripts) {
         out << "\n      " << script;
     }
@@ -284,6 +286,7 @@
                     { { 3, rc::gen::just(std::vector<Message>()) },
                         { 1, shortList(2, anyMessageBefore()) } })),
             rc::gen::set(&Script::own, anyOwnAnswer()),
+            rc::gen::set(&Script::startsAnew, weighted<bool>({ { 9, false }, { 1, true } })),
             rc::gen::set(&Script::after,
                 rc::gen::weightedOneOf<std::vector<Message>>(
                     { { 2, rc::gen::just(std::vector<Message>()) },
@@ -306,6 +309,8 @@
         rc::gen::set(&RequestPlan::atEngines),
         rc::gen::set(&RequestPlan::isHead, weighted<bool>({ { 7, false }, { 1, true } })),
         rc::gen::set(&RequestPlan::gapMs, weighted<int>({ { 3, 0 }, { 1, 2 }, { 1, 15 } })),
+        rc::gen::set(&RequestPlan::leavesAfterMs,
+            weighted<int>({ { 15, 0 }, { 1, 1 }, { 1, 30 }, { 1, 120 } })),
         rc::gen::set(&RequestPlan::eventCount, rc::gen::inRange(1, 6)),
         rc::gen::set(
             &RequestPlan::scripts, rc::gen::container<std::vector<Script>>(3, anyScript())));
@@ -535,7 +540,7 @@
     constexpr std::array<int, 3> statuses = { 200, 503, 500 };
     parts.status = statuses[static_cast<std::size_t>(script.outcome)];
     parts.body = isStream(plan) && parts.status == 200
-        ? eventsFrom(stamp, request.lastEvent + 1, plan.eventCount)
+        ? eventsFrom(stamp, script.startsAnew ? 1 : request.lastEvent + 1, plan.eventCount)
         : markedBody(stamp, script.bodySize);
     return parts;
 }
@@ -560,7 +565,9 @@
                                              : "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
     }
     if (message.kind == MessageKind::Garbage) {
-        return std::string("\x15\x03\x01 no answer\r\n\r\n");
+        const std::array<std::string, 3> garbage = { "\x15\x03\x01 no answer\r\n\r\n",
+            "HTTP/1.1 2000 OK\r\nContent-Length: x\r\n\r\n", std::string(5'000, 'x') };
+        return garbage[static_cast<std::size_t>(message.framing)];
     }
     return serialize(message, this->partsOf(message, own)).bytes;
 }
@@ -938,6 +945,7 @@
     std::string body;
     bool complete = false; ///< In terms of HTTP.
     bool ended = false; ///< Complete, or the connection ended.
+    bool callerLeft = false;
     std::string extraBytes; ///< Received while no request was waiting.
 };
 
@@ -965,6 +973,7 @@
         , port(entryPort)
         , socket(io)
         , timer(io)
+        , leaveTimer(io)
     {
     }
     void start() { this->sendNext(); }
@@ -979,6 +988,7 @@
     void sendNext();
     void connect();
     void send();
+    void leaveAfter(Duration time);
     void read(std::uint64_t connectionNumber);
     void onBytes();
     void onEnd(const error_code &error);
@@ -990,6 +1000,7 @@
     std::uint16_t port;
     tcp::socket socket;
     asio::steady_timer timer;
+    asio::steady_timer leaveTimer;
     std::array<char, 65'536> buffer = {};
     std::string bytes;
     std::string outgoing;
@@ -1054,6 +1065,26 @@
     const auto self = this->shared_from_this();
     asio::async_write(this->socket, asio::buffer(this->outgoing),
         [self](const error_code & /*error*/, std::size_t) {}); // The read reports the failure.
+    if (request.leavesAfterMs > 0) {
+        this->leaveAfter(milliseconds(request.leavesAfterMs));
+    }
+}
+
+void CallerPlayer::leaveAfter(Duration time)
+{
+    const auto self = this->shared_from_this();
+    this->leaveTimer.expires_after(time);
+    this->leaveTimer.async_wait([self](const error_code &error) {
+        if (error || !self->reader) {
+            return;
+        }
+        ++self->connections;
+        self->connected = false;
+        error_code ignored;
+        self->socket.close(ignored);
+        self->received.back().callerLeft = true;
+        self->finishAnswer();
+    });
 }
 
 void CallerPlayer::read(std::uint64_t connectionNumber)
@@ -1126,6 +1157,7 @@
 void CallerPlayer::finishAnswer()
 {
     this->received.back().ended = true;
+    this->leaveTimer.cancel();
     this->reader.reset();
     const std::string remainder = std::exchange(this->bytes, {});
     if (this->received.back().complete) {
@@ -1300,7 +1332,8 @@
 std::string AnswerJudge::checkDelivery() const
 {
     const bool isExpected = this->attempts.size() == 1 && this->attempts.front().isDeliverable;
-    if (!isExpected || (this->answer.complete && this->answer.status == 200)) {
+    if (!isExpected || this->answer.callerLeft
+        || (this->answer.complete && this->answer.status == 200)) {
         return {};
     }
     return "a whole answer after foreign ones was not delivered";
