--- a/src/libforward/targetstate_test.cpp
+++ b/src/libforward/targetstate_test.cpp
@@ -1,5 +1,6 @@
 /// \file targetstate_test.cpp
-/// Tests of what an entry does about targets that state in their answers that they are leaving.
+/// Tests of what an entry does about targets that state in their answers that they are leaving or
+/// want no requests for a time.
 #include "entryfixture.h"
 
 namespace wigeonsill {
