--- /dev/null
+++ b/testsuite/soak/callers.py
@@ -0,0 +1,228 @@
+"""Callers that keep their connections open, retry as the platform's clients do, and record what they see."""
+
+import http.client
+import itertools
+import random
+import select
+import socket
+import threading
+import time
+
+from deployment import HOST, ROUTES
+
+DEADLINE_S = 4.0
+CONNECT_TIMEOUT_S = 1.0
+ATTEMPTS = 3
+PROMISES = (408, 421, 429, 503)  # statuses that say that the request has not run and never will
+KINDS = {"ask": 4, "draft": 3, "book": 4, "look": 3}
+PROBE_PAUSE_S = 0.15
+METERED_FACTOR = 3
+
+
+class KeptStream:
+    """The reader of a connection for http.client, which would close its own after each answer."""
+
+    def __init__(self, connection):
+        self.file = connection.makefile("rb")
+
+    def makefile(self, *_):
+        return self
+
+    def __getattr__(self, name):
+        return getattr(self.file, name)
+
+    def close(self):
+        pass
+
+
+class Attempt:
+    """One request of a caller and all that it saw of the answer."""
+
+    def __init__(self, kind, target, key, tokens):
+        self.id = None
+        self.kind, self.target, self.key, self.tokens = kind, target, key, tokens
+        self.first_event = 1
+        self.version_1_0 = False
+        self.entry = None
+        self.incarnation = None  # of the entry's process that has the connection
+        self.sent_at = self.ended_at = None
+        self.status = None
+        self.headers = {}
+        self.body = b""
+        self.complete = False
+        self.trouble = ""
+
+    def served(self):
+        return self.complete and self.status == 200
+
+
+class Caller:
+    """Sends requests one after another until the soak stops."""
+
+    ids = itertools.count(1)
+
+    def __init__(self, deployment, name, key, pause_s, attempts):
+        self.deployment, self.key, self.pause_s = deployment, key, pause_s
+        self.attempts = attempts
+        self.rng = random.Random("%s-%d" % (name, deployment.seed))
+        self.connection = None
+        self.entry = None
+        self.sent_on_connection = 0
+
+    def run(self):
+        while not self.deployment.stopping.wait(self.rng.expovariate(1 / self.pause_s)):
+            self.request()
+        self.disconnect()
+
+    def choose_request(self):
+        kind = self.rng.choices(list(KINDS), KINDS.values())[0]
+        key = self.key
+        if key == "key-stable":
+            chance = self.rng.random()
+            operator = self.deployment.operator
+            if chance < 0.3:
+                key = operator.keys[-1]
+            elif chance < 0.45 and operator.revoked:
+                key = list(operator.revoked)[-1]
+            elif chance < 0.47:
+                key = "never-issued"
+        target = "/%s/%d?n=%d" % (kind, self.rng.randrange(1000), self.rng.randint(1, 25))
+        tokens = (self.rng.randint(50, 400), self.rng.randint(10, 100))
+        if key == "key-metered":
+            tokens = tuple(METERED_FACTOR * count for count in tokens)  # so that the quota binds
+        return Attempt(kind, target, key, tokens)
+
+    def request(self):
+        deadline = time.monotonic() + DEADLINE_S
+        attempt = self.choose_request()
+        for _ in range(ATTEMPTS):
+            self.send_and_record(attempt, deadline)
+            if attempt.served() or not self.may_retry(attempt):
+                return
+            left_s = deadline - time.monotonic()
+            try:
+                pause_s = float(attempt.headers.get("Retry-After", "0.05"))
+            except ValueError:
+                pause_s = 0.05
+            if pause_s > left_s / 3 or self.deployment.stopping.wait(pause_s):
+                return
+            self.disconnect()  # each retry takes a new connection
+            previous = attempt
+            attempt = Attempt(previous.kind, previous.target, previous.key, previous.tokens)
+            if previous.kind == "ask" and previous.body:
+                # Goes on after the whole events that it has.
+                attempt.first_event = previous.first_event + previous.body.count(b"\n\n")
+                if attempt.first_event > int(previous.target.split("n=")[1]):
+                    return
+
+    def may_retry(self, attempt):
+        if attempt.status in (400, 401, 404, 413, 431):
+            return False
+        return attempt.status in PROMISES or attempt.kind in ("ask", "look")
+
+    def connect(self):
+        ready = sorted(self.deployment.rotation) or self.deployment.entries
+        self.entry = self.rng.choice(ready)
+        host, port = self.deployment.links[self.entry].address.split(":")
+        self.connection = socket.create_connection((host, int(port)), timeout=CONNECT_TIMEOUT_S)
+        self.stream = KeptStream(self.connection)
+        self.sent_on_connection = 0
+
+    def disconnect(self):
+        if self.connection is not None:
+            self.connection.close()
+            self.stream.file.close()
+            self.connection = None
+
+    def send_and_record(self, attempt, deadline):
+        attempt.id = "a-%d" % next(self.ids)
+        self.attempts.append(attempt)
+        attempt.version_1_0 = self.rng.random() < 0.04
+        try:
+            if self.connection is not None and self.unasked_bytes(attempt):
+                self.disconnect()
+            if self.connection is None:
+                self.connect()
+            attempt.entry = self.entry
+            self.exchange(attempt, deadline)
+        except (OSError, http.client.HTTPException) as error:
+            attempt.trouble = repr(error)
+            attempt.body += getattr(error, "partial", b"") or b""
+            self.disconnect()
+        finally:
+            attempt.ended_at = time.monotonic()
+
+    def unasked_bytes(self, attempt):
+        """Returns whether the idle connection has ended; bytes on it belong to no request."""
+        self.connection.settimeout(0)  # peek() then returns what is there, and nothing at the end
+        try:
+            data = self.stream.file.peek(1)
+        except OSError:
+            return True
+        if data:
+            self.deployment.broken.append((
+                "MIXED", attempt.id, "bytes on an idle connection to %s: %r" % (self.entry, data[:100])))
+        return bool(data) or bool(select.select([self.connection], [], [], 0)[0])
+
+    def exchange(self, attempt, deadline):
+        method, body = ("GET", b"") if attempt.kind in ("look", "probe") else ("POST", b"prompt of " + attempt.id.encode())
+        lines = [
+            "%s %s HTTP/1.%d" % (method, attempt.target, 0 if attempt.version_1_0 else 1), "Host: " + HOST,
+            "Attempt-Id: " + attempt.id, "Deadline-Ms: %d" % max(1, 1000 * (deadline - time.monotonic())),
+            "Content-Length: %d" % len(body)]
+        if attempt.key:
+            lines += ["Authorization: Bearer " + attempt.key, "Token-Count: %d,%d" % attempt.tokens]
+        if attempt.first_event > 1:
+            lines.append("Last-Event-Id: %d" % (attempt.first_event - 1))
+        attempt.request = (method, attempt.target, body)
+        attempt.sent_at = time.monotonic()
+        self.connection.settimeout(max(0.1, deadline - attempt.sent_at) + 0.5)
+        self.connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        self.sent_on_connection += 1
+        owners = self.deployment.links[self.entry].owners
+        response = http.client.HTTPResponse(self.stream, method=method)
+        try:
+            response.begin()
+            attempt.status, attempt.headers = response.status, dict(response.getheaders())
+            if response.length is not None:
+                attempt.body = response.read()
+            else:
+                while piece := response.read1(65536):
+                    attempt.body += piece
+            attempt.complete = True
+        finally:
+            attempt.incarnation = owners.get(self.connection.getsockname()[1])
+        if response.will_close:
+            self.disconnect()
+
+
+class Prober(Caller):
+    """Asks one entry for the routes of the newest configurations."""
+
+    def __init__(self, deployment, entry, attempts):
+        super().__init__(deployment, "prober of " + entry, None, PROBE_PAUSE_S, attempts)
+        self.probed = entry
+
+    def connect(self):
+        self.entry = self.probed
+        host, port = self.deployment.links[self.entry].address.split(":")
+        self.connection = socket.create_connection((host, int(port)), timeout=CONNECT_TIMEOUT_S)
+        self.stream = KeptStream(self.connection)
+
+    def request(self):
+        sent = sorted(self.deployment.operator.sent)[-3:]
+        attempt = Attempt("probe", "/v%d/x" % self.rng.choice(sent), None, None)
+        self.send_and_record(attempt, time.monotonic() + DEADLINE_S)
+
+
+def start_callers(deployment, counts, attempts):
+    """Starts the callers and probers and returns their threads."""
+    callers = [
+        Caller(deployment, "caller-%d" % number, "key-metered" if number % 5 == 4 else "key-stable",
+               counts["pause_s"], attempts)
+        for number in range(counts["caller"])]
+    callers += [Prober(deployment, entry, attempts) for entry in deployment.entries]
+    threads = [threading.Thread(target=caller.run, daemon=True) for caller in callers]
+    for thread in threads:
+        thread.start()
+    return threads
--- /dev/null
+++ b/testsuite/soak/deployment.py
@@ -0,0 +1,477 @@
+"""The processes, stand-ins and links of a soak, and the faults that strike them."""
+
+import contextlib
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import threading
+import time
+
+from harness import BIN, wait_until
+from link import Link, Proxies
+from standins import Journal, SoakEngine, SoakStore
+
+HOST = "camp.example"
+# The platform's figures of this deployment, as its settings give them to the processes.
+CONTACT_S = 3.0
+CONFIG_APPLY_S = 2.5
+DOWNGRADE_S = 0.25
+DRAIN_S = 2.5
+GRACE_S = 8.0
+REVOKE_S = 3.0
+RECOVERY_S = 12.0
+RETRY_WINDOW_S, RETRY_RATIO, RETRY_SLACK = 10.0, 0.2, 20
+QUOTA_WINDOW_S, QUOTA_EXCESS, QUOTA_SLACK = 8.0, 0.1, 4000
+QUOTA_RATES = (2000, 3200)  # tokens per second of the organisation with a quota
+HEARTBEAT_S = 1.2
+ENGINES_PER_HEARTBEAT = 24  # more engines write less often, which bounds the writes to the store
+SHUTDOWN_S = 2.0  # how long an engine goes on after its drain time
+RESTART_S = 0.3  # the platform's delay before it starts an ended process again
+
+ROUTES = {
+    # kind of request: type of the route, service, attempts, resumable
+    "ask": ("streaming", "engines", 2, True),
+    "draft": ("streaming", "engines", 1, False),
+    "book": ("non_idempotent", "plain", 1, False),
+    "look": ("idempotent", "plain", 2, False),
+}
+
+
+def route(name, route_type, service, attempts, resumable, anonymous=False):
+    return {
+        "name": name, "hostname": HOST, "prefix": "/%s/" % name, "routeType": route_type, "backend": service,
+        "timeoutMs": 4000, "targetLatencyMs": 600, "priority": 0, "maxAttempts": attempts,
+        "anonymous": anonymous, "sticky": False, "resumable": resumable, "gapAimMs": 300,
+    }
+
+
+class Operator:
+    """Writes configurations to the store and keeps what it wrote, with the times of acknowledgement."""
+
+    def __init__(self, store):
+        self.store = store
+        self.lock = threading.RLock()
+        self.version = 0
+        self.keys = ["key-stable", "key-0"]
+        self.next_key = 1
+        self.revoked = {}  # key: when its revocation was acknowledged
+        self.rate = QUOTA_RATES[0]
+        self.rates = [(time.monotonic(), self.rate)]  # (acknowledged at, rate)
+        self.sent = {}  # version: when it was sent
+        self.acknowledged = {}
+        self.write()
+
+    def write(self, step=1):
+        """Writes the next version. Its route /vN/ replaces that of the version before it."""
+        with self.lock:
+            self.version += step
+            version = self.version
+            self.sent[version] = time.monotonic()
+            self.put()
+            self.acknowledged[version] = time.monotonic()
+            return self.acknowledged[version]
+
+    def put(self):
+        wait_until(lambda: self.store.mode in ("ok", "slow"), "the store takes writes")
+        routes = [route(name, *properties) for name, properties in ROUTES.items()]
+        routes.append(route("v%d" % self.version, "idempotent", "plain", 2, False, anonymous=True))
+        tenant = {"unit": "token_count", "plainTokens": 200, "ratePerS": 0, "burst": 0}
+        self.store.put("op/config", {
+            "version": self.version, "routes": routes,
+            "services": [
+                {"name": "engines", "healthPath": "/health", "maxConnections": 100, "engine": {"slots": 2, "stride": 7}},
+                {"name": "plain", "healthPath": "/health", "maxConnections": 100},
+            ],
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 100000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
+            "tenants": [
+                dict(tenant, name="ganga", apiKeys=list(self.keys)),
+                dict(tenant, name="metered", apiKeys=["key-metered"], ratePerS=self.rate, burst=self.rate),
+            ],
+        })
+
+    def revoke(self):
+        with self.lock:
+            key = self.keys.pop()
+            self.keys.append("key-%d" % self.next_key)
+            self.next_key += 1
+            self.revoked[key] = self.write()
+
+    def change_quota(self):
+        with self.lock:
+            self.rate = QUOTA_RATES[1] if self.rate == QUOTA_RATES[0] else QUOTA_RATES[0]
+            self.rates.append((self.write(), self.rate))
+
+    def write_again(self, lost_after):
+        """Writes the newest version to a store that went back. Revocations that it lost count from now."""
+        with self.lock:
+            self.put()
+            now = time.monotonic()
+            self.revoked.update({key: now for key, at in self.revoked.items() if at > lost_after})
+            self.acknowledged[self.version] = now
+
+
+class Disturbances:
+    """When what was disturbed, for the rules that hold for machines in touch only."""
+
+    def __init__(self):
+        self.spans = []
+
+    @contextlib.contextmanager
+    def span(self, subject, what):
+        entry = [subject, what, time.monotonic(), float("inf")]
+        self.spans.append(entry)
+        try:
+            yield
+        finally:
+            entry[3] = time.monotonic()
+
+    def note(self, subject, what):
+        with self.span(subject, what):
+            pass
+
+    def calm(self, subjects, start, end):
+        """Returns whether none of the subjects was disturbed between the times."""
+        return not any(subject in subjects and begun <= end and ended >= start
+                       for subject, _, begun, ended in self.spans)
+
+    def in_touch(self, entry, moment):
+        return self.calm((entry, "store", "harness"), moment - CONTACT_S, moment)
+
+
+class Node:
+    """A wigeonsill-node that is started again whenever it ends. Each incarnation has its own log."""
+
+    def __init__(self, folder, name, settings, on_start):
+        self.folder, self.name, self.on_start = folder, name, on_start
+        self.incarnation = 0
+        self.file = folder / (name + ".json")
+        self.file.write_text(json.dumps(dict(settings, instance=name, admin="127.0.0.1:0")))
+        self.popen = None
+        self.expected_end = False
+        self.draining = False
+        self.frozen_until = 0.0
+        self.lock = threading.Lock()  # one stop and start at a time
+
+    def launch(self):
+        self.incarnation += 1
+        self.log = self.folder / ("%s.%d.log" % (self.name, self.incarnation))
+        with self.log.open("w") as output:
+            self.popen = subprocess.Popen(
+                [str(BIN / "wigeonsill-node")], stdout=output, stderr=subprocess.STDOUT,
+                env=dict(os.environ, WIGEONSILL_CONFIG=str(self.file)))
+        self.expected_end = False
+
+    def wait_started(self):
+        wait_until(lambda: "\n" in self.log.read_text() or self.popen.poll() is not None, self.name + " started")
+        if self.popen.poll() is None:
+            self.ports = json.loads(self.log.read_text().split("\n")[0])["ports"]
+            self.on_start(self)
+
+    def identity(self):
+        return "%s.%d" % (self.name, self.incarnation)
+
+
+class Deployment:
+    """Entries behind links, agents beside engines behind links, plain services and the store."""
+
+    def __init__(self, folder, seed, counts):
+        self.folder, self.seed = folder, seed
+        self.proxies = Proxies()
+        self.journal = Journal()
+        self.disturbances = Disturbances()
+        self.broken = []  # promises broken that the faults themselves see: (promise, subject, text)
+        self.store = SoakStore()
+        self.operator = Operator(self.store)
+        self.stopping = threading.Event()
+        self.rotation = set()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind(("127.0.0.1", 0))
+            grant_port = probe.getsockname()[1]
+        self.engines, self.links, self.nodes = {}, {}, {}
+        for sort, service in (("engine", "engines"), ("plain", "plain")):
+            for number in range(1, counts[sort] + 1):
+                name = "%s-%d" % (sort, number)
+                engine = SoakEngine(name, service, self.journal, seed)
+                host = "127.0.%d.%d" % (1 + number // 250, 1 + number % 250) if sort == "engine" else "127.0.0.1"
+                self.engines[name] = engine
+                self.links[name] = self.link(host, engine.address)
+                target = engine.address
+                engine.address = self.links[name].address
+                if sort == "engine":
+                    self.add_node("agent-%d" % number, {
+                        "role": "agent", "grant": "%s:%d" % (host, grant_port), "target": target})
+        self.heartbeat_s = HEARTBEAT_S * max(1.0, len(self.engines) / ENGINES_PER_HEARTBEAT)
+        for number in range(1, counts["entry"] + 1):
+            name = "entry-%d" % number
+            self.links[name] = self.link("127.0.0.1", None)
+            self.links["store of " + name] = self.link("127.0.0.1", self.store.address)
+            self.add_node(name, {
+                "role": "entry", "grant": "127.0.%d.%d:%d" % (20 + number // 250, 1 + number % 250, grant_port),
+                "failureDomain": "a", "region": "r", "regions": {"a": "r"},
+                "listen": "127.0.0.1:0", "readiness": "127.0.0.1:0",
+                "store": self.links["store of " + name].address, "strictRevocation": True,
+                "revocationMs": int(REVOKE_S * 1000), "graceMs": int(GRACE_S * 1000), "drainMs": int(DRAIN_S * 1000),
+                "heartbeatMs": int(self.heartbeat_s * 1000), "quotaWindowMs": int(QUOTA_WINDOW_S * 1000),
+                "quotaSlack": QUOTA_SLACK, "quotaExcess": QUOTA_EXCESS,
+                "retryWindowMs": int(RETRY_WINDOW_S * 1000), "retryRatio": RETRY_RATIO, "retrySlack": RETRY_SLACK,
+            })
+        self.entries = [name for name in self.nodes if name.startswith("entry")]
+
+    def link(self, host, target):
+        return Link(self.proxies, host, target, random.Random("link-%d-%d" % (self.seed, len(self.links))))
+
+    def add_node(self, name, settings):
+        self.nodes[name] = Node(self.folder, name, settings, self.node_started)
+
+    def node_started(self, node):
+        if node.name in self.links:
+            self.links[node.name].owner = node.identity()
+            self.links[node.name].target = "127.0.0.1:%d" % node.ports["listen"]
+
+    def __enter__(self):
+        self.heartbeat()
+        for node in self.nodes.values():
+            node.launch()
+        for node in self.nodes.values():
+            node.wait_started()
+        self.start_thread(self.write_heartbeats)
+        self.start_thread(self.watch_processes)
+        self.start_thread(self.watch_own_pace)
+        for name in self.entries:
+            self.start_thread(self.watch_readiness, name)
+        wait_until(lambda: len(self.rotation) == len(self.entries), "all entries are ready")
+        return self
+
+    def __exit__(self, *_):
+        self.stopping.set()
+        for node in self.nodes.values():
+            node.expected_end = True
+            node.popen.kill()
+            node.popen.wait()
+        for server in [*self.engines.values(), self.store]:
+            server.close()
+
+    def start_thread(self, function, *arguments):
+        thread = threading.Thread(target=function, args=arguments, daemon=True)
+        thread.start()
+        return thread
+
+    # The platform: heartbeats, restarts, readiness.
+
+    def heartbeat(self):
+        for engine in self.engines.values():
+            if not engine.dark:
+                self.store.put("servers/" + engine.instance, engine.record())
+
+    def write_heartbeats(self):
+        while not self.stopping.wait(self.heartbeat_s):
+            if self.store.mode in ("ok", "slow"):
+                self.heartbeat()
+
+    def watch_processes(self):
+        while not self.stopping.wait(0.1):
+            for node in self.nodes.values():
+                if node.popen.poll() is not None and not node.expected_end and not self.stopping.is_set():
+                    self.broken.append(("ENDS", node.name, "%s ended by itself with status %d; log %s" % (
+                        node.identity(), node.popen.returncode, node.log)))
+                    node.expected_end = True
+                    self.start_thread(self.restart_ended, node)
+
+    def watch_own_pace(self):
+        """A harness that falls behind delays every request and answer, as slow links would."""
+        while not self.stopping.is_set():
+            before = time.monotonic()
+            time.sleep(0.05)
+            if time.monotonic() - before > 0.3:
+                self.disturbances.note("harness", "%.2f s behind" % (time.monotonic() - before))
+
+    def watch_readiness(self, name):
+        misses = 0
+        while not self.stopping.wait(0.25 if misses else 1.0):
+            try:
+                connection = http.client.HTTPConnection("127.0.0.1", self.nodes[name].ports["readiness"], timeout=1)
+                connection.request("GET", "/readiness")
+                ready = connection.getresponse().status == 200
+                connection.close()
+            except (OSError, http.client.HTTPException):
+                ready = False
+            misses = 0 if ready else misses + 1
+            if ready:
+                self.rotation.add(name)
+            elif misses >= 2:
+                self.rotation.discard(name)
+
+    def restart_ended(self, node):
+        with node.lock:
+            if node.popen.poll() is not None:
+                self.restart(node, RESTART_S)
+
+    def restart(self, node, delay_s):
+        time.sleep(delay_s)
+        if not self.stopping.is_set():
+            node.launch()
+            node.wait_started()
+            self.disturbances.note(node.name, "start")
+
+    # The faults. Each method takes the fault and returns when its effect has ended.
+
+    def strike(self, fault):
+        sort = fault.subject.split("-")[0]
+        methods = {
+            "term": self.terminate, "kill": self.kill, "freeze": self.freeze, "hangup": self.hang_up,
+            "crash": self.crash, "drain": self.drain, "replace": self.replace, "forget": self.forget_history,
+            "back": self.go_back, "config": self.change_configuration, "revoke": self.change_configuration,
+            "quota": self.change_configuration,
+        }
+        if fault.kind in methods:
+            methods[fault.kind](fault)
+        elif sort == "store":
+            self.change_store(fault)
+        elif fault.kind in ("pause", "torn", "twice", "garbage", "unframed", "error", "refuse"):
+            self.change_engine(fault)
+        elif fault.kind.startswith("store-"):
+            self.harm_link(self.links["store of " + fault.subject], fault.kind[6:], fault)
+        else:
+            self.harm_link(self.links[fault.subject], fault.kind, fault)
+
+    def terminate(self, fault):
+        node = self.nodes[fault.subject]
+        with node.lock, self.disturbances.span(node.name, "term"):
+            if node.popen.poll() is not None:
+                return
+            node.expected_end = node.draining = True
+            sent_at = time.monotonic()
+            node.popen.send_signal(signal.SIGTERM)
+            try:
+                node.popen.wait(GRACE_S)
+            except subprocess.TimeoutExpired:
+                node.popen.kill()
+                node.popen.wait()
+                if node.frozen_until < sent_at and self.disturbances.calm(("harness",), sent_at, time.monotonic()):
+                    self.broken.append(("DRAIN", node.name, "%s runs %.1f s after SIGTERM; log %s" % (
+                        node.identity(), GRACE_S, node.log)))
+            node.draining = False
+            self.restart(node, RESTART_S + fault.for_s)
+
+    def kill(self, fault):
+        node = self.nodes[fault.subject]
+        popen = node.popen
+        with self.disturbances.span(node.name, "kill"):
+            if node.draining:
+                popen.kill()  # terminate() waits for the end and starts it again
+                return
+            with node.lock:
+                if node.popen.poll() is None:
+                    node.expected_end = True
+                    node.popen.kill()
+                    node.popen.wait()
+                    self.restart(node, RESTART_S + fault.for_s)
+
+    def freeze(self, fault):
+        node = self.nodes[fault.subject]
+        popen = node.popen
+        with self.disturbances.span(node.name, "freeze"):
+            node.frozen_until = time.monotonic() + fault.for_s
+            popen.send_signal(signal.SIGSTOP)
+            time.sleep(fault.for_s)
+            popen.send_signal(signal.SIGCONT)
+
+    def hang_up(self, fault):
+        node = self.nodes[fault.subject]
+        settings = json.loads(node.file.read_text())
+        node.file.write_text(json.dumps(dict(settings, logLinesPerSecond=300 + int(100 * fault.amount))))
+        node.popen.send_signal(signal.SIGHUP)
+
+    def harm_link(self, link, harm, fault):
+        with self.disturbances.span(fault.subject, fault.kind):
+            if harm == "reset":
+                link.reset_all()
+            elif harm == "silence":
+                link.silence_all()
+            elif harm == "delay":
+                link.delay_s = 0.4 * fault.amount
+            elif harm == "split":
+                link.split = True
+            else:
+                link.blocked |= {"cut-up": {"up"}, "cut-down": {"down"}, "cut": {"up", "down"}}[harm]
+            time.sleep(fault.for_s)
+            if harm not in ("reset", "silence"):
+                link.delay_s, link.split = 0.0, False
+                link.blocked.clear()
+
+    def change_engine(self, fault):
+        engine = self.engines[fault.subject]
+        with self.disturbances.span(fault.subject, fault.kind):
+            engine.fault, engine.fault_share = fault.kind, 0.2 + 0.8 * fault.amount
+            time.sleep(fault.for_s)
+            engine.fault = None
+
+    def crash(self, fault):
+        engine, link = self.engines[fault.subject], self.links[fault.subject]
+        with self.disturbances.span(fault.subject, "crash"):
+            engine.dark = True
+            link.dark = True
+            link.reset_all()
+            time.sleep(fault.for_s)
+            self.begin_engine(engine, engine.instance, 0.5 * fault.amount)
+
+    def begin_engine(self, engine, old_instance, unlisted_s):
+        """Starts an engine's next incarnation, which takes the address before the store's list shows it."""
+        engine.begin_incarnation()
+        self.links[engine.name].dark = False
+        time.sleep(unlisted_s)
+        self.store.put("servers/" + engine.instance, engine.record())
+        self.store.remove("servers/" + old_instance)
+
+    def replace(self, fault):
+        engine = self.engines[fault.subject]
+        with self.disturbances.span(fault.subject, "replace"):
+            self.links[fault.subject].reset_all()
+            self.begin_engine(engine, engine.instance, fault.amount)
+
+    def drain(self, fault):
+        engine, link = self.engines[fault.subject], self.links[fault.subject]
+        if engine.state != "ready" or engine.dark:
+            return
+        instance = engine.instance
+        engine.state = "draining"
+        wait_until(lambda: self.store.mode in ("ok", "slow"), "the store takes writes")
+        self.store.put("servers/" + instance, engine.record())
+        self.journal.drains.append((time.monotonic(), engine.name, instance))
+        time.sleep(DRAIN_S + SHUTDOWN_S)
+        if engine.instance != instance:
+            return
+        with self.disturbances.span(fault.subject, "left"):
+            engine.dark = link.dark = True
+            link.reset_all()
+            self.store.remove("servers/" + instance)
+            time.sleep(fault.for_s)
+            self.begin_engine(engine, instance, 0.5 * fault.amount)
+
+    def change_store(self, fault):
+        with self.disturbances.span("store", fault.kind):
+            self.store.mode = fault.kind
+            time.sleep(fault.for_s)
+            self.store.mode = "ok"
+
+    def forget_history(self, fault):
+        with self.disturbances.span("store", fault.kind):
+            self.store.forget()
+
+    def go_back(self, fault):
+        with self.disturbances.span("store", fault.kind), self.operator.lock:
+            moment = time.monotonic() - fault.for_s
+            if moment < self.store.copies[0][0]:
+                return
+            self.store.go_back(fault.for_s)
+            time.sleep(fault.amount)
+            self.operator.write_again(moment)
+
+    def change_configuration(self, fault):
+        actions = {"config": lambda: self.operator.write(1 + int(3 * fault.amount)),
+                   "revoke": self.operator.revoke, "quota": self.operator.change_quota}
+        actions[fault.kind]()
--- /dev/null
+++ b/testsuite/soak/plan.py
@@ -0,0 +1,74 @@
+"""The timetable of faults of a soak, drawn from its seed alone."""
+
+import dataclasses
+import random
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    at_s: float  # since the start of the traffic
+    kind: str
+    subject: str  # "entry-N", "agent-N", "engine-N", "plain-N", "store" or "operator"
+    for_s: float
+    amount: float  # in [0, 1); what it scales depends on the kind
+
+    def __str__(self):
+        return "%7.2f s  %-14s %-10s for %.2f s, amount %.2f" % (
+            self.at_s, self.kind, self.subject, self.for_s, self.amount)
+
+
+# Kinds of fault of each sort of subject: weight, shortest and longest duration in seconds.
+PROCESS_KINDS = {
+    "term": (3, 0, 1), "kill": (3, 0, 2), "freeze": (3, 0.2, 4), "hangup": (1, 0, 0),
+}
+LINK_KINDS = {
+    "reset": (2, 0, 0), "delay": (2, 0.5, 3), "split": (2, 1, 4), "cut-up": (1, 0.5, 3),
+    "cut-down": (1, 0.5, 3), "silence": (1, 0, 0),
+}
+KINDS = {
+    "entry": {**PROCESS_KINDS, **LINK_KINDS, "store-cut": (1, 1, 4), "store-reset": (1, 0, 0),
+              "store-silence": (1, 0, 0)},
+    "agent": PROCESS_KINDS,
+    "engine": {**LINK_KINDS, "crash": (4, 0.3, 3), "drain": (3, 0.5, 2), "replace": (2, 0, 0), "pause": (3, 1, 4),
+               "torn": (4, 1, 4), "twice": (2, 1, 4), "garbage": (2, 1, 3), "unframed": (2, 1, 4),
+               "error": (2, 1, 4), "refuse": (2, 1, 4)},
+    "store": {"slow": (2, 1, 4), "silent": (2, 1, 4), "busy": (2, 1, 4), "lossy": (2, 1, 4),
+              "forget": (2, 0, 0), "back": (1, 0.3, 1.5)},
+    "operator": {"config": (3, 0, 0), "revoke": (3, 0, 0), "quota": (1, 0, 0)},
+}
+KINDS["plain"] = KINDS["engine"]
+SORT_WEIGHTS = {"entry": 5, "agent": 3, "engine": 6, "plain": 3, "store": 2, "operator": 4}
+
+SERIES_SHARE = 0.25  # of the draws, that come as a series on one subject
+SERIES_MAXIMUM = 4
+SERIES_GAP_S = 1.2
+
+
+def make_plan(seed, duration_s, counts):
+    """Returns the faults of a run, ordered by time.
+
+    counts gives the number of subjects of each sort that has numbers. Faults overlap freely: a large
+    deployment gets more of them at once.
+    """
+    rng = random.Random("plan-%d" % seed)
+    faults = []
+    per_second = 1.5 + 0.03 * sum(counts.values())
+    at_s = 0.0
+    while True:
+        at_s += rng.expovariate(per_second)
+        if at_s >= duration_s:
+            return sorted(faults, key=lambda fault: fault.at_s)
+        sort = rng.choices(list(SORT_WEIGHTS), SORT_WEIGHTS.values())[0]
+        subject = "%s-%d" % (sort, rng.randrange(counts[sort]) + 1) if sort in counts else sort
+        repeats = rng.randint(2, SERIES_MAXIMUM) if rng.random() < SERIES_SHARE else 1
+        moment_s = at_s
+        for _ in range(repeats):
+            kinds = KINDS[sort]
+            kind = rng.choices(list(kinds), [weight for weight, _, _ in kinds.values()])[0]
+            _, shortest_s, longest_s = kinds[kind]
+            fault = Fault(
+                round(moment_s, 3), kind, subject, round(rng.uniform(shortest_s, longest_s), 3),
+                round(rng.random(), 3))
+            if fault.at_s + fault.for_s < duration_s:
+                faults.append(fault)
+            moment_s += rng.uniform(0.05, SERIES_GAP_S)
--- /dev/null
+++ b/testsuite/soak/standins.py
@@ -0,0 +1,210 @@
+"""The stand-ins of the store and of engines, with the faults of a soak."""
+
+import collections
+import random
+import threading
+import time
+
+from platformstandin import Engine, Store, format_answer
+
+COPY_KEEP_S = 10.0  # how far the store can go back
+SLOW_S = 1.2
+
+
+class SoakStore(Store):
+    """Adds the modes "slow" and "lossy" (carries out calls, loses answers) and a loss of history."""
+
+    def __init__(self):
+        self.forgotten_revision = 0
+        super().__init__()
+
+    def keep_copy(self):
+        super().keep_copy()
+        # go_back() needs one copy from before the moment that it goes back to.
+        while len(self.copies) > 2 and self.copies[1][0] < time.monotonic() - COPY_KEEP_S:
+            self.copies.pop(0)
+
+    def forget(self):
+        self.forgotten_revision = self.revision
+
+    def reply(self, target):
+        if self.mode == "slow":
+            time.sleep(SLOW_S)
+        if "/kv-watch" in target:
+            after = int(target.split("after=")[1].split("&")[0])
+            if after < self.forgotten_revision and after < self.revision:
+                return 410, {}
+        reply = super().reply(target)
+        if self.mode == "lossy":
+            raise ConnectionResetError("the answer is lost")
+        return reply
+
+
+# A request's arrival at an engine, and the status with which it was turned away (200: it ran).
+Arrival = collections.namedtuple("Arrival", "at service attempt instance outcome")
+
+
+class Run:
+    """One run of a request at an engine, with all that the engine sent of its answer."""
+
+    def __init__(self, engine, stamp, headers, method, target, body):
+        self.at = time.monotonic()
+        self.engine = engine
+        self.stamp = stamp
+        self.headers = headers
+        self.attempt = headers.get("Attempt-Id", "")
+        self.request = (method, target, body)
+        self.status = None
+        self.body = b""
+        self.whole = False
+
+
+class Load:
+    """Requests at one incarnation of an engine."""
+
+    def __init__(self, slots):
+        self.present = 0
+        self.slots = threading.Semaphore(slots)
+
+
+class SoakEngine(Engine):
+    """An engine ("stream" requests) or plain service whose faults strike a part of its requests.
+
+    Each answer is unique to engine, run and request. journal receives runs and arrivals.
+    """
+
+    slots_of_plain = 4
+    queue = 3
+
+    def __init__(self, name, service, journal, seed):
+        self.name = name
+        self.service = service
+        self.journal = journal
+        self.rng = random.Random("%s-%d" % (name, seed))
+        self.incarnation = 0
+        self.fault = None
+        self.fault_share = 1.0
+        self.dark = False
+        self.state = "ready"
+        self.sequence = 0
+        super().__init__(name, slots=2 if service == "engines" else self.slots_of_plain)
+        self.begin_incarnation()
+
+    def begin_incarnation(self):
+        self.incarnation += 1
+        self.instance = "%s.%d" % (self.name, self.incarnation)
+        self.load = Load(self.slots)
+        self.state = "ready"
+        self.dark = False
+
+    def record(self):
+        self.sequence += 1
+        return dict(self.instance_record(self.service, state=self.state), address=self.address, seq=self.sequence)
+
+    def handle_request(self, connection, method, target, headers, body):
+        now = time.monotonic()
+        instance, load = self.instance, self.load
+        self.running = load.present
+        if self.dark:
+            raise ConnectionResetError("the engine is gone")
+        echo = [("Attempt-Id", headers.get("Attempt-Id", ""))]
+        if self.state == "draining":
+            echo += [("Server-Leaving", "1"), ("Connection", "close")]
+
+        def note_arrival(outcome):
+            self.journal.arrivals.append(Arrival(now, self.service, echo[0][1], instance, outcome))
+        if headers.get("Expect-Instance", instance) != instance:
+            note_arrival(421)
+            connection.sendall(format_answer(421, echo + [("Not-Executed", "1")], b""))
+            return self.state != "draining"
+        fault = self.fault if self.rng.random() < self.fault_share else None
+        if fault == "refuse" or load.present >= self.slots + self.queue:
+            note_arrival(503)
+            connection.sendall(format_answer(503, echo + [("Not-Executed", "1")], b""))
+            return self.state != "draining"
+        note_arrival(200)
+        load.present += 1
+        try:
+            with load.slots:
+                return self.run(connection, fault, Run(self, "", headers, method, target, body), echo)
+        finally:
+            load.present -= 1
+
+    def run(self, connection, fault, run, echo):
+        run.stamp = "%s.%d" % (self.instance, self.journal.add_run(run))
+        headers = echo + [("Server-Stamp", run.stamp)]
+        if fault == "garbage":
+            connection.sendall(b"\x00\x01 this is no answer\r\n\r\n")
+            return False
+        if self.service == "engines" and fault != "error":
+            return self.stream_events(connection, fault, run, headers)
+        time.sleep(self.rng.uniform(0.005, 0.06))
+        run.status = 500 if fault == "error" else 200
+        text = "answer to %s by %s\n" % (run.attempt, run.stamp)
+        run.body = (text * self.rng.randint(1, 40)).encode()
+        answer = format_answer(run.status, headers, run.body)
+        if fault == "unframed":
+            answer = b"\r\n".join(line for line in answer.split(b"\r\n") if not line.startswith(b"Content-Length"))
+        if fault in ("torn", "pause"):
+            cut = self.rng.randrange(1, len(answer))
+            connection.sendall(answer[:cut])
+            time.sleep(self.rng.uniform(0.05, 1.5))
+            if fault == "torn":
+                return False
+            answer = answer[cut:]
+        connection.sendall(answer)
+        run.whole = True
+        if fault == "twice":
+            time.sleep(self.rng.choice([0, 0.1]))
+            connection.sendall(answer)
+        return fault != "unframed" and self.state != "draining"
+
+    def stream_events(self, connection, fault, run, headers):
+        run.status = 200
+        chunked = fault != "unframed"
+        headers = headers + [("Content-Type", "text/event-stream")]
+        if chunked:
+            headers.append(("Transfer-Encoding", "chunked"))
+        lines = ["HTTP/1.1 200 X"] + ["%s: %s" % header for header in headers]
+        connection.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+        last = event_count(run.request[1])
+        first = int(run.headers.get("Last-Event-Id", "0")) + 1
+        strike = self.rng.randint(first, max(first, last))
+        for number in range(first, last + 1):
+            time.sleep(self.rng.uniform(0.005, 0.03))
+            event = ("id: %d\ndata: %s/%d/%s\n\n" % (number, run.attempt, number, run.stamp)).encode()
+            cuts = [event]
+            if fault in ("torn", "pause") and number == strike or self.rng.random() < 0.05:
+                cut = self.rng.randrange(1, len(event))
+                cuts = [event[:cut], event[cut:]]
+            for index, piece in enumerate(cuts):
+                if index == 1:
+                    time.sleep(self.rng.uniform(0.3, 2.5) if fault == "pause" else 0.01)
+                    if fault == "torn" and number == strike:
+                        return False
+                connection.sendall(b"%x\r\n%s\r\n" % (len(piece), piece) if chunked else piece)
+            run.body += event
+        if chunked:
+            connection.sendall(b"0\r\n\r\n")
+        run.whole = True
+        return chunked and self.state != "draining"
+
+
+def event_count(target):
+    """Returns the number of events that a stream's target asks for."""
+    return int(target.split("n=")[1].split("&")[0])
+
+
+class Journal:
+    """What engines saw. Lists are only appended to, so readers need no lock."""
+
+    def __init__(self):
+        self.runs = []
+        self.arrivals = []
+        self.drains = []  # (acknowledged at, engine's name, its instance)
+        self.lock = threading.Lock()
+
+    def add_run(self, run):
+        with self.lock:
+            self.runs.append(run)
+            return len(self.runs)
