--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -43,6 +43,7 @@
         self.kind, self.target, self.key, self.tokens = kind, target, key, tokens
         self.first_event = 1
         self.version_1_0 = False
+        self.gives_up_s = None  # after which its caller leaves, in the middle of a stream
         self.entry = None
         self.incarnation = None  # of the entry's process that has the connection
         self.sent_at = self.ended_at = None
@@ -116,7 +117,7 @@
                     return
 
     def may_retry(self, attempt):
-        if attempt.status in (400, 401, 404, 413, 431):
+        if attempt.gives_up_s or attempt.status in (400, 401, 404, 413, 431):
             return False
         return attempt.status in PROMISES or attempt.kind in ("ask", "look")
 
@@ -138,6 +139,8 @@
         attempt.id = "a-%d" % next(self.ids)
         self.attempts.append(attempt)
         attempt.version_1_0 = self.rng.random() < 0.04
+        if self.rng.random() < 0.04:
+            attempt.gives_up_s = self.rng.uniform(0, 0.4)
         try:
             if self.connection is not None and self.unasked_bytes(attempt):
                 self.disconnect()
@@ -189,6 +192,8 @@
             else:
                 while piece := response.read1(65536):
                     attempt.body += piece
+                    if attempt.gives_up_s and time.monotonic() > attempt.sent_at + attempt.gives_up_s:
+                        raise ConnectionAbortedError("the caller leaves")
             attempt.complete = True
         finally:
             attempt.incarnation = owners.get(self.connection.getsockname()[1])
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -331,7 +331,8 @@
             methods[fault.kind](fault)
         elif sort == "store":
             self.change_store(fault)
-        elif fault.kind in ("pause", "torn", "twice", "garbage", "unframed", "error", "refuse"):
+        elif fault.kind in ("pause", "torn", "twice", "garbage", "endless", "unframed", "error",
+                            "refuse"):
             self.change_engine(fault)
         elif fault.kind.startswith("store-"):
             self.harm_link(self.links["store of " + fault.subject], fault.kind[6:], fault)
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -8,6 +8,7 @@
 import argparse
 import collections
 import pathlib
+import shutil
 import sys
 import tempfile
 import threading
@@ -72,6 +73,17 @@
     return lines[:LINES_PER_REQUEST]
 
 
+def write_trace(deployment, attempts):
+    """Writes what callers and engines saw beside the logs of the processes."""
+    with (deployment.folder / "callers.txt").open("w") as trace:
+        for attempt in attempts:
+            trace.write("%s\n" % vars(attempt))
+    with (deployment.folder / "engines.txt").open("w") as trace:
+        for record in [*map(vars, deployment.journal.runs), *deployment.journal.arrivals, *deployment.journal.drains,
+                       *deployment.disturbances.spans]:
+            trace.write("%s\n" % (record,))
+
+
 def describe(deployment, attempts, findings, seconds):
     outcomes = collections.Counter(
         attempt.status if attempt.complete else "cut" if attempt.status else "none" for attempt in attempts)
@@ -105,6 +117,8 @@
         attempts, recovered_at = play(deployment, counts, plan, end_s)
         seconds = time.monotonic() - start
     findings = Promises(deployment, attempts, recovered_at).check()
+    if findings:
+        write_trace(deployment, attempts)
     lines += describe(deployment, attempts, findings, seconds)
     lines.append("%s: %d promises broken" % ("FAILED" if findings else "passed", len(findings)))
     return lines, findings
@@ -139,6 +153,8 @@
                 folder = options.logs / ("seed-%d" % seed)
                 folder.mkdir(parents=True, exist_ok=True)
             lines, findings = run_seed(seed, minutes, size, folder)
+            if options.logs and not findings:
+                shutil.rmtree(folder)
         failed += bool(findings)
         print("\n".join(lines), flush=True)
         if options.report:
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -9,6 +9,9 @@
 
 COPY_KEEP_S = 10.0  # how far the store can go back
 SLOW_S = 1.2
+PAUSE_S = 3.0  # the longest pause within an answer
+ENDLESS_S = 6.0  # bounds an endless answer whose reader never closes
+FIRST_EVENT_SHARE = 0.4  # of the streams that break off or pause, that do so within their first event
 
 
 class SoakStore(Store):
@@ -136,6 +139,13 @@
         if fault == "garbage":
             connection.sendall(b"\x00\x01 this is no answer\r\n\r\n")
             return False
+        if fault == "endless":
+            connection.sendall(self.rng.choice([b"HTTP/1.1 200 X\r\nX: ", b"", b"HTTP/1.1 "]))
+            end = run.at + ENDLESS_S
+            while time.monotonic() < end:
+                connection.sendall(1000 * b"x")
+                time.sleep(0.005)
+            return False
         if self.service == "engines" and fault != "error":
             return self.stream_events(connection, fault, run, headers)
         time.sleep(self.rng.uniform(0.005, 0.06))
@@ -148,7 +158,7 @@
         if fault in ("torn", "pause"):
             cut = self.rng.randrange(1, len(answer))
             connection.sendall(answer[:cut])
-            time.sleep(self.rng.uniform(0.05, 1.5))
+            time.sleep(self.rng.uniform(0.05, PAUSE_S))
             if fault == "torn":
                 return False
             answer = answer[cut:]
@@ -169,7 +179,7 @@
         connection.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
         last = event_count(run.request[1])
         first = int(run.headers.get("Last-Event-Id", "0")) + 1
-        strike = self.rng.randint(first, max(first, last))
+        strike = first if self.rng.random() < FIRST_EVENT_SHARE else self.rng.randint(first, max(first, last))
         for number in range(first, last + 1):
             time.sleep(self.rng.uniform(0.005, 0.03))
             event = ("id: %d\ndata: %s/%d/%s\n\n" % (number, run.attempt, number, run.stamp)).encode()
@@ -179,7 +189,7 @@
                 cuts = [event[:cut], event[cut:]]
             for index, piece in enumerate(cuts):
                 if index == 1:
-                    time.sleep(self.rng.uniform(0.3, 2.5) if fault == "pause" else 0.01)
+                    time.sleep(self.rng.uniform(0.3, PAUSE_S) if fault == "pause" else 0.01)
                     if fault == "torn" and number == strike:
                         return False
                 connection.sendall(b"%x\r\n%s\r\n" % (len(piece), piece) if chunked else piece)
