--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -17,6 +17,9 @@
 KINDS = {"ask": 4, "draft": 3, "book": 4, "look": 3}
 PROBE_PAUSE_S = 0.15
 METERED_FACTOR = 3
+VERSION_1_0_SHARE = 0.06  # of the requests
+LEAVING_SHARE = 0.04  # of the requests, whose callers leave within LEAVING_S
+LEAVING_S = 0.4
 
 
 class KeptStream:
@@ -138,9 +141,9 @@
     def send_and_record(self, attempt, deadline):
         attempt.id = "a-%d" % next(self.ids)
         self.attempts.append(attempt)
-        attempt.version_1_0 = self.rng.random() < 0.04
-        if self.rng.random() < 0.04:
-            attempt.gives_up_s = self.rng.uniform(0, 0.4)
+        attempt.version_1_0 = self.rng.random() < VERSION_1_0_SHARE
+        if self.rng.random() < LEAVING_SHARE:
+            attempt.gives_up_s = self.rng.uniform(0, LEAVING_S)
         try:
             if self.connection is not None and self.unasked_bytes(attempt):
                 self.disconnect()
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -29,6 +29,8 @@
 QUOTA_RATES = (2000, 3200)  # tokens per second of the organisation with a quota
 HEARTBEAT_S = 1.2
 ENGINES_PER_HEARTBEAT = 24  # more engines write less often, which bounds the writes to the store
+UNLISTED_DRAIN_SHARE = 0.25  # of the drains, that the store never learns
+GONE_DRAIN_SHARE = 0.5  # up to this share it learns them by the removal of the record
 SHUTDOWN_S = 2.0  # how long an engine goes on after its drain time
 RESTART_S = 0.3  # the platform's delay before it starts an ended process again
 
@@ -264,7 +266,7 @@
 
     def heartbeat(self):
         for engine in self.engines.values():
-            if not engine.dark:
+            if not engine.dark and engine.listed_state:
                 self.store.put("servers/" + engine.instance, engine.record())
 
     def write_heartbeats(self):
@@ -407,6 +409,7 @@
     def change_engine(self, fault):
         engine = self.engines[fault.subject]
         with self.disturbances.span(fault.subject, fault.kind):
+            engine.retry_after_s = 3 * fault.amount if fault.amount > 0.5 else 0.0
             engine.fault, engine.fault_share = fault.kind, 0.2 + 0.8 * fault.amount
             time.sleep(fault.for_s)
             engine.fault = None
@@ -440,9 +443,14 @@
             return
         instance = engine.instance
         engine.state = "draining"
-        wait_until(lambda: self.store.mode in ("ok", "slow"), "the store takes writes")
-        self.store.put("servers/" + instance, engine.record())
-        self.journal.drains.append((time.monotonic(), engine.name, instance))
+        if fault.amount > UNLISTED_DRAIN_SHARE:  # otherwise only its answers say so
+            engine.listed_state = "draining" if fault.amount > GONE_DRAIN_SHARE else None
+            wait_until(lambda: self.store.mode in ("ok", "slow"), "the store takes writes")
+            if engine.listed_state:
+                self.store.put("servers/" + instance, engine.record())
+            else:
+                self.store.remove("servers/" + instance)
+            self.journal.drains.append((time.monotonic(), engine.name, instance))
         time.sleep(DRAIN_S + SHUTDOWN_S)
         if engine.instance != instance:
             return
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -12,7 +12,8 @@
 SLOWED_FACTOR = 8  # how much longer a slowed machine may take until it keeps to a configuration
 DENIED_ALLOWED, DENIED_SHARE = 5, 1 / 500
 RUNS_OVER_BUDGET = 3
-LOSS_SLACK_S = 0.2
+RETRY_AFTER_SLACK_S = 0.5
+RETRY_AFTER_ARRIVALS = 2
 
 Finding = collections.namedtuple("Finding", "promise request text")
 
@@ -47,6 +48,8 @@
         self.check_denials()
         self.check_attempts()
         self.check_drains()
+        self.check_leaving()
+        self.check_pauses()
         self.check_configurations()
         self.check_retries()
         self.check_quota()
@@ -176,6 +179,43 @@
                 self.add("DRAIN", attempt.id, "reached %s from %s %.2f s after it was draining", arrival.instance,
                          attempt.incarnation, arrival.at - at)
 
+    def check_leaving(self):
+        """A process that passed on that an engine leaves sends it nothing later, in touch or not."""
+        passed = {}
+        for attempt in self.attempts.values():
+            for run in self.runs[attempt.id]:
+                if run.leaving and run.stamp == attempt.headers.get("Server-Stamp"):
+                    sender = (attempt.incarnation, run.stamp.rsplit(".", 1)[0])
+                    passed[sender] = min(passed.get(sender, attempt.ended_at), attempt.ended_at)
+        for arrival in self.journal.arrivals:
+            attempt = self.attempts.get(arrival.attempt)
+            at = attempt and passed.get((attempt.incarnation, arrival.instance))
+            if at and arrival.outcome != 421 and attempt.sent_at > at + DRAIN_S \
+                    and not self.frozen(attempt.entry, at, arrival.at):
+                self.add("DRAIN", attempt.id, "reached %s from %s %.2f s after that had passed on its leaving",
+                         arrival.instance, attempt.incarnation, attempt.sent_at - at)
+
+    def check_pauses(self):
+        """An engine that refuses with Retry-After wants nothing from that process for so long."""
+        arrivals = collections.defaultdict(list)
+        for arrival in self.journal.arrivals:
+            attempt = self.attempts.get(arrival.attempt)
+            if attempt is not None and attempt.incarnation is not None:
+                arrivals[attempt.incarnation, arrival.instance].append(arrival)
+        for (incarnation, instance), at_engine in arrivals.items():
+            for refusal in at_engine:
+                start, end = refusal.at + RETRY_AFTER_SLACK_S, refusal.at + refusal.retry_after_s
+                late = [arrival for arrival in at_engine if start < arrival.at < end]
+                if len(late) > RETRY_AFTER_ARRIVALS and self.disturbances.calm(
+                        (incarnation.rsplit(".", 1)[0], "harness"), refusal.at - CONTACT_S, end):
+                    self.add("BUDGET", late[-1].attempt, "%d requests reached %s from %s within the %.1f s it asked for",
+                             len(late), instance, incarnation, refusal.retry_after_s)
+                    break
+
+    def frozen(self, entry, start, end):
+        return any(subject == entry and what == "freeze" and begun <= end and ended >= start
+                   for subject, what, begun, ended in self.disturbances.spans)
+
     def check_configurations(self):
         """Each version has a route of its own, which shows the version that a process has in force."""
         acknowledged, sent = self.operator.acknowledged, self.operator.sent
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -26,6 +26,7 @@
 SHORTEST_FAULTS_S = 5.0
 REQUESTS_PER_S = 150  # at most, of all callers together
 LINES_PER_REQUEST = 12
+FINDINGS_PER_PROMISE = 3  # that the report shows in full
 
 
 def count_subjects(size):
@@ -93,7 +94,11 @@
     lines.append("%d runs at engines; the harness fell behind %d times %s" % (
         len(deployment.journal.runs), len(behind), behind[:3]))
     by_id = {attempt.id: attempt for attempt in attempts}
+    by_promise = collections.Counter()
     for finding in findings:
+        by_promise[finding.promise] += 1
+        if by_promise[finding.promise] > FINDINGS_PER_PROMISE:
+            continue
         lines.append("BROKEN %s, request %s: %s" % finding)
         attempt = by_id.get(finding.request)
         if attempt is not None and attempt.sent_at is not None:
@@ -101,6 +106,8 @@
                 attempt.kind, attempt.target, attempt.incarnation or attempt.entry, attempt.status, attempt.complete,
                 attempt.trouble, len(attempt.body), attempt.ended_at - attempt.sent_at))
         lines += ["  " + line for line in lines_about(deployment, finding.request)]
+    if findings:
+        lines.append("broken: " + ", ".join("%s %d" % pair for pair in sorted(by_promise.items())))
     return lines
 
 
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -44,7 +44,8 @@
 
 
 # A request's arrival at an engine, and the status with which it was turned away (200: it ran).
-Arrival = collections.namedtuple("Arrival", "at service attempt instance outcome")
+# retry_after_s is the time for which the engine then asked to get nothing from the sender.
+Arrival = collections.namedtuple("Arrival", "at service attempt instance outcome retry_after_s")
 
 
 class Run:
@@ -60,6 +61,7 @@
         self.status = None
         self.body = b""
         self.whole = False
+        self.leaving = False  # whether the answer says that the engine leaves
 
 
 class Load:
@@ -88,7 +90,8 @@
         self.fault = None
         self.fault_share = 1.0
         self.dark = False
-        self.state = "ready"
+        self.retry_after_s = 0.0  # sent with the refusals of the fault "refuse"
+        self.state = self.listed_state = "ready"  # what its answers and the store's list say of it
         self.sequence = 0
         super().__init__(name, slots=2 if service == "engines" else self.slots_of_plain)
         self.begin_incarnation()
@@ -97,12 +100,12 @@
         self.incarnation += 1
         self.instance = "%s.%d" % (self.name, self.incarnation)
         self.load = Load(self.slots)
-        self.state = "ready"
+        self.state = self.listed_state = "ready"
         self.dark = False
 
     def record(self):
         self.sequence += 1
-        return dict(self.instance_record(self.service, state=self.state), address=self.address, seq=self.sequence)
+        return dict(self.instance_record(self.service, state=self.listed_state), address=self.address, seq=self.sequence)
 
     def handle_request(self, connection, method, target, headers, body):
         now = time.monotonic()
@@ -114,16 +117,19 @@
         if self.state == "draining":
             echo += [("Server-Leaving", "1"), ("Connection", "close")]
 
-        def note_arrival(outcome):
-            self.journal.arrivals.append(Arrival(now, self.service, echo[0][1], instance, outcome))
+        def note_arrival(outcome, retry_after_s=0.0):
+            self.journal.arrivals.append(
+                Arrival(now, self.service, echo[0][1], instance, outcome, retry_after_s))
         if headers.get("Expect-Instance", instance) != instance:
             note_arrival(421)
             connection.sendall(format_answer(421, echo + [("Not-Executed", "1")], b""))
             return self.state != "draining"
         fault = self.fault if self.rng.random() < self.fault_share else None
         if fault == "refuse" or load.present >= self.slots + self.queue:
-            note_arrival(503)
-            connection.sendall(format_answer(503, echo + [("Not-Executed", "1")], b""))
+            retry_after_s = self.retry_after_s if fault == "refuse" else 0.0
+            note_arrival(503, retry_after_s)
+            wish = [("Retry-After", "%.1f" % retry_after_s)] if retry_after_s else []
+            connection.sendall(format_answer(503, echo + [("Not-Executed", "1")] + wish, b""))
             return self.state != "draining"
         note_arrival(200)
         load.present += 1
@@ -135,6 +141,7 @@
 
     def run(self, connection, fault, run, echo):
         run.stamp = "%s.%d" % (self.instance, self.journal.add_run(run))
+        run.leaving = ("Server-Leaving", "1") in echo
         headers = echo + [("Server-Stamp", run.stamp)]
         if fault == "garbage":
             connection.sendall(b"\x00\x01 this is no answer\r\n\r\n")
