--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -110,6 +110,11 @@
     if (completeEvents.empty()) {
         return;
     }
+    if (eventsBefore == 0 && this->attempt->beganAnew()) {
+        this->attempt->connection->cancel();
+        this->onAnswerFailed(TargetFailure::NotResumed);
+        return;
+    }
     if (events.count() > eventsBefore) {
         this->relayedEvents += events.count() - eventsBefore;
         this->lastRelayedEventId = events.lastId();
@@ -146,6 +151,10 @@
 void RequestFlow::onAnswerEnd()
 {
     const auto self = this->shared_from_this();
+    if (this->attempt->endedWithinAnEvent()) {
+        this->onAnswerFailed(TargetFailure::Truncated);
+        return;
+    }
     this->attempt->connection.reset();
     if (this->attempt->head.status < 500) {
         this->state.recordSuccess(this->attempt->target.id);
