--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -74,8 +74,11 @@
         self.sent_on_connection = 0
 
     def run(self):
-        while not self.deployment.stopping.wait(self.rng.expovariate(1 / self.pause_s)):
-            self.request()
+        try:
+            while not self.deployment.stopping.wait(self.rng.expovariate(1 / self.pause_s)):
+                self.request()
+        except Exception as error:  # reported as a failure of the soak itself
+            self.deployment.broken.append(("SOAK", "-", "a caller ended: %r" % error))
         self.disconnect()
 
     def choose_request(self):
@@ -168,7 +171,9 @@
         if data:
             self.deployment.broken.append((
                 "MIXED", attempt.id, "bytes on an idle connection to %s: %r" % (self.entry, data[:100])))
-        return bool(data) or bool(select.select([self.connection], [], [], 0)[0])
+        poll = select.poll()
+        poll.register(self.connection, select.POLLIN)
+        return bool(data) or bool(poll.poll(0))
 
     def exchange(self, attempt, deadline):
         method, body = ("GET", b"") if attempt.kind in ("look", "probe") else ("POST", b"prompt of " + attempt.id.encode())
