--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -386,7 +386,10 @@
     def hang_up(self, fault):
         node = self.nodes[fault.subject]
         settings = json.loads(node.file.read_text())
-        node.file.write_text(json.dumps(dict(settings, logLinesPerSecond=300 + int(100 * fault.amount))))
+        settings["logLinesPerSecond"] = 300 + int(100 * fault.amount)
+        changed = node.file.with_suffix(".%s.new" % threading.get_ident())
+        changed.write_text(json.dumps(settings))
+        changed.replace(node.file)  # a process that starts now must not read half a file
         node.popen.send_signal(signal.SIGHUP)
 
     def harm_link(self, link, harm, fault):
