--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -13,6 +13,7 @@
 DENIED_ALLOWED, DENIED_SHARE = 5, 1 / 500
 RUNS_OVER_BUDGET = 3
 RETRY_AFTER_SLACK_S = 0.5
+BOUND_STEP_S = 0.25
 RETRY_AFTER_ARRIVALS = 2
 
 Finding = collections.namedtuple("Finding", "promise request text")
@@ -273,6 +274,7 @@
     def check_quota(self):
         metered = [(attempt.sent_at, run.at, sum(attempt.tokens)) for run in self.journal.runs
                    if (attempt := self.attempts.get(run.attempt)) and attempt.key == "key-metered"]
+        self.rates_bound = self.find_bounds(max((sent for sent, _, _ in metered), default=0))
         for start, _, _ in metered:
             used = sum(tokens for sent, at, tokens in metered if sent >= start and at <= start + QUOTA_WINDOW_S)
             rate = self.highest_rate(start, start + QUOTA_WINDOW_S)
@@ -282,16 +284,22 @@
                 return
 
     def highest_rate(self, start, end):
-        """A lower rate binds one window after all entries were in touch past its acknowledgement."""
         rates = [rate for at, rate in self.operator.rates if at <= end]
-        for index, (at, _) in enumerate(self.operator.rates):
+        for index, bound in enumerate(self.rates_bound):
+            if bound + QUOTA_WINDOW_S <= start:
+                rates = [rate for at, rate in self.operator.rates[index:] if at <= end]
+        return max(rates)
+
+    def find_bounds(self, end):
+        """A rate binds one window after all entries were in touch past its acknowledgement; returns when they were."""
+        bounds = []
+        for at, _ in self.operator.rates:
             bound = at + CONFIG_APPLY_S
-            while bound < start and not all(
+            while bound < end and not all(
                     self.disturbances.in_touch(entry, bound) for entry in self.deployment.entries):
-                bound += 0.25
-            if bound + QUOTA_WINDOW_S <= start and at <= start:
-                rates = [rate for later, rate in self.operator.rates[index:] if later <= end]
-        return max(rates)
+                bound += BOUND_STEP_S
+            bounds.append(bound)
+        return bounds
 
     def check_recovery(self):
         late = [a for a in self.attempts.values()
