--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -53,6 +53,7 @@
     /// Ranks the targets and reserves at the first. Returns false when no target is known.
     bool beginReservations();
     void reserveAtNext(std::size_t count);
+    void setReservationState(const std::string &targetId, ReservationState newState);
     /// Resends unanswered reservations and adds one.
     void maintainReservations();
     void onTimer();
@@ -64,6 +65,8 @@
     bool mayHaveRun() const;
     /// Whether another target may answer in place of one that may have run the request.
     bool canContinueElsewhere() const;
+    /// Whether the request may be sent to a target that was reserved.
+    bool mayMove() const { return !this->attempt || this->canContinueElsewhere(); }
     AnswerContinuation::Options continuationOptions() const;
     /// Reserves at other targets while the current one is silent.
     void searchOtherTarget();
@@ -92,12 +95,18 @@
     void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) override;
     void onAnswerEnd() override;
     void onAnswerFailed(TargetFailure failure) override;
-    bool onGranted(const std::string &targetId) override;
-    void onQueued(const std::string &targetId) override;
-    void onDeclined(const std::string &targetId) override;
+    bool onGranted(std::uint64_t reservation, const std::string &targetId) override;
+    void onQueued(std::uint64_t reservation, const std::string &targetId) override;
+    void onDeclined(std::uint64_t reservation, const std::string &targetId) override;
 
     void forwardEvents(std::string_view bytes);
+    /// \param eventsBefore Number of the attempt's events before these.
+    void relayEvents(const std::string &completeEvents, std::uint64_t eventsBefore);
+    /// Closes the target's connection, whose answer can't be used.
+    void dropAttempt(TargetFailure failure);
     void beginRelay();
+    /// Whether a target's answer can follow the part that the caller has.
+    bool continuesRelayedAnswer(const MessageHead &received) const;
     HttpFields relayedFields() const;
     void refuse(ResultCode code, std::string_view detail, Duration retryAfter = {});
     void fail(int status, std::string_view detail);
@@ -141,8 +150,8 @@
     bool anyTargetMayHaveRun = false; ///< Of the earlier attempts, or the current one answered.
     bool headSentToCaller = false;
     MessageHead relayedHead; ///< That the caller got.
-    std::uint64_t relayedEvents = 0; ///< Number of events with an id that the caller got.
-    std::string lastRelayedEventId;
+    std::uint64_t relayedEvents = 0; ///< Number of events that the caller got.
+    std::string lastRelayedEventId; ///< Empty when the last event that the caller got has none.
     std::optional<Duration> timeToFirstEvent;
     std::optional<Duration> timeToSend;
     TimePoint lastEventAt;
