--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -32,6 +32,7 @@
 UNLISTED_DRAIN_SHARE = 0.25  # of the drains, that the store never learns
 GONE_DRAIN_SHARE = 0.5  # up to this share it learns them by the removal of the record
 SHUTDOWN_S = 2.0  # how long an engine goes on after its drain time
+REWRITE_MINIMUM_S, REWRITE_SPREAD_S = 0.5, 3.0  # until the operator notices that the store went back
 RESTART_S = 0.3  # the platform's delay before it starts an ended process again
 
 ROUTES = {
@@ -480,7 +481,7 @@
             if moment < self.store.copies[0][0]:
                 return
             self.store.go_back(fault.for_s)
-            time.sleep(fault.amount)
+            time.sleep(REWRITE_MINIMUM_S + REWRITE_SPREAD_S * fault.amount)
             self.operator.write_again(moment)
 
     def change_configuration(self, fault):
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -10,6 +10,8 @@
 COPY_KEEP_S = 10.0  # how far the store can go back
 SLOW_S = 1.2
 PAUSE_S = 3.0  # the longest pause within an answer
+WORK_S, LONG_WORK_S, LONG_WORK_SHARE = (0.005, 0.06), (0.2, 0.6), 0.1  # of plain services
+FIRST_TOKEN_S = (0.005, 0.1)
 ENDLESS_S = 6.0  # bounds an endless answer whose reader never closes
 FIRST_EVENT_SHARE = 0.4  # of the streams that break off or pause, that do so within their first event
 
@@ -155,7 +157,7 @@
             return False
         if self.service == "engines" and fault != "error":
             return self.stream_events(connection, fault, run, headers)
-        time.sleep(self.rng.uniform(0.005, 0.06))
+        time.sleep(self.rng.uniform(*(LONG_WORK_S if self.rng.random() < LONG_WORK_SHARE else WORK_S)))
         run.status = 500 if fault == "error" else 200
         text = "answer to %s by %s\n" % (run.attempt, run.stamp)
         run.body = (text * self.rng.randint(1, 40)).encode()
@@ -177,6 +179,7 @@
         return fault != "unframed" and self.state != "draining"
 
     def stream_events(self, connection, fault, run, headers):
+        time.sleep(self.rng.uniform(*FIRST_TOKEN_S))
         run.status = 200
         chunked = fault != "unframed"
         headers = headers + [("Content-Type", "text/event-stream")]
