--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from deployment import HOST, ROUTES
+from deployment import HOST
 
 DEADLINE_S = 4.0
 CONNECT_TIMEOUT_S = 1.0
@@ -71,7 +71,6 @@
         self.rng = random.Random("%s-%d" % (name, deployment.seed))
         self.connection = None
         self.entry = None
-        self.sent_on_connection = 0
 
     def run(self):
         try:
@@ -133,7 +132,6 @@
         host, port = self.deployment.links[self.entry].address.split(":")
         self.connection = socket.create_connection((host, int(port)), timeout=CONNECT_TIMEOUT_S)
         self.stream = KeptStream(self.connection)
-        self.sent_on_connection = 0
 
     def disconnect(self):
         if self.connection is not None:
@@ -176,7 +174,9 @@
         return bool(data) or bool(poll.poll(0))
 
     def exchange(self, attempt, deadline):
-        method, body = ("GET", b"") if attempt.kind in ("look", "probe") else ("POST", b"prompt of " + attempt.id.encode())
+        method, body = "POST", b"prompt of " + attempt.id.encode()
+        if attempt.kind in ("look", "probe"):
+            method, body = "GET", b""
         lines = [
             "%s %s HTTP/1.%d" % (method, attempt.target, 0 if attempt.version_1_0 else 1), "Host: " + HOST,
             "Attempt-Id: " + attempt.id, "Deadline-Ms: %d" % max(1, 1000 * (deadline - time.monotonic())),
@@ -189,7 +189,6 @@
         attempt.sent_at = time.monotonic()
         self.connection.settimeout(max(0.1, deadline - attempt.sent_at) + 0.5)
         self.connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        self.sent_on_connection += 1
         owners = self.deployment.links[self.entry].owners
         response = http.client.HTTPResponse(self.stream, method=method)
         try:
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -86,7 +86,8 @@
         self.store.put("op/config", {
             "version": self.version, "routes": routes,
             "services": [
-                {"name": "engines", "healthPath": "/health", "maxConnections": 100, "engine": {"slots": 2, "stride": 7}},
+                {"name": "engines", "healthPath": "/health", "maxConnections": 100,
+                 "engine": {"slots": 2, "stride": 7}},
                 {"name": "plain", "healthPath": "/health", "maxConnections": 100},
             ],
             "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 100000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -115,7 +115,8 @@
     def cut_by_end(self, attempt):
         """The kernel ends the connections of a killed process in order: without a length, all looks well."""
         return attempt.version_1_0 and any(
-            subject == attempt.entry and what in ("kill", "term") and begun <= attempt.ended_at and ended >= attempt.sent_at
+            subject == attempt.entry and what in ("kill", "term")
+            and begun <= attempt.ended_at and ended >= attempt.sent_at
             for subject, what, begun, ended in self.disturbances.spans)
 
     def check_keys(self, attempt, runs):
@@ -209,8 +210,9 @@
                 late = [arrival for arrival in at_engine if start < arrival.at < end]
                 if len(late) > RETRY_AFTER_ARRIVALS and self.disturbances.calm(
                         (incarnation.rsplit(".", 1)[0], "harness"), refusal.at - CONTACT_S, end):
-                    self.add("BUDGET", late[-1].attempt, "%d requests reached %s from %s within the %.1f s it asked for",
-                             len(late), instance, incarnation, refusal.retry_after_s)
+                    self.add("BUDGET", late[-1].attempt,
+                             "%d requests reached %s from %s within the %.1f s it asked for", len(late), instance,
+                             incarnation, refusal.retry_after_s)
                     break
 
     def frozen(self, entry, start, end):
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -107,7 +107,7 @@
 
     def record(self):
         self.sequence += 1
-        return dict(self.instance_record(self.service, state=self.listed_state), address=self.address, seq=self.sequence)
+        return dict(self.instance_record(self.service, state=self.listed_state), seq=self.sequence)
 
     def handle_request(self, connection, method, target, headers, body):
         now = time.monotonic()
