--- a/src/libforward/messagereader_test.cpp
+++ b/src/libforward/messagereader_test.cpp
@@ -121,5 +121,16 @@
     EXPECT_EQ(fieldValue(reader.head().fields, "Model"), "");
 }
 
+/// A target began a head, broke off and began another one on the same connection: what it answered is
+/// not known.
+TEST(MessageReader, headBehindHalfAHeadIsMalformed)
+{
+    AnswerReader reader(headLimit, bodyLimit);
+    ErrorCode failure;
+    reader.consume("HTTP/1.1 200 StHTTP/1.1 500 Status\r\nContent-Length: 0\r\n\r\n", failure);
+    EXPECT_TRUE(failure);
+    EXPECT_FALSE(reader.isHeadComplete());
+}
+
 } // namespace
 } // namespace wigeonsill
