A status line with another one behind its beginning is malformed

Change: a reason phrase that holds an HTTP version is no head; the attempt fails as malformed. Test failed before (read as a 200), passes now.

--- a/src/libforward/messagereader.h
+++ b/src/libforward/messagereader.h
@@ -85,8 +85,13 @@
         this->message.target.assign(target.data(), target.size());
         this->message.httpVersion = version;
     }
-    void on_response_impl(int status, View reason, int version, ErrorCode & /*error*/) override
+    void on_response_impl(int status, View reason, int version, ErrorCode &error) override
     {
+        // The rest of a status line that was broken off, with another head behind it.
+        if (reason.find("HTTP/1.") != View::npos) {
+            error = boost::beast::http::error::bad_reason;
+            return;
+        }
         this->message.status = status;
         this->message.reason.assign(reason.data(), reason.size());
         this->message.httpVersion = version;
--- a/src/libforward/messagereader_test.cpp
+++ b/src/libforward/messagereader_test.cpp
@@ -121,8 +121,8 @@
     EXPECT_EQ(fieldValue(reader.head().fields, "Model"), "");
 }
 
-/// A target began a head, broke off and began another one on the same connection: what it answered is
-/// not known.
+/// A target began a head, broke off and began another one on the same connection: what it answered
+/// is not known.
 TEST(MessageReader, headBehindHalfAHeadIsMalformed)
 {
     AnswerReader reader(headLimit, bodyLimit);
