A request that is given up on is discarded, also by the network

Cause: cancel() closed the connection in order, so the network kept what it held. Change: a connection whose request is given up on, or whose answer failed, is reset. Ruled out: the new rules for leaving targets, which held (target-leaving by the store at 15.4 s, nothing sent after).

--- a/src/libforward/connections_test.cpp
+++ b/src/libforward/connections_test.cpp
@@ -374,6 +374,22 @@
     EXPECT_EQ(this->receivedBody(), event(1) + event(2));
 }
 
+/// DRAIN on tendopoli-nord: a request that was held up by a cut link and given up on reached its
+/// target seconds later. Only a reset discards what the network still holds.
+TEST_F(TargetConnections, requestThatIsGivenUpOnIsDiscarded)
+{
+    const Exchange &exchange = this->send("first");
+    ASSERT_TRUE(this->acceptNew());
+    exchange.connection->cancel();
+    this->runFor(milliseconds(30));
+    boost::system::error_code error;
+    std::array<char, 1'024> buffer{};
+    while (!error) {
+        this->connection.read_some(asio::buffer(buffer), error);
+    }
+    EXPECT_EQ(error, asio::error::connection_reset);
+}
+
 /// A stream to a caller whose answers end with the connection.
 class UnsizedStream : public SentRequest
 {
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -440,7 +440,7 @@
     const auto self = this->shared_from_this();
     AnswerHandler *finishedHandler = this->handler;
     this->handler = nullptr;
-    this->close();
+    this->reset();
     if (finishedHandler != nullptr) {
         finishedHandler->onAnswerFailed(failure);
     }
@@ -463,6 +463,13 @@
 void TargetConnection::cancel()
 {
     this->handler = nullptr;
+    this->reset();
+}
+
+void TargetConnection::reset()
+{
+    error_code ignored; // The connection has ended already.
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
     this->close();
 }
 
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -108,7 +108,8 @@
     TargetConnection(TargetPool::Private &targetPool, std::string id,
         const boost::asio::ip::tcp::endpoint &address);
 
-    /// Closes the connection. The handler is not called again.
+    /// Resets the connection, so that what the network still holds of the request is discarded. The
+    /// handler is not called again.
     void cancel();
     /// Closes the connection since its answer exceeds a bound. The handler is told, and that the
     /// answer failed. Does nothing on an idle connection. May be called from within the handler.
@@ -141,6 +142,8 @@
     void onSkippedTimeOver();
     void finish(bool bytesFollow);
     void fail(TargetFailure failure);
+    /// Closes the connection whose request is given up on.
+    void reset();
     void close();
     void updateIdleTime(const MessageHead &head);
 
