Events end at an empty line, whether lines end with LF, CRLF or CR

Cause: EventSplitter knew only "\n\n" as the end of an event, so all of such a stream was one incomplete event, and an answer that ends with its connection within an event counts as broken off. Change: the splitter reads lines, each ended by LF, CRLF or CR, also where a piece ends between CR and LF. The id of an event counts once the event is complete. A comment behind the last event is no part of an event. Ruled out: looking for three patterns of two line ends, since CR and LF may lie in different pieces, and the line end of one line does not bind the next.

--- a/src/libforward/eventsplitter.cpp
+++ b/src/libforward/eventsplitter.cpp
@@ -9,48 +9,68 @@
     if (this->oversized) {
         return {};
     }
-    // The end of an event may lie across the end of what is kept, which holds no complete one.
-    const std::size_t scanFrom = this->partial.empty() ? 0 : this->partial.size() - 1;
+    std::size_t at = this->partial.size();
     this->partial += bytes;
-    const std::size_t lastEnd = std::string_view(this->partial).substr(scanFrom).rfind("\n\n");
-    std::string completeEvents;
-    if (lastEnd != std::string_view::npos) {
-        const std::size_t size = scanFrom + lastEnd + 2;
-        completeEvents = this->partial.substr(0, size);
-        this->partial.erase(0, size);
+    std::size_t completeEnd = 0;
+    while (at < this->partial.size()) {
+        if (this->lineFeedMayFollow && at == this->lineStart && this->partial[at] == '\n') {
+            completeEnd += completeEnd == at ? 1 : 0;
+            this->lineStart = ++at;
+            this->lineFeedMayFollow = false;
+            continue;
+        }
+        const std::size_t lineEnd = this->partial.find_first_of("\r\n", at);
+        if (lineEnd == std::string::npos) {
+            break;
+        }
+        this->lineFeedMayFollow = this->partial[lineEnd] == '\r';
+        at = lineEnd + 1;
+        if (lineEnd == this->lineStart) {
+            this->endEvent();
+            completeEnd = at;
+        } else {
+            this->readLine(
+                std::string_view(this->partial).substr(this->lineStart, lineEnd - this->lineStart));
+        }
+        this->lineStart = at;
     }
+    std::string completeEvents = this->partial.substr(0, completeEnd);
+    this->partial.erase(0, completeEnd);
+    this->lineStart -= completeEnd;
     if (this->partial.size() > maximumEventSize) {
         this->oversized = true;
         this->partial = std::string();
-    }
-    std::size_t lineStart = 0;
-    while (lineStart < completeEvents.size()) {
-        const std::size_t lineEnd = completeEvents.find('\n', lineStart);
-        this->readLine(std::string_view(completeEvents).substr(lineStart, lineEnd - lineStart));
-        lineStart = lineEnd + 1;
+        this->lineStart = 0;
     }
     return completeEvents;
 }
 
-void EventSplitter::readLine(std::string_view line)
+bool EventSplitter::isInsideEvent() const
+{
+    return this->inEvent
+        || (this->lineStart < this->partial.size() && this->partial[this->lineStart] != ':');
+}
+
+void EventSplitter::endEvent()
 {
-    if (line.empty()) {
-        if (this->inEvent) { // Comments alone are no event.
-            ++this->eventCount;
-            this->lastEventHasId = this->eventHasId;
+    if (this->inEvent) { // Comments alone are no event.
+        ++this->eventCount;
+        this->lastEventHasId = this->eventId && !this->eventId->empty();
+        this->lastEventId = this->eventId.value_or(this->lastEventId);
+        if (this->eventCount == 1) {
+            this->firstEventId = this->lastEventId;
         }
-        this->inEvent = false;
-        this->eventHasId = false;
-        return;
     }
+    this->inEvent = false;
+    this->eventId.reset();
+}
+
+void EventSplitter::readLine(std::string_view line)
+{
     this->inEvent = this->inEvent || !line.starts_with(':');
     if (line.starts_with("id:")) {
         const std::size_t valueStart = line.find_first_not_of(' ', 3);
-        this->lastEventId = valueStart == std::string_view::npos ? "" : line.substr(valueStart);
-        this->eventHasId = !this->lastEventId.empty();
-        if (this->eventCount == 0) {
-            this->firstEventId = this->lastEventId;
-        }
+        this->eventId = valueStart == std::string_view::npos ? "" : line.substr(valueStart);
     }
 }
 
--- a/src/libforward/eventsplitter.h
+++ b/src/libforward/eventsplitter.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace wigeonsill {
 
-/// Buffers a stream of events so that only complete events are relayed. Not thread-safe.
+/// Buffers a stream of events so that only complete events are relayed. Lines end with LF, CRLF or
+/// CR. Not thread-safe.
 class EventSplitter
 {
 public:
@@ -22,25 +24,33 @@
     const std::string &firstId() const { return this->firstEventId; }
     /// Whether an event was dropped since it was too large.
     bool isOversized() const { return this->oversized; }
-    /// Id of the last complete event; empty before the first.
+    /// Id of the last complete event that has one; empty before it.
     const std::string &lastId() const { return this->lastEventId; }
     /// Whether the last complete event has an id, so that a stream can be resumed after it.
     bool endsAtId() const { return this->lastEventHasId; }
     /// Number of complete events.
     std::uint64_t count() const { return this->eventCount; }
+    /// Whether a part of an event follows the last complete one. Comments and empty lines are no
+    /// part of an event.
+    bool isInsideEvent() const;
     /// Bytes after the last complete event, to be relayed at the end of a complete answer.
     const std::string &remainder() const { return this->partial; }
 
 private:
+    /// Reads a complete line of the current event.
     void readLine(std::string_view line);
+    /// Ends the current event at an empty line.
+    void endEvent();
 
     std::string partial;
+    std::size_t lineStart = 0; ///< Of the incomplete line in partial.
+    bool lineFeedMayFollow = false; ///< The last complete line ended with CR.
     std::string firstEventId;
     std::string lastEventId;
     std::uint64_t eventCount = 0;
     bool oversized = false;
-    bool inEvent = false; ///< The block being read has a line that is no comment.
-    bool eventHasId = false;
+    bool inEvent = false; ///< The current event has a complete line that is no comment.
+    std::optional<std::string> eventId; ///< Of the current event.
     bool lastEventHasId = false;
 };
 
--- a/src/libforward/eventsplitter_test.cpp
+++ b/src/libforward/eventsplitter_test.cpp
@@ -37,6 +37,28 @@
     }
 }
 
+/// Lines may end with LF, CRLF or CR, and a piece may end between CR and LF.
+TEST(EventSplitter, allLineEndsAreRecognised)
+{
+    for (const std::string end : { "\n", "\r\n", "\r" }) {
+        const std::string events = "id: 1" + end + "data: a" + end + end + ": comment" + end + end
+            + "data: b" + end + "id: 2" + end + end;
+        const std::string stream = events + "id: 3" + end;
+        for (std::size_t size = 1; size <= stream.size(); ++size) {
+            EventSplitter splitter;
+            std::string found;
+            for (std::size_t at = 0; at < stream.size(); at += size) {
+                found += splitter.feed(std::string_view(stream).substr(at, size));
+            }
+            EXPECT_EQ(found, events);
+            EXPECT_EQ(splitter.remainder(), "id: 3" + end);
+            EXPECT_EQ(splitter.count(), 2U);
+            EXPECT_EQ(splitter.firstId(), "1");
+            EXPECT_EQ(splitter.lastId(), "2") << "the id of an incomplete event does not count";
+        }
+    }
+}
+
 TEST(EventSplitter, workPerByteDoesNotRiseWithWhatIsKept)
 {
     constexpr std::size_t step = 131'072;
--- a/src/libforward/targetattempt.h
+++ b/src/libforward/targetattempt.h
@@ -36,7 +36,7 @@
     /// else tells its end from a crash. \pre the connection ended.
     bool endedWithinAnEvent() const
     {
-        return this->streaming && this->head.endsAtClose && !this->events.remainder().empty();
+        return this->streaming && this->head.endsAtClose && this->events.isInsideEvent();
     }
 };
 
