A stream that ends within an event is broken off, however its end is framed

What callers saw: a stream with chunks or a length whose target ended it in the middle of an event reached them as whole, with the half event at its end. Cause: onAnswerEnd() asked for a half event only where the answer ended with its connection; had ruled out answers whose end the target states. Change: TargetAttempt::endedWithinAnEvent() no longer looks at the framing. A resumable stream goes on elsewhere after its last event, any other one is cut for its caller; before the first event it fails with 502. An answer of a stated other type (a JSON document on a stream route) has no events and ends as its target frames it. Ruled out: applying it to every body on a stream route, which would break off whole documents. Tests failed before: thatEndsItsChunksWithinAnEventIsResumed, thatEndsItsLengthWithinAnEventIsResumed, thatEndsItsChunksWithinAnEventIsNotComplete, thatEndsWithinItsFirstEventFails.

--- a/src/libforward/brokenstreams_test.cpp
+++ b/src/libforward/brokenstreams_test.cpp
@@ -30,6 +30,55 @@
     }
 };
 
+class StreamOfOneRun : public SentRequest
+{
+protected:
+    StreamOfOneRun()
+        : SentRequest(Options{})
+    {
+    }
+};
+
+constexpr auto halfEvent = "id: 2\ndata: half";
+
+TEST_F(ResumableStream, thatEndsItsChunksWithinAnEventIsResumed)
+{
+    this->writeStreamHead();
+    this->writeChunk(event(1) + halfEvent);
+    this->write("0\r\n\r\n");
+    ASSERT_NO_FATAL_FAILURE(this->resumeElsewhere());
+    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+    EXPECT_TRUE(this->complete);
+}
+
+TEST_F(ResumableStream, thatEndsItsLengthWithinAnEventIsResumed)
+{
+    const std::string body = event(1) + halfEvent;
+    this->write(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    ASSERT_NO_FATAL_FAILURE(this->resumeElsewhere());
+    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+    EXPECT_TRUE(this->complete);
+}
+
+TEST_F(StreamOfOneRun, thatEndsItsChunksWithinAnEventIsNotComplete)
+{
+    this->writeStreamHead();
+    this->writeChunk(event(1) + halfEvent);
+    this->write("0\r\n\r\n");
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+    EXPECT_TRUE(this->closed);
+}
+
+TEST_F(StreamOfOneRun, thatEndsWithinItsFirstEventFails)
+{
+    this->writeStreamHead();
+    this->writeChunk("id: 1\ndata: half\n");
+    this->write("0\r\n\r\n");
+    EXPECT_TRUE(this->received().starts_with("HTTP/1.1 502")) << this->receivedBytes;
+}
+
 /// A stream of another writer, whose lines end with CRLF.
 TEST_F(ResumableStream, withoutLengthAndWithCarriageReturnsIsWhole)
 {
--- a/src/libforward/targetattempt.h
+++ b/src/libforward/targetattempt.h
@@ -32,12 +32,9 @@
         return !this->resumesAfter.empty()
             && !isLaterEvent(this->events.firstId(), this->resumesAfter);
     }
-    /// Whether a stream that lasts until its connection ends was cut: without a length, nothing
-    /// else tells its end from a crash. \pre the connection ended.
-    bool endedWithinAnEvent() const
-    {
-        return this->streaming && this->head.endsAtClose && this->events.isInsideEvent();
-    }
+    /// Whether a stream ended in the middle of an event, and so was broken off, however its end was
+    /// framed. \pre the answer ended.
+    bool endedWithinAnEvent() const { return this->streaming && this->events.isInsideEvent(); }
 };
 
 } // namespace wigeonsill
