The agent takes a stream that ends within an event for broken off

The same cause elsewhere: on the product's own interface, an engine's stream without length that ended in the middle of an event was whole for the agent, so its caller got the half event and a proper end. Cause: TargetRunner takes the end of the connection for the end of an answer that has no length, as the users' entry did before. Change: the agent reads the events of an answer of type text/event-stream; one that ends within an event ends the run as broken off, which the entry passes on by breaking its caller's answer. EventSplitter moves to libhttp for it. Ruled out: holding back half events at the agent, as the entry of the users' platform does: streams of this path are resumed by offset, not by event, so the bytes have to stay as they are.

--- a/src/libforward/mixedanswers_test.cpp
+++ b/src/libforward/mixedanswers_test.cpp
@@ -1,7 +1,6 @@
 /// \file mixedanswers_test.cpp
 /// Regression tests of answers that were joined from two targets or lost a part on a move.
 #include "entryfixture.h"
-#include "eventsplitter.h"
 
 namespace wigeonsill {
 namespace {
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -9,19 +9,6 @@
 
 namespace wigeonsill {
 
-namespace {
-
-/// Whether the body of an answer on a stream route is a stream of events: it is of that type or
-/// does not state its type.
-bool mayBeEventStream(const MessageHead &head)
-{
-    const std::string_view type = fieldValue(head.fields, "Content-Type");
-    const std::string_view mediaType = type.substr(0, type.find_first_of("; \t"));
-    return type.empty() || equalsIgnoringCase(mediaType, "text/event-stream");
-}
-
-} // namespace
-
 void RequestFlow::onSent()
 {
     this->attempt->mayHaveRun = true;
@@ -72,8 +59,10 @@
         return;
     }
     this->attempt->head = received;
-    this->attempt->streaming = this->route->routeType == RouteType::Stream && received.status < 300
-        && mayBeEventStream(received);
+    const bool mayBeEvents
+        = isEventStream(received.fields) || fieldValue(received.fields, "Content-Type").empty();
+    this->attempt->streaming
+        = this->route->routeType == RouteType::Stream && received.status < 300 && mayBeEvents;
     this->phase = Phase::Relaying;
     this->recordProgress();
 }
--- a/src/libforward/targetattempt.h
+++ b/src/libforward/targetattempt.h
@@ -2,7 +2,6 @@
 /// One send of a request to a target.
 #pragma once
 
-#include "eventsplitter.h"
 #include "targetpool.h"
 #include "wigeonsill/outcomes.h"
 
--- a/src/libforward/eventsplitter.cpp
+++ b/src/libhttp/eventsplitter.cpp
@@ -1,9 +1,15 @@
 /// \file eventsplitter.cpp
 /// Splits a text/event-stream body into complete events.
-#include "eventsplitter.h"
+#include "wigeonsill/http.h"
 
 namespace wigeonsill {
 
+bool isEventStream(const HttpFields &fields)
+{
+    const std::string_view type = fieldValue(fields, "Content-Type");
+    return equalsIgnoringCase(type.substr(0, type.find_first_of("; \t")), "text/event-stream");
+}
+
 std::string EventSplitter::feed(std::string_view bytes)
 {
     if (this->oversized) {
--- a/src/libforward/eventsplitter_test.cpp
+++ b/src/libhttp/eventsplitter_test.cpp
@@ -1,6 +1,6 @@
 /// \file eventsplitter_test.cpp
 /// Tests of the extraction of events from streams, also from ones that never end an event.
-#include "eventsplitter.h"
+#include "wigeonsill/http.h"
 
 #include <gtest/gtest.h>
 
--- a/src/wigeonsill-agent/targetrunner.cpp
+++ b/src/wigeonsill-agent/targetrunner.cpp
@@ -75,6 +75,8 @@
     bool paused = false;
     bool cancelled = false;
     std::string tail; ///< Last bytes of the answer, which contain the token counts.
+    std::optional<EventSplitter>
+        events; ///< Of an answer that states that it is a stream of events.
 };
 
 TargetRunner::TargetRunner(DaemonContext daemonContext, AgentCore &agentCore,
@@ -154,6 +156,9 @@
     if (!head) {
         co_return TargetEnd::TimedOut;
     }
+    if (isEventStream(head.value().fields)) {
+        run->events.emplace();
+    }
     Headers headers;
     const std::string connection(fieldValue(head.value().fields, "Connection"));
     for (HttpField &field : head.value().fields) {
@@ -179,7 +184,12 @@
             co_return TargetEnd::Truncated;
         }
         if (chunk.value().empty()) {
-            co_return TargetEnd::Complete;
+            const bool withinAnEvent
+                = run->events && !run->events->isOversized() && run->events->isInsideEvent();
+            co_return withinAnEvent ? TargetEnd::Truncated : TargetEnd::Complete;
+        }
+        if (run->events) {
+            run->events->feed(chunk.value());
         }
         run->tail += chunk.value();
         if (run->tail.size() > answerTailBytes) {
