--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import socket
+import struct
 import threading
 import time
 import urllib.parse
@@ -181,6 +182,56 @@
     return [("id: %d\ndata: %s%d\n\n" % (i, text, i)).encode() for i in range(first, last + 1)]
 
 
+def shared_parts(headers):
+    """Returns the ids of a request's prompt parts but the last, which belongs to the request itself."""
+    return [part.split(":")[0] for part in headers.get("Prompt-Prefix", "").split(",")][:-1]
+
+
+class Crashes:
+    """What is needed to crash a server that accepts connections, and to start it again at its address."""
+
+    def __init__(self, engine, store, service, down_s):
+        self.engine, self.store, self.service, self.down_s = engine, store, service, down_s
+        self.parts = set()  # ends the engine as it begins to write an answer on one of them
+        self.ends = []  # when an incarnation ended
+        self.lock = threading.Lock()
+        self.up = True
+
+    def crash(self):
+        with self.lock:
+            if not self.up:
+                return
+            self.up = False
+        self.ends.append(time.monotonic())
+        engine = self.engine
+        engine.server.shutdown(socket.SHUT_RDWR)  # wakes the thread that accepts
+        engine.server.close()
+        for connection in engine.connections:
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # It has ended already.
+        engine.connections = []
+        threading.Timer(self.down_s, self.restart).start()
+
+    def restart(self):
+        engine = self.engine
+        host, port = engine.address.split(":")
+        server = socket.socket()
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        server.bind((host, int(port)))
+        server.listen(64)
+        former = engine.instance
+        engine.instance = "%s.%d" % (former.split(".")[0], len(self.ends) + 1)
+        engine.born = int(time.time() * 1000)
+        engine.server = server
+        self.up = True
+        threading.Thread(target=engine.accept_connections, daemon=True).start()
+        self.store.put("servers/" + engine.instance, dict(engine.instance_record(self.service), born=engine.born))
+        self.store.remove("servers/" + former)
+
+
 class Engine(Server):
     """A model engine or a plain service. The last segment of the request path selects its behaviour."""
 
@@ -198,6 +249,7 @@
         self.request_connections = set()  # All but those on which only reports were asked for.
         self.arrivals = []  # Times at which requests to it arrived, also refused ones.
         self.running = 0
+        self.crashes = None  # Crashes, for an engine that crashes and starts again
         self.lock = threading.Lock()
         super().__init__()
 
@@ -250,7 +302,8 @@
             connection.sendall(format_answer(503, id_headers + [("Not-Executed", "1")], b""))
             return True
         with self.lock:
-            self.runs.append({"method": method, "target": target, "headers": headers, "body": body})
+            self.runs.append({
+                "at": time.monotonic(), "method": method, "target": target, "headers": headers, "body": body})
             self.running += 1
         try:
             return self.respond(connection, behaviour, headers, common_headers)
@@ -320,6 +373,9 @@
         response_headers = common_headers + [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
         head = "HTTP/1.1 200 X\r\n" + "".join("%s: %s\r\n" % header for header in response_headers) + "\r\n"
         connection.sendall(head.encode())
+        if self.crashes is not None and self.crashes.parts.intersection(shared_parts(headers)):
+            self.crashes.crash()
+            return False
         first = int(headers.get("Last-Event-Id", "0")) + 1
         for number, event in enumerate(events(first, self.event_count), first):
             time.sleep(self.event_delay_s if behaviour != "slow" else 0.2)
