A body of known length and unknown type is no stream of events

Change: where neither the type nor chunks nor the end of the connection say that it is a stream, the body ends as its length states.

--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -59,8 +59,9 @@
         return;
     }
     this->attempt->head = received;
-    const bool mayBeEvents
-        = isEventStream(received.fields) || fieldValue(received.fields, "Content-Type").empty();
+    // A body of known length and unknown type may as well be a document.
+    const bool mayBeEvents = isEventStream(received.fields)
+        || (fieldValue(received.fields, "Content-Type").empty() && !received.length);
     this->attempt->streaming
         = this->route->routeType == RouteType::Stream && received.status < 300 && mayBeEvents;
     this->phase = Phase::Relaying;
