Requests with a prompt part that crashes engines are held back at all entries

Cause: an engine's end was a failure of one attempt and nothing else: nothing was learned from it, and each such request was sent to a second engine. Class: a failure whose cause is the request is treated as one of the target. Change: an entry reports a request whose connection ended before its target had begun to answer, once a probe shows that the target's machine refuses connections. Reports go to the two collectors of usage at once, and every exchange of usage carries a digest of what is known, so that an entry or agent that knows less is sent the rest; while no collector answers, agents are asked in turn. What falls under a hold is refused as not run (503, PartsHeld, Retry-After by the hold's age), also while it waits; a request like one under which another target ended is not sent a second time. An operator sees holds in /state and the log and can release one. Ruled out: conclusions from broken connections alone (engines that break off single answers would hold their parts back); refusing at agents (reservations don't carry parts); the store as the way to spread (calls are priced, and it may be away).

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -197,6 +197,9 @@
     void drain();
     bool isDrained() const;
     boost::json::object dumpState() const;
+    /// Releases prompt parts that are held back, here and at all entries that learn of it.
+    /// \param id Of the hold, as in dumpState(). \returns Whether there was such a hold.
+    bool releasePartHold(std::string_view id);
     std::uint16_t port() const;
 
 private:
--- a/src/include/wigeonsill/outcomes.h
+++ b/src/include/wigeonsill/outcomes.h
@@ -92,4 +92,10 @@
 /// uniformRandom Uniformly distributed in [0, 1).
 Duration quietReturnDelay(Duration untilWanted, double uniformRandom);
 
+/// How long a caller should wait before it comes back with a request whose prompt parts are held
+/// back: as long as they have been, since a hold that is wrong is found out early and any other one
+/// stays. \param heldFor How long the parts have been held. \param uniformRandom Uniformly
+/// distributed in [0, 1).
+Duration heldReturnDelay(Duration heldFor, double uniformRandom);
+
 } // namespace wigeonsill
--- a/src/include/wigeonsill/quarantine.h
+++ b/src/include/wigeonsill/quarantine.h
@@ -165,14 +165,16 @@
 class UnconfirmedCrashes
 {
 public:
-    /// How long after a report the target's end may be noticed.
+    /// How long after a report the target's end may be confirmed.
     static constexpr Duration confirmationTime = seconds(10);
     static constexpr std::size_t maximumReports = 512;
 
     void record(const std::string &targetId, CrashReport report, TimePoint now);
     /// Removes and returns the reports of a target that is known to have ended.
     std::vector<CrashReport> confirm(const std::string &targetId, TimePoint now);
-    bool isEmpty() const { return this->reports.empty(); }
+    /// Forgets the reports of a target that has not ended.
+    void forget(const std::string &targetId) { this->reports.erase(targetId); }
+    bool contains(const std::string &targetId) const { return this->reports.contains(targetId); }
 
 private:
     std::multimap<std::string, CrashReport> reports; ///< By target id.
--- a/src/include/wigeonsill/util.h
+++ b/src/include/wigeonsill/util.h
@@ -75,6 +75,7 @@
     TargetRefusedConnection = 2010,
     FirstAttemptRunning = 2011,
     RequestExpired = 2012,
+    PartsHeld = 2013,
     // 3xxx: the request was run; its answer is incomplete.
     TargetBrokeOff = 3001,
     AnswerLost = 3002,
--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -17,11 +17,15 @@
 class FixedDialect : public WireDialect
 {
 public:
-    Result<RequestMetadata> decodeRequest(const MessageHead & /*head*/) const override
+    Result<RequestMetadata> decodeRequest(const MessageHead &head) const override
     {
         RequestMetadata request;
-        request.id = "request-1";
+        const std::string_view id = fieldValue(head.fields, "Test-Id");
+        request.id = id.empty() ? "request-1" : id;
         request.promptTokens = 100;
+        for (const char part : fieldValue(head.fields, "Test-Parts")) {
+            request.parts.push_back({ static_cast<std::uint64_t>(part), 100 });
+        }
         return request;
     }
     HttpFields encodeRequest(
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -2,6 +2,7 @@
 /// State shared by all connections and requests of one entry.
 #pragma once
 
+#include "crashwatch.h"
 #include "grantclient.h"
 #include "targetpool.h"
 
@@ -55,6 +56,7 @@
     ForwardEntrySettings settings;
     TargetPool pool;
     GrantClient grantClient;
+    CrashWatch crashes;
     ServiceRetryBudget retryBudget;
     QuotaLimiter quotas;
     ServedShareTracker served;
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -55,6 +55,7 @@
     , settings(settingsIn)
     , pool(context, metricsIn, dialectIn)
     , grantClient(context, metricsIn, settingsIn)
+    , crashes(metricsIn, logIn, this->pool, this->grantClient)
     , retryBudget(settingsIn.retryBudget)
     , quotas(settingsIn.quotas)
     , random(generateIncarnation().low)
@@ -82,6 +83,7 @@
 void EntryState::recordReplacement(const std::string &targetId)
 {
     this->targets.markReplaced(targetId);
+    this->crashes.recordEnd(targetId);
     this->log.stateChange(DecisionLine("entry", "target-replaced").text("target", targetId));
     if (this->refreshTargets) {
         this->refreshTargets();
@@ -248,9 +250,10 @@
     }
     std::sort(engines.begin(), engines.end(),
         [](const Target *left, const Target *right) { return left->address < right->address; });
+    this->state.crashes.update(engines, usageCollectorCount, this->state.random());
     const auto uses = this->state.quotas.ownUsage(currentTime());
     for (std::size_t i = 0; i < std::min(usageCollectorCount, engines.size()); ++i) {
-        this->state.grantClient.reportUsage(*engines[i], uses);
+        this->state.grantClient.reportUsage(*engines[i], uses, this->state.crashes.digest());
     }
 }
 
@@ -320,6 +323,10 @@
         state.quotas.applyReport(report, currentTime());
         state.retryBudget.setSharingEntries(state.quotas.sharingEntries());
     };
+    this->d->state.grantClient.onCrashReports
+        = [this](const GrantMessage &message, const asio::ip::address &agent) {
+              this->d->state.crashes.onCrashReports(message, agent);
+          };
     this->d->state.grantClient.start();
     this->d->accept();
     this->d->scheduleUsageReport();
@@ -438,9 +445,15 @@
         { "configurationAgeMs",
             state.configurationConfirmedAt ? state.timeSinceConfirmation().count() / 1'000 : -1 },
         { "targets", std::move(targets) },
+        { "partHolds", state.crashes.dumpHolds() },
     };
 }
 
+bool ForwardEntry::releasePartHold(std::string_view id)
+{
+    return this->d->state.crashes.release(id);
+}
+
 std::uint16_t ForwardEntry::port() const
 {
     return this->d->acceptor.local_endpoint().port();
--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -14,6 +14,7 @@
   declined @5;    # agent: the request reached its maximum wait without a grant
   usage @6;       # entry: what it admitted for each organisation
   othersUsage @7; # agent: the sum of the other entries' reports
+  crashReports @8; # both: what is known of ended targets; an agent answers when it knows something else
 }
 
 struct OrganisationUse {
@@ -23,6 +24,16 @@
   demand @3 :Float64; # recent demand a second, admitted or not
 }
 
+struct CrashReport {
+  target @0 :UInt64;       # hash of the incarnation that ended
+  request @1 :UInt64;      # hash of the id of a request that it had not begun to answer
+  organisation @2 :UInt64; # hash of the name
+  ageUs @3 :UInt64;        # since the target's end
+  evidence @4 :Bool;
+  released @5 :Bool;
+  parts @6 :List(UInt64);  # of the request's prompt; those that may have ended the target
+}
+
 struct GrantMessage {
   kind @0 :GrantKind;
   sender @1 :UInt64;        # random number drawn at each start of the process
@@ -46,4 +57,7 @@
   lateShare @19 :Float64;
   timeLeftUs @20 :Int64;
   targetStartedMs @21 :Int64; # Unix time of the target's start; 0 when unknown
+  crashReports @22 :List(CrashReport);
+  crashDigest @23 :UInt64;    # in usage, othersUsage, crashReports: of all reports that the sender knows
+  moreFollow @24 :Bool;       # in crashReports: this is not the last of several datagrams
 }
--- a/src/libforward/grant.capnp.h
+++ b/src/libforward/grant.capnp.h
@@ -26,9 +26,11 @@
   DECLINED,
   USAGE,
   OTHERS_USAGE,
+  CRASH_REPORTS,
 };
 CAPNP_DECLARE_ENUM(GrantKind, b63bff95d0494a4c);
 CAPNP_DECLARE_SCHEMA(b59ce14b905da5ed);
+CAPNP_DECLARE_SCHEMA(8c676bd193fe0c4d);
 CAPNP_DECLARE_SCHEMA(b9a071f0f57561ad);
 
 }  // namespace schemas
@@ -54,6 +56,21 @@
   };
 };
 
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c676bd193fe0c4d, 5, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GrantMessage {
   GrantMessage() = delete;
 
@@ -62,7 +79,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b9a071f0f57561ad, 16, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b9a071f0f57561ad, 17, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -167,6 +184,118 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTarget() const;
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint64_t getOrganisation() const;
+
+  inline  ::uint64_t getAgeUs() const;
+
+  inline bool getEvidence() const;
+
+  inline bool getReleased() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTarget();
+  inline void setTarget( ::uint64_t value);
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint64_t getOrganisation();
+  inline void setOrganisation( ::uint64_t value);
+
+  inline  ::uint64_t getAgeUs();
+  inline void setAgeUs( ::uint64_t value);
+
+  inline bool getEvidence();
+  inline void setEvidence(bool value);
+
+  inline bool getReleased();
+  inline void setReleased(bool value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GrantMessage::Reader {
 public:
   typedef GrantMessage Reads;
@@ -230,6 +359,13 @@
 
   inline  ::int64_t getTargetStartedMs() const;
 
+  inline bool hasCrashReports() const;
+  inline  ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashReports() const;
+
+  inline  ::uint64_t getCrashDigest() const;
+
+  inline bool getMoreFollow() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -332,6 +468,19 @@
   inline  ::int64_t getTargetStartedMs();
   inline void setTargetStartedMs( ::int64_t value);
 
+  inline bool hasCrashReports();
+  inline  ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>::Builder getCrashReports();
+  inline void setCrashReports( ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>::Builder initCrashReports(unsigned int size);
+  inline void adoptCrashReports(::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashReports();
+
+  inline  ::uint64_t getCrashDigest();
+  inline void setCrashDigest( ::uint64_t value);
+
+  inline bool getMoreFollow();
+  inline void setMoreFollow(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -436,6 +585,128 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t CrashReport::Reader::getTarget() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getTarget() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setTarget( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getOrganisation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getOrganisation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setOrganisation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getAgeUs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getAgeUs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAgeUs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::getEvidence() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getEvidence() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setEvidence(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::getReleased() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getReleased() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setReleased(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::wigeonsill::schema::GrantKind GrantMessage::Reader::getKind() const {
   return _reader.getDataField< ::wigeonsill::schema::GrantKind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -784,6 +1055,68 @@
       ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GrantMessage::Reader::hasCrashReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantMessage::Builder::hasCrashReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>::Reader GrantMessage::Reader::getCrashReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>::Builder GrantMessage::Builder::getCrashReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GrantMessage::Builder::setCrashReports( ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>::Builder GrantMessage::Builder::initCrashReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GrantMessage::Builder::adoptCrashReports(
+    ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>> GrantMessage::Builder::disownCrashReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t GrantMessage::Reader::getCrashDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GrantMessage::Builder::getCrashDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setCrashDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GrantMessage::Reader::getMoreFollow() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool GrantMessage::Builder::getMoreFollow() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setMoreFollow(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -42,6 +42,7 @@
     void receive();
     void handle(const GrantMessage &message);
     void replyToUsage(const GrantMessage &message);
+    void replyToCrashReports(const GrantMessage &message);
     void reply(GrantKind kind, const ReservationProfile &profile);
     void sendTo(const asio::ip::udp::endpoint &endpoint, GrantMessage message);
     void sendGrants();
@@ -68,6 +69,7 @@
     asio::ip::udp::endpoint sender;
     std::map<std::uint64_t, asio::ip::udp::endpoint> entryEndpoints;
     UsageCollector usage;
+    Quarantine quarantine; ///< What the entries know, kept for those that don't yet.
     bool targetReachable = true;
     std::int64_t targetStartedMs = 0;
     bool expiryScheduled = false;
@@ -129,6 +131,9 @@
     case GrantKind::Usage:
         this->replyToUsage(message);
         return;
+    case GrantKind::CrashReports:
+        this->replyToCrashReports(message);
+        return;
     default:
         return;
     }
@@ -141,9 +146,22 @@
     GrantMessage answer;
     answer.kind = GrantKind::OthersUsage;
     answer.usage = this->usage.reportFor(message.sender, now);
+    this->quarantine.expire(now);
+    answer.crashDigest = this->quarantine.digest();
     this->sendTo(this->sender, std::move(answer));
 }
 
+void GrantAgent::Private::replyToCrashReports(const GrantMessage &message)
+{
+    this->quarantine.merge(message.crashReports, currentTime());
+    if (message.moreFollow || message.crashDigest == this->quarantine.digest()) {
+        return;
+    }
+    for (GrantMessage &answer : crashReportMessages(this->quarantine)) {
+        this->sendTo(this->sender, std::move(answer));
+    }
+}
+
 void GrantAgent::Private::reply(GrantKind kind, const ReservationProfile &profile)
 {
     const auto entry = this->entryEndpoints.find(profile.reservationId.entry);
@@ -330,6 +348,8 @@
         { "entries", this->d->usage.entryCount() },
         { "targetReachable", this->d->targetReachable },
         { "targetLeaving", this->d->admission.isLeaving() },
+        { "crashReports", this->d->quarantine.reports().size() },
+        { "partHolds", this->d->quarantine.holds().size() },
     };
 }
 
--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -85,14 +85,32 @@
     this->send(target, std::move(message));
 }
 
-void GrantClient::reportUsage(const Target &collector, const UsageByOrganisation &uses)
+void GrantClient::reportUsage(
+    const Target &collector, const UsageByOrganisation &uses, std::uint64_t crashDigest)
 {
     GrantMessage message;
     message.kind = GrantKind::Usage;
     message.ownUsage = uses;
+    message.crashDigest = crashDigest;
     this->send(collector, std::move(message));
 }
 
+void GrantClient::sendCrashReports(
+    const asio::ip::address &agent, const std::vector<GrantMessage> &messages)
+{
+    for (GrantMessage message : messages) {
+        message.sender = this->senderId;
+        this->sendTo({ agent, this->agentPort }, message);
+    }
+}
+
+void GrantClient::sendCrashReports(const Target &target, const std::vector<GrantMessage> &messages)
+{
+    if (const auto endpoint = parseEndpoint(target.address)) {
+        this->sendCrashReports(endpoint.value().address(), messages);
+    }
+}
+
 AgentView GrantClient::view(const Target &target, TimePoint now) const
 {
     AgentView result;
@@ -172,9 +190,13 @@
     AgentRecord &record = this->agents[from.address()];
     record.unansweredSince.reset();
     this->askedSinceAnswer.clear();
-    if (message.kind == GrantKind::OthersUsage) {
-        if (this->onUsageReported) {
-            this->onUsageReported(message.usage);
+    const bool isUsage = message.kind == GrantKind::OthersUsage;
+    if (isUsage && this->onUsageReported) {
+        this->onUsageReported(message.usage);
+    }
+    if (isUsage || message.kind == GrantKind::CrashReports) {
+        if (this->onCrashReports) {
+            this->onCrashReports(message, from.address());
         }
         return;
     }
--- a/src/libforward/grantclient.h
+++ b/src/libforward/grantclient.h
@@ -46,9 +46,16 @@
     void release(const Target &target, std::uint64_t reservationId, std::uint32_t generated = 0);
     void reportFirstEvent(const Target &target, std::uint64_t reservationId);
     /// Reports to an agent what this entry admitted; it answers with the other entries' usage.
-    void reportUsage(const Target &collector, const UsageByOrganisation &uses);
+    /// \param crashDigest Of the reports of ended targets that this entry knows.
+    void reportUsage(
+        const Target &collector, const UsageByOrganisation &uses, std::uint64_t crashDigest);
+    void sendCrashReports(
+        const boost::asio::ip::address &agent, const std::vector<GrantMessage> &messages);
+    void sendCrashReports(const Target &target, const std::vector<GrantMessage> &messages);
     /// Called with each report of the other entries' usage.
     std::function<void(const UsageReport &)> onUsageReported;
+    /// Called with each message that tells what an agent knows of ended targets.
+    std::function<void(const GrantMessage &, const boost::asio::ip::address &agent)> onCrashReports;
 
     AgentView view(const Target &target, TimePoint now) const;
     /// Whether several agents, and all that were asked lately, leave reservations unanswered.
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -3,13 +3,83 @@
 #include "grantmessage.h"
 
 #include "grant.capnp.h"
+#include "wigeonsill/http.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
 
+#include <algorithm>
+
 namespace wigeonsill {
 
+namespace {
+
+/// A report has at most 200 bytes, and a datagram 8 KiB.
+constexpr std::size_t reportsPerDatagram = 32;
+
+void encodeReports(
+    const std::vector<CrashReport> &reports, capnp::List<schema::CrashReport>::Builder target)
+{
+    const TimePoint now = currentTime();
+    unsigned index = 0;
+    for (const CrashReport &report : reports) {
+        auto record = target[index++];
+        record.setTarget(report.target);
+        record.setRequest(report.request);
+        record.setOrganisation(report.organisation);
+        record.setAgeUs(static_cast<std::uint64_t>(
+            std::max<Duration>(now - report.at, Duration::zero()).count()));
+        record.setEvidence(report.evidence);
+        record.setReleased(report.released);
+        record.setParts(kj::arrayPtr(report.parts.data(), report.parts.size()));
+    }
+}
+
+std::vector<CrashReport> decodeReports(capnp::List<schema::CrashReport>::Reader reports)
+{
+    /// Older than any process; keeps a malformed age from overflowing.
+    constexpr std::uint64_t maximumAgeUs = 1'000'000'000'000'000;
+    const TimePoint now = currentTime();
+    std::vector<CrashReport> result;
+    for (const auto &record : reports) {
+        CrashReport report;
+        report.target = record.getTarget();
+        report.request = record.getRequest();
+        report.organisation = record.getOrganisation();
+        report.at = now - Duration(std::min(record.getAgeUs(), maximumAgeUs));
+        report.evidence = record.getEvidence();
+        report.released = record.getReleased();
+        std::vector<std::uint64_t> parts;
+        for (const std::uint64_t part : record.getParts()) {
+            parts.push_back(part);
+        }
+        report.parts = makePartSet(std::move(parts));
+        result.push_back(std::move(report));
+    }
+    return result;
+}
+
+} // namespace
+
+std::vector<GrantMessage> crashReportMessages(const Quarantine &quarantine)
+{
+    const std::vector<CrashReport> reports = quarantine.reports();
+    std::vector<GrantMessage> messages;
+    std::size_t at = 0;
+    do {
+        const std::size_t end = std::min(at + reportsPerDatagram, reports.size());
+        GrantMessage &message = messages.emplace_back();
+        message.kind = GrantKind::CrashReports;
+        message.crashDigest = quarantine.digest();
+        message.crashReports.assign(reports.begin() + static_cast<std::ptrdiff_t>(at),
+            reports.begin() + static_cast<std::ptrdiff_t>(end));
+        at = end;
+        message.moreFollow = at < reports.size();
+    } while (at < reports.size());
+    return messages;
+}
+
 std::string encode(const GrantMessage &message)
 {
     capnp::MallocMessageBuilder builder;
@@ -52,6 +122,10 @@
         uses[index].setDemand(demand == message.usage.othersDemand.end() ? 0 : demand->second);
         ++index;
     }
+    root.setCrashDigest(message.crashDigest);
+    root.setMoreFollow(message.moreFollow);
+    encodeReports(message.crashReports,
+        root.initCrashReports(static_cast<unsigned>(message.crashReports.size())));
     // Packed encoding: traffic between failure domains is charged, and most fields are zero.
     kj::VectorOutputStream packed;
     capnp::writePackedMessage(packed, builder);
@@ -98,6 +172,9 @@
                 message.usage.othersDemand[organisation] = use.getDemand();
             }
         }
+        message.crashDigest = root.getCrashDigest();
+        message.moreFollow = root.getMoreFollow();
+        message.crashReports = decodeReports(root.getCrashReports());
         return message;
     } catch (const kj::Exception &) {
         return std::nullopt; // Callers count malformed datagrams.
--- a/src/libforward/grantmessage.h
+++ b/src/libforward/grantmessage.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "wigeonsill/gateway.h"
+#include "wigeonsill/quarantine.h"
 
 namespace wigeonsill {
 
@@ -16,6 +17,7 @@
     Declined, ///< Agent: the maximum wait ended without a grant.
     Usage, ///< Entry: what it admitted for each organisation.
     OthersUsage, ///< Agent: the sum of the other entries' reports.
+    CrashReports, ///< Both: reports of ended targets.
 };
 
 /// A decoded datagram.
@@ -29,8 +31,13 @@
     TargetLoad load;
     UsageByOrganisation ownUsage; ///< In Usage.
     UsageReport usage; ///< In OthersUsage.
+    std::vector<CrashReport> crashReports; ///< Sent with their age on this process's clock.
+    std::uint64_t crashDigest = 0; ///< Of all reports that the sender knows.
+    bool moreFollow = false; ///< In CrashReports: this is not the last of several datagrams.
 };
 
+/// Splits reports into messages that fit into a datagram; one message when there are no reports.
+std::vector<GrantMessage> crashReportMessages(const Quarantine &quarantine);
 std::string encode(const GrantMessage &message);
 /// Empty when the bytes are not a valid message.
 std::optional<GrantMessage> decodeGrantMessage(std::string_view bytes);
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -70,7 +70,7 @@
     this->request = std::move(decoded.value());
     this->configuration = this->state.configuration;
     if (this->checkConfiguration() && this->checkRoute() && this->checkDrain() && this->checkKey()
-        && this->checkQuota()) {
+        && this->checkParts() && this->checkQuota()) {
         this->placeRequest();
     }
 }
@@ -155,6 +155,28 @@
     return false;
 }
 
+bool RequestFlow::checkParts()
+{
+    if (!this->service->isEngine) {
+        return true;
+    }
+    this->suspect = makeSuspectRequest(
+        this->request, this->organisation != nullptr ? this->organisation->name : "");
+    return !this->refuseIfHeld();
+}
+
+bool RequestFlow::refuseIfHeld()
+{
+    const PartHold *hold = this->state.crashes.findHold(this->suspect);
+    if (hold == nullptr) {
+        return false;
+    }
+    this->state.metrics.count("wigeonsill_requests_held_total");
+    this->refuse(ResultCode::PartsHeld, "targets ended under requests with the same prompt parts",
+        heldReturnDelay(currentTime() - hold->since, this->state.uniformRandom()));
+    return true;
+}
+
 bool RequestFlow::checkQuota()
 {
     if (this->organisation == nullptr) {
@@ -191,6 +213,9 @@
 
 void RequestFlow::place()
 {
+    if (this->refuseIfHeld()) {
+        return;
+    }
     if (this->service->isEngine) {
         this->placeByReservation();
     } else {
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -45,6 +45,7 @@
     bool checkRoute();
     bool checkDrain();
     bool checkKey();
+    bool checkParts();
     bool checkQuota();
 
     void placeRequest();
@@ -74,7 +75,18 @@
     /// Whether another target may answer in place of one that may have run the request.
     bool canContinueElsewhere() const;
     /// Whether the request may be sent to a target that was reserved.
-    bool mayMove() const { return !this->attempt || this->canContinueElsewhere(); }
+    bool mayMove() const
+    {
+        return !this->attempt || (this->canContinueElsewhere() && !this->isHeld());
+    }
+    /// Whether parts of the prompt are held back. Such a request is not sent to any target.
+    bool isHeld() const { return this->state.crashes.findHold(this->suspect) != nullptr; }
+    /// Gives a request that is held its final answer. Returns whether it is held.
+    bool refuseIfHeld();
+    /// Records that the current target failed before it had begun to answer.
+    void recordBrokenOff(TargetFailure failure);
+    /// Records that the current target has gone on answering.
+    void recordAnswering();
     AnswerContinuation::Options continuationOptions() const;
     /// Reserves at other targets while the current one is silent.
     void searchOtherTarget();
@@ -141,6 +153,7 @@
     const Route *route = nullptr;
     const OrganisationAccount *organisation = nullptr;
     const ServiceProfile *service = nullptr;
+    SuspectRequest suspect; ///< Without parts for a service without engines.
     TimePoint arrived;
     Duration timeLimit = {}; ///< From arrival until the final answer.
     Duration maximumWait = {}; ///< From arrival until it is refused when no target has room.
@@ -160,6 +173,8 @@
     int attempts = 0; ///< Number of targets that received the request.
     bool sentToAnyTarget = false; ///< Also when a wrong target received it.
     bool anyTargetMayHaveRun = false; ///< Of the earlier attempts, or the current one answered.
+    bool mayHaveEndedTarget
+        = false; ///< The last attempt's connection ended before an answer began.
     bool headSentToCaller = false;
     MessageHead relayedHead; ///< That the caller got.
     std::uint64_t relayedEvents = 0; ///< Number of events that the caller got.
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -210,6 +210,9 @@
 
 void RequestFlow::onReservingTimer()
 {
+    if (this->refuseIfHeld()) {
+        return;
+    }
     if (this->elapsed() >= this->maximumWait || !this->continuation.isTimeLeft(this->timeLeft())) {
         this->refuse(ResultCode::Overloaded, "no target had room within the maximum wait",
             this->retryDelay());
@@ -305,6 +308,9 @@
 
 void RequestFlow::searchOtherTarget()
 {
+    if (this->isHeld()) {
+        return;
+    }
     if (!this->state.retryBudget.tryAcquire(this->service->name, currentTime())) {
         this->state.metrics.count("wigeonsill_repeats_over_budget_total");
         return;
@@ -405,7 +411,8 @@
         && this->attempt->target.id == targetId) {
         return true; // A repeated grant.
     }
-    if (reservation != this->reservationId || !this->mayMove()) {
+    if (reservation != this->reservationId || !this->mayMove()
+        || (!this->attempt && this->refuseIfHeld())) {
         return false;
     }
     const auto granted = std::find_if(this->reservations.begin(), this->reservations.end(),
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -9,6 +9,13 @@
 
 namespace wigeonsill {
 
+namespace {
+
+/// A target that still answers this long after its first event has not crashed as it began.
+constexpr Duration answeringTime = milliseconds(250);
+
+} // namespace
+
 void RequestFlow::onSent()
 {
     this->attempt->mayHaveRun = true;
@@ -142,6 +149,12 @@
         this->lastRelayedEventId = events.endsAtId() ? events.lastId() : "";
     }
     this->lastEventAt = currentTime();
+    if (events.count() > 0) {
+        this->attempt->firstEventAt = this->attempt->firstEventAt.value_or(this->lastEventAt);
+        if (this->lastEventAt - *this->attempt->firstEventAt >= answeringTime) {
+            this->recordAnswering();
+        }
+    }
     this->recordProgress();
     if (!this->timeToFirstEvent) {
         this->timeToFirstEvent = this->elapsed();
@@ -191,6 +204,10 @@
     if (this->attempt->head.status < 500) {
         this->state.recordSuccess(this->attempt->target.id);
     }
+    if (this->attempt->head.status < 300
+        && (!this->attempt->streaming || this->attempt->events.count() > 0)) {
+        this->recordAnswering();
+    }
     CallerConnection *answeredCaller = this->caller;
     const std::string remainder
         = this->attempt->streaming ? this->attempt->events.remainder() : this->attempt->body;
@@ -220,6 +237,7 @@
     this->excludedTargets.insert(this->attempt->target.id);
     const bool neverReceived = failure == TargetFailure::NotConnected;
     this->attempt->mayHaveRun = !neverReceived;
+    this->recordBrokenOff(failure);
     if (this->retryAtOtherTarget(cause)) {
         return;
     }
@@ -231,6 +249,32 @@
     }
 }
 
+void RequestFlow::recordAnswering()
+{
+    if (!this->attempt->answering) {
+        this->attempt->answering = true;
+        this->state.crashes.recordAnswered(this->suspect);
+    }
+}
+
+void RequestFlow::recordBrokenOff(TargetFailure failure)
+{
+    this->mayHaveEndedTarget = false;
+    if (failure == TargetFailure::NotConnected) {
+        this->state.crashes.recordNotConnected(this->attempt->target);
+        return;
+    }
+    const bool connectionEnded
+        = failure == TargetFailure::ClosedWithoutAnswer || failure == TargetFailure::Truncated;
+    const bool hadBegun = this->attempt->answering
+        || (this->attempt->firstEventAt
+            && currentTime() - *this->attempt->firstEventAt >= answeringTime);
+    if (connectionEnded && !hadBegun && !this->suspect.parts.empty()) {
+        this->mayHaveEndedTarget = true;
+        this->state.crashes.recordBrokenOff(this->attempt->target, this->suspect);
+    }
+}
+
 void RequestFlow::dropAttempt(TargetFailure failure)
 {
     this->attempt->connection->cancel();
@@ -253,6 +297,10 @@
 bool RequestFlow::retryAtOtherTarget(std::string_view cause)
 {
     this->continuation.recordLost();
+    if (this->isHeld()
+        || (this->mayHaveEndedTarget && this->state.crashes.isSuspected(this->suspect))) {
+        return false;
+    }
     // A target that received no byte of the request does not count as an attempt.
     AnswerContinuation::Options options = this->continuationOptions();
     options.repeatable = options.repeatable || !this->attempt->mayHaveRun;
--- a/src/libforward/targetattempt.h
+++ b/src/libforward/targetattempt.h
@@ -22,6 +22,8 @@
     bool streaming = false; ///< The answer's body is a stream of events.
     std::string body; ///< Received and not relayed, unless streaming.
     EventSplitter events; ///< The answer's body when streaming.
+    std::optional<TimePoint> firstEventAt;
+    bool answering = false; ///< It has gone on after the first event, or ended whole.
 
     /// Bytes of the answer that were received and not relayed.
     std::size_t heldBytes() const { return this->body.size() + this->events.remainder().size(); }
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -88,6 +88,22 @@
     return connection;
 }
 
+void TargetPool::probe(const Target &target, std::function<void(bool refused)> handler)
+{
+    const auto endpoint = parseEndpoint(target.address);
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(this->d->io);
+    const auto timeout = std::make_shared<asio::steady_timer>(this->d->io, connectTimeout);
+    timeout->async_wait([socket](const error_code &) {
+        error_code ignored; // The connection may have failed already.
+        socket->close(ignored);
+    });
+    socket->async_connect(endpoint ? endpoint.value() : asio::ip::tcp::endpoint(),
+        [timeout, socket, handler = std::move(handler)](const error_code &error) {
+            timeout->cancel();
+            handler(error == asio::error::connection_refused);
+        });
+}
+
 void TargetPool::closeIdle(std::string_view targetId)
 {
     const auto record = this->d->idle.find(targetId);
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -89,6 +89,9 @@
     /// its last call or until cancel() of the returned connection.
     std::shared_ptr<TargetConnection> send(
         const Target &target, OutgoingRequest request, AnswerHandler &handler);
+    /// Finds out whether a target's process has ended: its machine then refuses a connection.
+    /// Calls the handler once, unless the pool's io_context ends before.
+    void probe(const Target &target, std::function<void(bool refused)> handler);
     /// Closes the idle connections of a target.
     void closeIdle(std::string_view targetId);
     /// Closes the idle connections of targets that are not in the directory.
--- a/src/liboutcomes/callerreturn.cpp
+++ b/src/liboutcomes/callerreturn.cpp
@@ -19,6 +19,9 @@
 /// Range over which returns after a quiet time are scattered, as a share of it and at least.
 constexpr double quietScatterShare = 0.25;
 constexpr Duration minimumQuietScatter = milliseconds(250);
+/// Range of the wait after a refusal for held prompt parts.
+constexpr Duration shortestHeldWait = seconds(1);
+constexpr Duration longestHeldWait = seconds(60);
 
 } // namespace
 
@@ -36,4 +39,10 @@
     return untilWanted + std::chrono::duration_cast<Duration>(scatter * uniformRandom);
 }
 
+Duration heldReturnDelay(Duration heldFor, double uniformRandom)
+{
+    const Duration wait = std::clamp<Duration>(heldFor, shortestHeldWait, longestHeldWait);
+    return wait + std::chrono::duration_cast<Duration>(wait * (quietScatterShare * uniformRandom));
+}
+
 } // namespace wigeonsill
--- a/src/liboutcomes/callerreturn_test.cpp
+++ b/src/liboutcomes/callerreturn_test.cpp
@@ -42,5 +42,14 @@
     }
 }
 
+/// A prompt part is held back.
+TEST(CallerReturn, afterAHoldIsLaterTheLongerItHasLasted)
+{
+    EXPECT_EQ(heldReturnDelay({}, 0), seconds(1));
+    EXPECT_EQ(heldReturnDelay(seconds(20), 0), seconds(20));
+    EXPECT_EQ(heldReturnDelay(seconds(3'600), 0), seconds(60));
+    EXPECT_GT(heldReturnDelay(seconds(20), 0.9), seconds(24)) << "scattered";
+}
+
 } // namespace
 } // namespace wigeonsill
