Soak: streams that end within an event, and prompt parts that crash engines

Two fault kinds of engines (half-event: chunks that end properly within an event; half-unframed: no length, closed in order within an event) under the promise ORDER, and one of the callers (crashing-part: five requests a second with a part under which each engine ends, from then on for good) with the promises BUDGET (at most three such requests reach engines from entries in touch later than contactMs after the fifth end), LOST (sound requests begin at least half as often) and HELD (nothing is held back where no part ends engines). Sound streams share their first part and a subject with them.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -20,6 +20,9 @@
 VERSION_1_0_SHARE = 0.06  # of the requests
 LEAVING_SHARE = 0.04  # of the requests, whose callers leave within LEAVING_S
 LEAVING_S = 0.4
+FIRST_PART = "f0"  # that all prompts share
+SUBJECTS = ("a1", "a2", "a3", "a4", "a5")
+CRASHING_PER_S = 5
 
 
 class KeptStream:
@@ -44,6 +47,8 @@
     def __init__(self, kind, target, key, tokens):
         self.id = None
         self.kind, self.target, self.key, self.tokens = kind, target, key, tokens
+        self.is_retry = False
+        self.parts = ()  # of its prompt, but its own last one
         self.first_event = 1
         self.version_1_0 = False
         self.gives_up_s = None  # after which its caller leaves, in the middle of a stream
@@ -96,7 +101,10 @@
         tokens = (self.rng.randint(50, 400), self.rng.randint(10, 100))
         if key == "key-metered":
             tokens = tuple(METERED_FACTOR * count for count in tokens)  # so that the quota binds
-        return Attempt(kind, target, key, tokens)
+        attempt = Attempt(kind, target, key, tokens)
+        if kind in ("ask", "draft"):
+            attempt.parts = (FIRST_PART, SUBJECTS[int(target.split("/")[2].split("?")[0]) % len(SUBJECTS)])
+        return attempt
 
     def request(self):
         deadline = time.monotonic() + DEADLINE_S
@@ -115,6 +123,8 @@
             self.disconnect()  # each retry takes a new connection
             previous = attempt
             attempt = Attempt(previous.kind, previous.target, previous.key, previous.tokens)
+            attempt.parts = previous.parts
+            attempt.is_retry = True
             if previous.kind == "ask" and previous.body:
                 # Goes on after the whole events that it has.
                 attempt.first_event = previous.first_event + previous.body.count(b"\n\n")
@@ -183,6 +193,8 @@
             "Content-Length: %d" % len(body)]
         if attempt.key:
             lines += ["Authorization: Bearer " + attempt.key, "Token-Count: %d,%d" % attempt.tokens]
+        if attempt.parts:
+            lines.append("Prompt-Prefix: " + ",".join("%s:20" % part for part in (*attempt.parts, "e" + attempt.id[2:])))
         if attempt.first_event > 1:
             lines.append("Last-Event-Id: %d" % (attempt.first_event - 1))
         attempt.request = (method, attempt.target, body)
@@ -208,6 +220,18 @@
             self.disconnect()
 
 
+class CrashingCaller(Caller):
+    """Sends requests with a crashing part, no two alike, and repeats none of them."""
+
+    def send(self, part, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and not self.deployment.stopping.wait(self.rng.expovariate(CRASHING_PER_S)):
+            attempt = Attempt("ask", "/ask/%d?n=5" % self.rng.randrange(1000), "key-stable", (100, 20))
+            attempt.parts = self.rng.choice([(FIRST_PART, part, "a1"), (part, "a2"), (FIRST_PART, "a3", part)])
+            self.send_and_record(attempt, time.monotonic() + DEADLINE_S)
+            self.disconnect()
+
+
 class Prober(Caller):
     """Asks one entry for the routes of the newest configurations."""
 
@@ -234,6 +258,7 @@
                counts["pause_s"], attempts)
         for number in range(counts["caller"])]
     callers += [Prober(deployment, entry, attempts) for entry in deployment.entries]
+    deployment.send_crashing = CrashingCaller(deployment, "crashing", "key-stable", 0, attempts).send
     threads = [threading.Thread(target=caller.run, daemon=True) for caller in callers]
     for thread in threads:
         thread.start()
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -33,6 +33,7 @@
 GONE_DRAIN_SHARE = 0.5  # up to this share it learns them by the removal of the record
 SHUTDOWN_S = 2.0  # how long an engine goes on after its drain time
 REWRITE_MINIMUM_S, REWRITE_SPREAD_S = 0.5, 3.0  # until the operator notices that the store went back
+PART_DOWN_S = 2.0  # until an engine is back that a prompt part has ended
 RESTART_S = 0.3  # the platform's delay before it starts an ended process again
 
 ROUTES = {
@@ -191,6 +192,7 @@
         self.store = SoakStore()
         self.operator = Operator(self.store)
         self.stopping = threading.Event()
+        self.send_crashing = None  # set by the callers: sends requests with a part for a time
         self.rotation = set()
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
             probe.bind(("127.0.0.1", 0))
@@ -200,6 +202,7 @@
             for number in range(1, counts[sort] + 1):
                 name = "%s-%d" % (sort, number)
                 engine = SoakEngine(name, service, self.journal, seed)
+                engine.crash = self.end_by_part
                 host = "127.0.%d.%d" % (1 + number // 250, 1 + number % 250) if sort == "engine" else "127.0.0.1"
                 self.engines[name] = engine
                 self.links[name] = self.link(host, engine.address)
@@ -329,14 +332,14 @@
             "term": self.terminate, "kill": self.kill, "freeze": self.freeze, "hangup": self.hang_up,
             "crash": self.crash, "drain": self.drain, "replace": self.replace, "forget": self.forget_history,
             "back": self.go_back, "config": self.change_configuration, "revoke": self.change_configuration,
-            "quota": self.change_configuration,
+            "quota": self.change_configuration, "crashing-part": self.add_crashing_part,
         }
         if fault.kind in methods:
             methods[fault.kind](fault)
         elif sort == "store":
             self.change_store(fault)
         elif fault.kind in ("pause", "torn", "twice", "garbage", "endless", "unframed", "error",
-                            "refuse"):
+                            "refuse", "half-event", "half-unframed"):
             self.change_engine(fault)
         elif fault.kind.startswith("store-"):
             self.harm_link(self.links["store of " + fault.subject], fault.kind[6:], fault)
@@ -428,6 +431,25 @@
             time.sleep(fault.for_s)
             self.begin_engine(engine, engine.instance, 0.5 * fault.amount)
 
+    def end_by_part(self, engine):
+        """Ends an engine that began to answer on a crashing part, and starts it again later."""
+        engine.dark = True
+        self.links[engine.name].refuse()
+        self.links[engine.name].reset_all()
+        self.start_thread(self.restart_after_part, engine)
+
+    def restart_after_part(self, engine):
+        with self.disturbances.span(engine.name, "crash"):
+            time.sleep(PART_DOWN_S)
+            self.links[engine.name].listen_again()
+            self.begin_engine(engine, engine.instance, 0.2)
+
+    def add_crashing_part(self, fault):
+        """From now on a part ends engines; requests with it come for as long as the fault lasts."""
+        part = "c%x" % (len(self.journal.crashing_parts) + 1)
+        self.journal.crashing_parts.add(part)
+        self.send_crashing(part, fault.for_s)
+
     def begin_engine(self, engine, old_instance, unlisted_s):
         """Starts an engine's next incarnation, which takes the address before the store's list shows it."""
         engine.begin_incarnation()
--- a/testsuite/soak/link.py
+++ b/testsuite/soak/link.py
@@ -53,8 +53,8 @@
         self.split = False
         self.dark = False
         self.connections = set()
-        server = proxies.call(asyncio.start_server(self.accept, host, 0))
-        self.address = "%s:%d" % server.sockets[0].getsockname()
+        self.server = proxies.call(asyncio.start_server(self.accept, host, 0))
+        self.address = "%s:%d" % self.server.sockets[0].getsockname()
 
     async def accept(self, reader, writer):
         self.owners[writer.get_extra_info("peername")[1]] = self.owner
@@ -97,6 +97,14 @@
         cuts = sorted(self.rng.randrange(len(data) + 1) for _ in range(3))
         return [data[a:b] for a, b in zip([0, *cuts], [*cuts, len(data)]) if a < b]
 
+    def refuse(self):
+        """Connections are refused from now on, as by a machine whose process has ended."""
+        self.proxies.loop.call_soon_threadsafe(self.server.close)
+
+    def listen_again(self):
+        host, port = self.address.split(":")
+        self.server = self.proxies.call(asyncio.start_server(self.accept, host, int(port)))
+
     def reset_all(self):
         self.proxies.loop.call_soon_threadsafe(lambda: [each.reset() for each in list(self.connections)])
 
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -15,6 +15,8 @@
 RETRY_AFTER_SLACK_S = 0.5
 BOUND_STEP_S = 0.25
 RETRY_AFTER_ARRIVALS = 2
+LATE_REQUESTS_WITH_PART = 3
+FEWEST_FOR_SHARE = 20
 
 Finding = collections.namedtuple("Finding", "promise request text")
 
@@ -55,6 +57,9 @@
         self.check_retries()
         self.check_quota()
         self.check_recovery()
+        for part in sorted(self.journal.crashing_parts):
+            self.check_crashing_part(part)
+        self.check_held()
         return self.findings
 
     def check_runs(self, attempt, runs):
@@ -305,6 +310,40 @@
             bounds.append(bound)
         return bounds
 
+    def check_crashing_part(self, part):
+        """A part that ends engines is known to all entries in touch, and sound requests go on."""
+        ends = sorted(at for at, parts, _ in self.journal.part_ends if part in parts)
+        with_part = [attempt for attempt in self.attempts.values() if part in attempt.parts]
+        if len(ends) >= 5:
+            late = {run.attempt for attempt in with_part for run in self.runs[attempt.id]
+                    if run.at > ends[4] + CONTACT_S and self.disturbances.in_touch(attempt.entry, run.at)}
+            if len(late) > LATE_REQUESTS_WITH_PART:
+                self.add("BUDGET", sorted(late)[-1], "%d requests with part %s reached engines %.0f s after five had ended; "
+                         "%d ended", len(late), part, CONTACT_S, len(ends))
+        if not ends:
+            return
+        known = ends[min(4, len(ends) - 1)] + 2 * CONTACT_S
+        last = max(attempt.sent_at for attempt in with_part)
+        undisturbed = self.begun_share(0, min(begun for _, _, begun, _ in self.disturbances.spans))
+        meanwhile = self.begun_share(known, last)
+        if undisturbed and meanwhile and meanwhile < undisturbed / 2:
+            self.add("LOST", "-", "sound requests begin in %.2f of the cases while part %s is held, before in %.2f",
+                     meanwhile, part, undisturbed)
+
+    def begun_share(self, start, end):
+        """Returns how many of the sound first attempts of streams began; None for too few of them."""
+        begun = [bool(self.runs[attempt.id]) for attempt in self.attempts.values()
+                 if attempt.kind == "ask" and attempt.key == "key-stable" and not attempt.is_retry
+                 and not attempt.gives_up_s and not self.journal.crashing_parts.intersection(attempt.parts)
+                 and start <= attempt.sent_at < end and self.disturbances.in_touch(attempt.entry, attempt.sent_at)]
+        return sum(begun) / len(begun) if len(begun) >= FEWEST_FOR_SHARE else None
+
+    def check_held(self):
+        """Where no part ends engines, whatever else ends them, nothing is held back."""
+        held = [attempt for attempt in self.attempts.values() if b"PartsHeld" in attempt.body]
+        if held and not self.journal.crashing_parts:
+            self.add("HELD", held[0].id, "%d requests are held back though no part ends engines", len(held))
+
     def check_recovery(self):
         late = [a for a in self.attempts.values()
                 if a.key == "key-stable" and a.sent_at > self.recovered_at + RECOVERY_S]
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from platformstandin import Engine, Store, format_answer
+from platformstandin import Engine, Store, format_answer, shared_parts
 
 COPY_KEEP_S = 10.0  # how far the store can go back
 SLOW_S = 1.2
@@ -95,6 +95,7 @@
         self.retry_after_s = 0.0  # sent with the refusals of the fault "refuse"
         self.state = self.listed_state = "ready"  # what its answers and the store's list say of it
         self.sequence = 0
+        self.crash = None  # called with the engine when a prompt part ends it
         super().__init__(name, slots=2 if service == "engines" else self.slots_of_plain)
         self.begin_incarnation()
 
@@ -105,6 +106,11 @@
         self.state = self.listed_state = "ready"
         self.dark = False
 
+    def own_state_headers(self):
+        if self.dark:
+            raise ConnectionResetError("the engine is gone")
+        return super().own_state_headers()
+
     def record(self):
         self.sequence += 1
         return dict(self.instance_record(self.service, state=self.listed_state), seq=self.sequence)
@@ -181,12 +187,17 @@
     def stream_events(self, connection, fault, run, headers):
         time.sleep(self.rng.uniform(*FIRST_TOKEN_S))
         run.status = 200
-        chunked = fault != "unframed"
+        chunked = fault not in ("unframed", "half-unframed")
         headers = headers + [("Content-Type", "text/event-stream")]
         if chunked:
             headers.append(("Transfer-Encoding", "chunked"))
         lines = ["HTTP/1.1 200 X"] + ["%s: %s" % header for header in headers]
         connection.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+        crashing = self.journal.crashing_parts.intersection(shared_parts(run.headers))
+        if crashing and not self.dark:
+            self.journal.part_ends.append((time.monotonic(), frozenset(crashing), self.instance))
+            self.crash(self)
+            return False
         last = event_count(run.request[1])
         first = int(run.headers.get("Last-Event-Id", "0")) + 1
         strike = first if self.rng.random() < FIRST_EVENT_SHARE else self.rng.randint(first, max(first, last))
@@ -194,7 +205,7 @@
             time.sleep(self.rng.uniform(0.005, 0.03))
             event = ("id: %d\ndata: %s/%d/%s\n\n" % (number, run.attempt, number, run.stamp)).encode()
             cuts = [event]
-            if fault in ("torn", "pause") and number == strike or self.rng.random() < 0.05:
+            if fault in ("torn", "pause", "half-event", "half-unframed") and number == strike or self.rng.random() < 0.05:
                 cut = self.rng.randrange(1, len(event))
                 cuts = [event[:cut], event[cut:]]
             for index, piece in enumerate(cuts):
@@ -203,6 +214,10 @@
                     if fault == "torn" and number == strike:
                         return False
                 connection.sendall(b"%x\r\n%s\r\n" % (len(piece), piece) if chunked else piece)
+                if fault in ("half-event", "half-unframed") and number == strike:
+                    if chunked:  # ends its answer properly, but within an event
+                        connection.sendall(b"0\r\n\r\n")
+                    return False
             run.body += event
         if chunked:
             connection.sendall(b"0\r\n\r\n")
@@ -221,6 +236,8 @@
     def __init__(self):
         self.runs = []
         self.arrivals = []
+        self.crashing_parts = set()  # each ends the engine that begins to answer on it
+        self.part_ends = []  # (when an engine ended, the parts, its instance)
         self.drains = []  # (acknowledged at, engine's name, its instance)
         self.lock = threading.Lock()
 
