A held part is found among any number of parts

Cause: a request's parts were cut to the sixteen smallest ids before they were compared with the holds, so a request that bore invented small ids beside a held part reached engines. Change: holds are compared with all parts of a request; only a report is bounded, when it is merged. What remains: a part that is not known yet is not learned from requests that bear sixteen unanswered smaller ids.

--- a/src/include/wigeonsill/quarantine.h
+++ b/src/include/wigeonsill/quarantine.h
@@ -15,8 +15,7 @@
 /// part is its own and never among them.
 using PartSet = std::vector<std::uint64_t>;
 
-/// Makes a PartSet of ids in any order. At most CrashReport::maximumParts of them are kept, the
-/// same ones for each request that has them.
+/// Makes a PartSet of ids in any order.
 PartSet makePartSet(std::vector<std::uint64_t> ids);
 
 /// A target ended before it had begun to answer a request. Reports are merged between processes:
@@ -30,7 +29,9 @@
     std::uint64_t target = 0; ///< Hash of the incarnation that ended.
     std::uint64_t request = 0; ///< Hash of the request's id.
     std::uint64_t organisation = 0; ///< Hash of the name; 0 without one.
-    PartSet parts; ///< That may have ended the target: answers on the others have been seen.
+    /// That may have ended the target: answers on the others have been seen. No more than
+    /// maximumParts are kept when it is merged, the same ones for each request that has them.
+    PartSet parts;
     TimePoint at; ///< When the target ended.
     bool evidence = false; ///< Part of the evidence of a hold, kept as long as the hold.
     bool released = false; ///< An operator released the hold that it was evidence of.
--- a/src/libforward/crashwatch_test.cpp
+++ b/src/libforward/crashwatch_test.cpp
@@ -237,6 +237,15 @@
     EXPECT_NE(waiting.bytes.find("PartsHeld"), std::string::npos);
 }
 
+/// A caller that invents parts beside the one that is held.
+TEST_F(CrashingParts, areHeldBackAmongAnyNumberOfOtherParts)
+{
+    this->tellReportsOfOthers();
+    Caller &held = this->send("ABCDEFGHIJKLMNOPQRSTUVWXYZb9");
+    EXPECT_EQ(this->reservationsFromNow(), 0U);
+    EXPECT_NE(held.received().find("PartsHeld"), std::string::npos) << held.bytes;
+}
+
 TEST_F(CrashingParts, areReleasedByAnOperator)
 {
     this->tellReportsOfOthers();
--- a/src/libquarantine/answeredparts.cpp
+++ b/src/libquarantine/answeredparts.cpp
@@ -10,7 +10,6 @@
 {
     std::sort(ids.begin(), ids.end());
     ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
-    ids.resize(std::min(ids.size(), CrashReport::maximumParts));
     return ids;
 }
 
--- a/src/libquarantine/quarantine.cpp
+++ b/src/libquarantine/quarantine.cpp
@@ -88,6 +88,7 @@
 {
     CrashReport report = received;
     report.parts = this->unansweredParts(std::move(report.parts), now);
+    report.parts.resize(std::min(report.parts.size(), CrashReport::maximumParts));
     const auto known = this->byKey.find({ report.target, report.request });
     if (known == this->byKey.end()) {
         // Without parts, it takes them from the copies of processes that don't know the answers.
