--- a/testsuite/platformdeployment.py
+++ b/testsuite/platformdeployment.py
@@ -100,10 +100,7 @@
             engine.server.listen(64)
             engine.address = "%s:%d" % engine.server.getsockname()
             threading.Thread(target=engine.accept_connections, daemon=True).start()
-            agent = Node(folder, "agent-%d" % number, {
-                "role": "agent", "grant": "%s:%d" % (loopback_address, self.grant_port), "target": engine.address})
-            self.agents.append(agent)
-            self.nodes.append(agent)
+            self.agents.append(self.start_agent(number))
         for engine in self.engines:
             self.store.put("servers/" + engine.instance, engine.instance_record("engines"))
         for engine in self.plain_services:
@@ -112,6 +109,20 @@
         self.store.put("servers/odd-2", {"backend": "engines", "address": 7})
         self.entry = self.start_entry("entry")
 
+    def start_agent(self, number):
+        """Starts the agent of an engine, which listens for grants at the engine's IP address."""
+        address = self.engines[number].address
+        agent = Node(self.folder, "agent-%d" % number, {
+            "role": "agent", "grant": "%s:%d" % (address.split(":")[0], self.grant_port), "target": address})
+        self.nodes.append(agent)
+        return agent
+
+    def restart_agent(self, number):
+        """Kills an agent, which forgets what it knew, and starts it again."""
+        self.agents[number].popen.kill()
+        self.agents[number].popen.wait()
+        self.agents[number] = self.start_agent(number)
+
     def start_entry(self, name, address="127.0.0.1"):
         entry = Node(self.folder, name, {
             "role": "entry", "grant": "%s:%d" % (address, self.grant_port), "failureDomain": "a", "region": "r",
--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -246,6 +246,8 @@
         self.quiet_s = None  # Turns requests away and says for how long it wants none.
         self.quiet_reports = False  # Turns requests for its report away likewise.
         self.leaving = False  # Says in all answers that it leaves, and still runs requests.
+        self.limit = None  # Names in its answers the requests a second that it takes from all.
+        self.names_limit_in_reports = False
         self.request_connections = set()  # All but those on which only reports were asked for.
         self.arrivals = []  # Times at which requests to it arrived, also refused ones.
         self.running = 0
@@ -272,13 +274,17 @@
                 continue
             if target == "/report":
                 report = {"running": self.running, "waiting": 0, "born": self.born}
-                connection.sendall(format_answer(200, self.own_state_headers(), json.dumps(report).encode()))
+                fields = self.own_state_headers() if self.names_limit_in_reports else self.leaving_headers()
+                connection.sendall(format_answer(200, fields, json.dumps(report).encode()))
                 continue
             if not self.handle_request(connection, method, target, dict(headers), body):
                 return
 
     def own_state_headers(self):
-        """Returns the fields with which all its answers tell its own state."""
+        """Returns the fields with which all its answers to requests tell its own state."""
+        return self.leaving_headers() + ([("Server-Limit", str(self.limit))] if self.limit is not None else [])
+
+    def leaving_headers(self):
         return [("Server-Leaving", "1")] if self.leaving else []
 
     def quiet_headers(self):
