--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -86,6 +86,14 @@
     bool keepAlive = true;
 };
 
+/// What an answer states of the requests a second that its target takes from all processes
+/// together.
+struct StatedRate
+{
+    std::optional<double> perSecond;
+    bool isAbsent = true; ///< The answer states none; otherwise without a rate it cannot be read.
+};
+
 /// What the head of a target's answer states about the request and about the target.
 struct AnswerFacts
 {
@@ -95,6 +103,7 @@
     /// Time for which the target, which turned the request away, wants nothing from this process.
     std::optional<Duration> quietFor;
     bool quietUnreadable = false; ///< It stated such a time in a form that cannot be read.
+    StatedRate rate;
     std::string requestId; ///< Empty when the answer carries none.
 };
 
@@ -226,6 +235,7 @@
     std::optional<TargetReport> report; ///< Empty when it is refused or malformed.
     bool targetLeaving = false; ///< As AnswerFacts::targetLeaving.
     std::optional<Duration> quietFor; ///< As AnswerFacts::quietFor.
+    StatedRate rate; ///< As AnswerFacts::rate.
 };
 using ReportDecoder = std::function<ReportAnswer(const HttpResponse &response)>;
 
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -6,7 +6,7 @@
 /// as an argument. Nothing is thread-safe unless its comment says so.
 #pragma once
 
-#include "wigeonsill/directory.h"
+#include "wigeonsill/rates.h"
 
 #include <deque>
 #include <set>
@@ -497,6 +497,9 @@
     double decodeTokensPerMs = 0; ///< Measured output tokens of one request per millisecond.
     /// Unix time of the start of the incarnation that the agent sees; 0 when unknown.
     std::int64_t startedMs = 0;
+    /// Until the target's rate leaves a permit for a request that is reserved now; zero without
+    /// one.
+    Duration untilPermit = {};
 };
 
 /// Decides which waiting request is sent to the target next and when, so that the target's own
@@ -530,6 +533,13 @@
     /// Records that the target wants no requests for a time, of which QuietTargets::longestTime is
     /// believed. A time that is already running is not shortened.
     void recordQuiet(Duration time, TimePoint now);
+    /// Records the requests a second that the target states it takes, from this agent's report or
+    /// from an entry's answer; empty when it stopped stating a rate. Each grant then needs a
+    /// permit. \param at When the answer was received; an older one than the last is ignored.
+    /// \returns Whether the rate changed.
+    bool recordRate(std::optional<double> perSecond, TimePoint at, TimePoint now);
+    bool isLimited() const { return this->permits.isLimited(); }
+    double ratePerSecond() const { return this->permits.rate(); }
     bool isQuiet(TimePoint now) const { return now < this->quietUntil; }
     bool isLeaving() const { return this->leaving; }
     /// Whether the target takes no requests at this time: nothing is granted.
@@ -538,13 +548,15 @@
     std::vector<ReservationProfile> removeWaiting();
     /// Removes a request that was sent to another target, was given up or has ended.
     /// \param generated Output tokens of a request that ended at this target, else 0.
-    void release(const ReservationId &reservationId, std::uint32_t generated, TimePoint now);
+    /// \param unused The request was not sent to the target, so that a grant's permit is left.
+    void release(
+        const ReservationId &reservationId, std::uint32_t generated, bool unused, TimePoint now);
     /// Records that the first event of a granted request arrived.
     void recordFirstEvent(const ReservationId &reservationId, TimePoint now);
     /// Removes the requests that may be sent now from the queue and returns them, best first.
     std::vector<ReservationProfile> grant(TimePoint now);
-    /// Removes the waiting requests whose maximum wait is over and returns them. Also drops grants
-    /// that timed out.
+    /// Removes the waiting requests whose maximum wait is over, or will be before the target's rate
+    /// leaves them a permit, and returns them. Also drops grants that timed out.
     std::vector<ReservationProfile> expire(TimePoint now);
     /// Compares the grants with the numbers of running and queued requests that the target reports.
     /// Requests beyond the grants occupy slots; grants that are missing from several reports in a
@@ -580,6 +592,8 @@
     /// Expected time until the target has processed the prompts of the granted requests.
     double prefillAheadMs(TimePoint now) const;
     int occupiedSlots() const;
+    /// Removes the waiting requests that get no permit within their wait, least useful ones first.
+    std::vector<ReservationProfile> removeBeyondRate(TimePoint now);
     /// Score of a waiting request in grant(): expected utility per unit of cost.
     double scoreOf(const Waiting &record, double aheadMs, TimePoint now) const;
 
@@ -588,6 +602,9 @@
     std::int64_t targetStartedMs = 0;
     bool leaving = false; ///< Stated by this incarnation of the target.
     TimePoint quietUntil; ///< Stated by this incarnation of the target.
+    PermitBucket permits; ///< At the rate that this incarnation of the target stated.
+    std::optional<double> statedRate;
+    std::optional<TimePoint> rateStatedAt; ///< When the answer was received that stated it last.
     std::map<ReservationId, Waiting> waiting;
     std::map<ReservationId, Granted> granted;
     double prefillTokensPerMs = 60; ///< Initial value: half of the rate that the users published.
@@ -609,6 +626,7 @@
     Duration loadAge = {}; ///< Time since that report.
     bool agentUnresponsive = false; ///< Its agent left a recent reservation unanswered.
     bool failing = false; ///< Recent requests failed there.
+    bool hasPermit = false; ///< It states a rate, which leaves room for one request of this entry.
     bool hasCachedPrefix = false; ///< It recently processed the prompt of the same session.
 };
 
--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -38,6 +38,8 @@
         AnswerFacts facts;
         facts.notRun = !fieldValue(head.fields, "Test-Not-Run").empty();
         facts.quietFor = parseRetryAfter(fieldValue(head.fields, "Test-Quiet-S"));
+        const std::string_view rate = fieldValue(head.fields, "Test-Rate");
+        facts.rate = { parseStatedRate(rate), rate.empty() };
         facts.targetLeaving = !fieldValue(head.fields, "Test-Leaving").empty();
         return facts;
     }
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -5,6 +5,7 @@
 #include "crashwatch.h"
 #include "grantclient.h"
 #include "targetpool.h"
+#include "targetrates.h"
 
 namespace wigeonsill {
 
@@ -35,7 +36,8 @@
     void recordReplacement(const std::string &targetId);
     /// Applies what an answer states about the target that gave it. Must be called with each answer
     /// to a request. \param target As it was when the request was sent to it.
-    void recordTargetFacts(const Target &target, const AnswerFacts &facts);
+    /// \param sentAt When the request was sent to it.
+    void recordTargetFacts(const Target &target, const AnswerFacts &facts, TimePoint sentAt);
     /// Whether a request may be sent to a target that has room for it.
     bool isOpen(const Target &target, TimePoint now) const;
     /// Whether one more request may be reserved or sent at a target.
@@ -55,7 +57,9 @@
     const WireDialect &dialect;
     ForwardEntrySettings settings;
     TargetPool pool;
+    StatedRates statedRates;
     GrantClient grantClient;
+    TargetRates rates;
     CrashWatch crashes;
     ServiceRetryBudget retryBudget;
     QuotaLimiter quotas;
@@ -71,6 +75,7 @@
     std::map<std::string, int, std::less<>> ownRequests;
     std::map<std::string, TargetHealth, std::less<>> health;
     std::set<RequestFlow *> flows;
+    std::set<RequestFlow *> permitWaiters; ///< Of flows: requests that wait for a permit.
     std::map<std::string, Duration, std::less<>> longestDeadline; ///< Received, by route.
     std::mt19937_64 random;
     bool draining = false;
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -54,7 +54,8 @@
     , dialect(dialectIn)
     , settings(settingsIn)
     , pool(context, metricsIn, dialectIn)
-    , grantClient(context, metricsIn, settingsIn)
+    , grantClient(context, metricsIn, settingsIn, this->statedRates)
+    , rates(metricsIn, logIn, this->grantClient, this->statedRates)
     , crashes(metricsIn, logIn, this->pool, this->grantClient)
     , retryBudget(settingsIn.retryBudget)
     , quotas(settingsIn.quotas)
@@ -90,11 +91,12 @@
     }
 }
 
-void EntryState::recordTargetFacts(const Target &target, const AnswerFacts &facts)
+void EntryState::recordTargetFacts(const Target &target, const AnswerFacts &facts, TimePoint sentAt)
 {
     if (facts.isWrongTarget) {
         return; // What the answer states is about another target, whose id is not known.
     }
+    this->rates.recordAnswer(target, facts.rate, sentAt);
     if (facts.targetLeaving && this->targets.markLeaving(target, currentTime())) {
         ++this->targetsVersion;
         this->pool.closeIdle(target.id);
@@ -251,6 +253,7 @@
     std::sort(engines.begin(), engines.end(),
         [](const Target *left, const Target *right) { return left->address < right->address; });
     this->state.crashes.update(engines, usageCollectorCount, this->state.random());
+    this->state.rates.update(engines, this->state.quotas.sharingEntries(), this->state.targets);
     const auto uses = this->state.quotas.ownUsage(currentTime());
     for (std::size_t i = 0; i < std::min(usageCollectorCount, engines.size()); ++i) {
         this->state.grantClient.reportUsage(*engines[i], uses, this->state.crashes.digest());
@@ -326,6 +329,14 @@
     this->d->state.grantClient.onTargetState = [this](const std::string &targetId, bool ended) {
         this->d->state.crashes.onTargetState(targetId, ended);
     };
+    this->d->state.grantClient.onRates = [this](const std::vector<RateStatement> &statements) {
+        this->d->state.rates.adopt(statements);
+    };
+    this->d->state.grantClient.onPermits = [this](const GrantMessage &message) {
+        if (this->d->state.rates.onPermits(message)) {
+            RequestFlow::placePermitWaiters(this->d->state);
+        }
+    };
     this->d->state.grantClient.onCrashReports
         = [this](const GrantMessage &message, const asio::ip::address &agent) {
               this->d->state.crashes.onCrashReports(message, agent);
@@ -435,6 +446,9 @@
             { "agentSilent", agent.unresponsive },
             { "ownRequests", own == state.ownRequests.end() ? 0 : own->second } };
         const Duration quiet = state.quiet.remaining(target, currentTime());
+        if (const auto rate = state.statedRates.rate(target)) {
+            record["ratePerSecond"] = *rate;
+        }
         record["quietMs"] = std::chrono::duration_cast<milliseconds>(quiet).count();
         if (agent.load) {
             record["prefillPerMs"] = agent.load->prefillTokensPerMs;
--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -17,6 +17,8 @@
   crashReports @8; # both: what is known of ended targets; an agent answers when it knows something else
   targetQuery @9;   # entry: has the target ended?
   targetState @10;  # agent: what its next report from the target showed
+  permitRequest @11; # entry: wants to send requests to a target without an agent that states a rate
+  permits @12;      # agent: so many may be sent
 }
 
 struct OrganisationUse {
@@ -36,6 +38,14 @@
   parts @6 :List(UInt64);  # of the request's prompt; those that may have ended the target
 }
 
+struct RateStatement {
+  targetId @0 :Text;
+  startedMs @1 :Int64;  # of the incarnation
+  limited @2 :Bool;     # else the target has stopped stating a rate
+  perSecond @3 :Float64;
+  ageUs @4 :UInt64;     # since the answer was received
+}
+
 struct GrantMessage {
   kind @0 :GrantKind;
   sender @1 :UInt64;        # random number drawn at each start of the process
@@ -63,5 +73,11 @@
   crashDigest @23 :UInt64;    # in usage, othersUsage, crashReports: of all reports that the sender knows
   targetId @25 :Text;         # in targetQuery and targetState
   targetEnded @26 :Bool;      # in targetState: that incarnation has ended
+  rates @27 :List(RateStatement); # in usage, othersUsage: what targets stated; else of the message's target
+  permits @28 :UInt32;        # in permitRequest: number wanted
+  asDeputy @29 :Bool;         # in permitRequest, permits: the first issuer didn't answer
+  untilNextUs @30 :Int64;     # in permits: until one more can be issued
+  untilPermitUs @32 :Int64;   # until the rate of the agent's target leaves one more permit
+  unused @31 :Bool;           # in release: nothing was sent to the target
   moreFollow @24 :Bool;       # in crashReports: this is not the last of several datagrams
 }
--- a/src/libforward/grant.capnp.h
+++ b/src/libforward/grant.capnp.h
@@ -29,10 +29,13 @@
   CRASH_REPORTS,
   TARGET_QUERY,
   TARGET_STATE,
+  PERMIT_REQUEST,
+  PERMITS,
 };
 CAPNP_DECLARE_ENUM(GrantKind, b63bff95d0494a4c);
 CAPNP_DECLARE_SCHEMA(b59ce14b905da5ed);
 CAPNP_DECLARE_SCHEMA(8c676bd193fe0c4d);
+CAPNP_DECLARE_SCHEMA(db1800263c34ca15);
 CAPNP_DECLARE_SCHEMA(b9a071f0f57561ad);
 
 }  // namespace schemas
@@ -73,6 +76,21 @@
   };
 };
 
+struct RateStatement {
+  RateStatement() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(db1800263c34ca15, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GrantMessage {
   GrantMessage() = delete;
 
@@ -81,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b9a071f0f57561ad, 17, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b9a071f0f57561ad, 20, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -298,6 +316,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class RateStatement::Reader {
+public:
+  typedef RateStatement Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTargetId() const;
+  inline  ::capnp::Text::Reader getTargetId() const;
+
+  inline  ::int64_t getStartedMs() const;
+
+  inline bool getLimited() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint64_t getAgeUs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateStatement::Builder {
+public:
+  typedef RateStatement Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTargetId();
+  inline  ::capnp::Text::Builder getTargetId();
+  inline void setTargetId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTargetId(unsigned int size);
+  inline void adoptTargetId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTargetId();
+
+  inline  ::int64_t getStartedMs();
+  inline void setStartedMs( ::int64_t value);
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint64_t getAgeUs();
+  inline void setAgeUs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateStatement::Pipeline {
+public:
+  typedef RateStatement Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GrantMessage::Reader {
 public:
   typedef GrantMessage Reads;
@@ -373,6 +492,19 @@
 
   inline bool getTargetEnded() const;
 
+  inline bool hasRates() const;
+  inline  ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>::Reader getRates() const;
+
+  inline  ::uint32_t getPermits() const;
+
+  inline bool getAsDeputy() const;
+
+  inline  ::int64_t getUntilNextUs() const;
+
+  inline bool getUnused() const;
+
+  inline  ::int64_t getUntilPermitUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -498,6 +630,28 @@
   inline bool getTargetEnded();
   inline void setTargetEnded(bool value);
 
+  inline bool hasRates();
+  inline  ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>::Builder getRates();
+  inline void setRates( ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>::Builder initRates(unsigned int size);
+  inline void adoptRates(::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>> disownRates();
+
+  inline  ::uint32_t getPermits();
+  inline void setPermits( ::uint32_t value);
+
+  inline bool getAsDeputy();
+  inline void setAsDeputy(bool value);
+
+  inline  ::int64_t getUntilNextUs();
+  inline void setUntilNextUs( ::int64_t value);
+
+  inline bool getUnused();
+  inline void setUnused(bool value);
+
+  inline  ::int64_t getUntilPermitUs();
+  inline void setUntilPermitUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -724,6 +878,96 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool RateStatement::Reader::hasTargetId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateStatement::Builder::hasTargetId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RateStatement::Reader::getTargetId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RateStatement::Builder::getTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateStatement::Builder::setTargetId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RateStatement::Builder::initTargetId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RateStatement::Builder::adoptTargetId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RateStatement::Builder::disownTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t RateStatement::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RateStatement::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateStatement::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RateStatement::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool RateStatement::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void RateStatement::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateStatement::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double RateStatement::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RateStatement::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateStatement::Reader::getAgeUs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateStatement::Builder::getAgeUs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RateStatement::Builder::setAgeUs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::wigeonsill::schema::GrantKind GrantMessage::Reader::getKind() const {
   return _reader.getDataField< ::wigeonsill::schema::GrantKind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1182,6 +1426,110 @@
       ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GrantMessage::Reader::hasRates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantMessage::Builder::hasRates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>::Reader GrantMessage::Reader::getRates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>::Builder GrantMessage::Builder::getRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void GrantMessage::Builder::setRates( ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>::Builder GrantMessage::Builder::initRates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void GrantMessage::Builder::adoptRates(
+    ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>> GrantMessage::Builder::disownRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wigeonsill::schema::RateStatement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t GrantMessage::Reader::getPermits() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GrantMessage::Builder::getPermits() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setPermits( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GrantMessage::Reader::getAsDeputy() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline bool GrantMessage::Builder::getAsDeputy() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setAsDeputy(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t GrantMessage::Reader::getUntilNextUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GrantMessage::Builder::getUntilNextUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setUntilNextUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GrantMessage::Reader::getUnused() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline bool GrantMessage::Builder::getUnused() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setUnused(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t GrantMessage::Reader::getUntilPermitUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GrantMessage::Builder::getUntilPermitUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setUntilPermitUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -46,6 +46,9 @@
     void receive();
     void handle(const GrantMessage &message);
     void replyToUsage(const GrantMessage &message);
+    void replyToPermitRequest(const GrantMessage &request);
+    /// Applies a statement of the target's rate. \param by Who received it.
+    void recordRate(std::optional<double> perSecond, TimePoint at, std::string_view by);
     void replyToCrashReports(const GrantMessage &message);
     void acceptTargetQuery(const GrantMessage &query);
     /// Answers the queries that came before the latest report was asked for.
@@ -76,6 +79,9 @@
     asio::ip::udp::endpoint sender;
     std::map<std::uint64_t, asio::ip::udp::endpoint> entryEndpoints;
     UsageCollector usage;
+    StatedRates rates; ///< Of all targets, as entries received them, kept for the other entries.
+    PermitIssuer permitIssuer;
+    bool rateInReports = false; ///< The last report stated the target's rate.
     Quarantine quarantine; ///< What the entries know, kept for those that don't yet.
     struct TargetQuery
     {
@@ -113,11 +119,20 @@
     const TimePoint now = currentTime();
     ReservationProfile profile = message.profile;
     profile.reservationId.entry = message.sender;
+    const bool isOfReservation = message.kind == GrantKind::Reserve
+        || message.kind == GrantKind::Release || message.kind == GrantKind::Began;
+    if (isOfReservation && !message.rates.empty()) {
+        const RateStatement &statement = message.rates.front();
+        if (statement.startedMs == 0 || this->targetStartedMs == 0
+            || statement.startedMs == this->targetStartedMs) {
+            this->recordRate(statement.perSecond, statement.at, "entry");
+        }
+    }
     switch (message.kind) {
     case GrantKind::Reserve: {
         if (this->admission.isClosed(now)) {
             // Also when it was granted: the entry still waits, so it has not used the grant.
-            this->admission.release(profile.reservationId, 0, now);
+            this->admission.release(profile.reservationId, 0, true, now);
             this->decline({ profile });
             return;
         }
@@ -127,6 +142,7 @@
         }
         this->admission.reserve(profile, message.slots, now);
         this->sendGrants();
+        this->decline(this->admission.expire(now));
         if (this->admission.isWaiting(profile.reservationId)) {
             this->reply(GrantKind::Queued, profile);
             this->scheduleExpiry();
@@ -134,7 +150,7 @@
         return;
     }
     case GrantKind::Release:
-        this->admission.release(profile.reservationId, message.generated, now);
+        this->admission.release(profile.reservationId, message.generated, message.unused, now);
         this->sendGrants();
         return;
     case GrantKind::Began:
@@ -150,6 +166,9 @@
     case GrantKind::TargetQuery:
         this->acceptTargetQuery(message);
         return;
+    case GrantKind::PermitRequest:
+        this->replyToPermitRequest(message);
+        return;
     default:
         return;
     }
@@ -162,11 +181,48 @@
     GrantMessage answer;
     answer.kind = GrantKind::OthersUsage;
     answer.usage = this->usage.reportFor(message.sender, now);
+    for (const RateStatement &statement : message.rates) {
+        this->rates.adopt(statement, now);
+    }
+    this->rates.expire(now);
+    this->permitIssuer.expire(now);
+    answer.rates = this->rates.known();
     this->quarantine.expire(now);
     answer.crashDigest = this->quarantine.digest();
     this->sendTo(this->sender, std::move(answer));
 }
 
+void GrantAgent::Private::replyToPermitRequest(const GrantMessage &request)
+{
+    if (request.rates.empty()) {
+        this->metrics.count("wigeonsill_grant_datagrams_malformed_total");
+        return;
+    }
+    GrantMessage answer;
+    answer.kind = GrantKind::Permits;
+    answer.targetId = request.rates.front().targetId;
+    answer.load.startedMs = request.rates.front().startedMs;
+    answer.asDeputy = request.asDeputy;
+    answer.permits = this->permitIssuer.request(
+        request.rates.front(), request.permits.permits, request.asDeputy, currentTime());
+    this->metrics.count("wigeonsill_permits_issued_total", {}, answer.permits.permits);
+    this->sendTo(this->sender, std::move(answer));
+}
+
+void GrantAgent::Private::recordRate(
+    std::optional<double> perSecond, TimePoint at, std::string_view by)
+{
+    if (!this->admission.recordRate(perSecond, at, currentTime())) {
+        return;
+    }
+    DecisionLine line("agent", perSecond ? "target-limited" : "target-unlimited");
+    line.text("by", by);
+    if (perSecond) {
+        line.number("per_second", *perSecond);
+    }
+    this->log.stateChange(line);
+}
+
 void GrantAgent::Private::replyToCrashReports(const GrantMessage &message)
 {
     this->quarantine.merge(message.crashReports, currentTime());
@@ -264,6 +320,10 @@
         this->metrics.count("wigeonsill_target_quiet_times_total");
         this->admission.recordQuiet(*answer.quietFor, now);
     }
+    if (answer.rate.perSecond || (answer.rate.isAbsent && this->rateInReports)) {
+        this->rateInReports = answer.rate.perSecond.has_value();
+        this->recordRate(answer.rate.perSecond, now, "report");
+    }
     const std::vector<ReservationProfile> declined = this->admission.isClosed(now)
         ? this->admission.removeWaiting()
         : std::vector<ReservationProfile>();
@@ -391,6 +451,9 @@
         { "entries", this->d->usage.entryCount() },
         { "targetReachable", this->d->targetReachable },
         { "targetLeaving", this->d->admission.isLeaving() },
+        { "ratePerSecond",
+            this->d->admission.isLimited() ? boost::json::value(this->d->admission.ratePerSecond())
+                                           : boost::json::value() },
         { "crashReports", this->d->quarantine.reports().size() },
         { "partHolds", this->d->quarantine.holds().size() },
     };
--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -16,9 +16,10 @@
 
 } // namespace
 
-GrantClient::GrantClient(
-    asio::io_context &io, Metrics &counters, const ForwardEntrySettings &settings)
+GrantClient::GrantClient(asio::io_context &io, Metrics &counters,
+    const ForwardEntrySettings &settings, const StatedRates &statedRates)
     : metrics(counters)
+    , rates(statedRates)
     , socket(io,
           asio::ip::udp::endpoint(
               asio::ip::make_address(settings.grantAddress), settings.grantPort))
@@ -45,10 +46,19 @@
     this->listeners.erase(reservationId);
 }
 
-void GrantClient::reserve(const Target &target, const ReservationProfile &profile)
+GrantMessage GrantClient::messageTo(const Target &target, GrantKind kind) const
 {
     GrantMessage message;
-    message.kind = GrantKind::Reserve;
+    message.kind = kind;
+    if (const RateStatement *statement = this->rates.find(target)) {
+        message.rates.push_back(*statement);
+    }
+    return message;
+}
+
+void GrantClient::reserve(const Target &target, const ReservationProfile &profile)
+{
+    GrantMessage message = this->messageTo(target, GrantKind::Reserve);
     message.profile = profile;
     message.slots = target.slots;
     const auto endpoint = parseEndpoint(target.address);
@@ -67,11 +77,18 @@
     this->send(target, std::move(message));
 }
 
+void GrantClient::withdraw(const Target &target, std::uint64_t reservationId)
+{
+    GrantMessage message = this->messageTo(target, GrantKind::Release);
+    message.unused = true;
+    message.profile.reservationId.number = reservationId;
+    this->send(target, std::move(message));
+}
+
 void GrantClient::release(
     const Target &target, std::uint64_t reservationId, std::uint32_t generated)
 {
-    GrantMessage message;
-    message.kind = GrantKind::Release;
+    GrantMessage message = this->messageTo(target, GrantKind::Release);
     message.generated = generated;
     message.profile.reservationId.number = reservationId;
     this->send(target, std::move(message));
@@ -79,8 +96,7 @@
 
 void GrantClient::reportFirstEvent(const Target &target, std::uint64_t reservationId)
 {
-    GrantMessage message;
-    message.kind = GrantKind::Began;
+    GrantMessage message = this->messageTo(target, GrantKind::Began);
     message.profile.reservationId.number = reservationId;
     this->send(target, std::move(message));
 }
@@ -92,9 +108,23 @@
     message.kind = GrantKind::Usage;
     message.ownUsage = uses;
     message.crashDigest = crashDigest;
+    message.rates = this->rates.received();
     this->send(collector, std::move(message));
 }
 
+void GrantClient::requestPermits(
+    const Target &issuer, const RateStatement &statement, int wanted, bool asDeputy)
+{
+    GrantMessage message;
+    message.kind = GrantKind::PermitRequest;
+    message.targetId = statement.targetId;
+    message.rates.push_back(statement);
+    message.permits.permits = wanted;
+    message.asDeputy = asDeputy;
+    this->metrics.count("wigeonsill_permits_asked_total", {}, wanted);
+    this->send(issuer, std::move(message));
+}
+
 void GrantClient::sendCrashReports(
     const asio::ip::address &agent, const std::vector<GrantMessage> &messages)
 {
@@ -160,6 +190,7 @@
 {
     GrantMessage message;
     message.kind = GrantKind::Release;
+    message.unused = true;
     message.sender = this->senderId;
     message.profile.reservationId.number = granted.profile.reservationId.number;
     this->metrics.count("wigeonsill_grants_given_back_total");
@@ -203,6 +234,15 @@
     if (isUsage && this->onUsageReported) {
         this->onUsageReported(message.usage);
     }
+    if (isUsage && this->onRates) {
+        this->onRates(message.rates);
+    }
+    if (message.kind == GrantKind::Permits) {
+        if (this->onPermits) {
+            this->onPermits(message);
+        }
+        return;
+    }
     if (isUsage || message.kind == GrantKind::CrashReports) {
         if (this->onCrashReports) {
             this->onCrashReports(message, from.address());
--- a/src/libforward/grantclient.h
+++ b/src/libforward/grantclient.h
@@ -35,15 +35,19 @@
 class GrantClient
 {
 public:
-    GrantClient(
-        boost::asio::io_context &io, Metrics &counters, const ForwardEntrySettings &settings);
+    /// \pre statedRates outlives this object.
+    GrantClient(boost::asio::io_context &io, Metrics &counters,
+        const ForwardEntrySettings &settings, const StatedRates &statedRates);
     void start();
 
     /// Allocates a ticket. The listener receives its answers until unregisterReservationId().
     std::uint64_t registerReservationId(GrantListener &listener);
     void unregisterReservationId(std::uint64_t reservationId);
     void reserve(const Target &target, const ReservationProfile &profile);
-    void release(const Target &target, std::uint64_t reservationId, std::uint32_t generated = 0);
+    /// Releases what was reserved or granted at a target to which the request was not sent.
+    void withdraw(const Target &target, std::uint64_t reservationId);
+    /// Releases the room of a request that has left the target.
+    void release(const Target &target, std::uint64_t reservationId, std::uint32_t generated);
     void reportFirstEvent(const Target &target, std::uint64_t reservationId);
     /// Reports to an agent what this entry admitted; it answers with the other entries' usage.
     /// \param crashDigest Of the reports of ended targets that this entry knows.
@@ -54,6 +58,14 @@
     void sendCrashReports(const Target &target, const std::vector<GrantMessage> &messages);
     /// Asks a target's agent whether the target has ended.
     void queryTarget(const Target &target);
+    /// Asks an agent for permits to send to a target that has no agent itself.
+    /// \param asDeputy Another agent, which should have been asked, doesn't answer.
+    void requestPermits(
+        const Target &issuer, const RateStatement &statement, int wanted, bool asDeputy);
+    /// Called with an agent's answer to requestPermits().
+    std::function<void(const GrantMessage &)> onPermits;
+    /// Called with statements of rates that other entries received.
+    std::function<void(const std::vector<RateStatement> &)> onRates;
     /// Called with an agent's answer to queryTarget().
     std::function<void(const std::string &targetId, bool ended)> onTargetState;
     /// Called with each report of the other entries' usage.
@@ -72,6 +84,8 @@
         TimePoint loadReceivedAt;
         std::optional<TimePoint> unansweredSince;
     };
+    /// A message to a target's agent, with what the target stated of its rate.
+    GrantMessage messageTo(const Target &target, GrantKind kind) const;
     void send(const Target &target, GrantMessage message);
     void returnGrant(const GrantMessage &granted, const boost::asio::ip::udp::endpoint &agent);
     void sendTo(const boost::asio::ip::udp::endpoint &agent, const GrantMessage &message);
@@ -79,6 +93,7 @@
     void handle(const GrantMessage &message, const boost::asio::ip::udp::endpoint &from);
 
     Metrics &metrics;
+    const StatedRates &rates;
     boost::asio::ip::udp::socket socket;
     std::uint16_t agentPort;
     std::uint64_t senderId;
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -17,6 +17,8 @@
 
 /// A report has at most 200 bytes, and a datagram 8 KiB.
 constexpr std::size_t reportsPerDatagram = 32;
+/// Older than any process; keeps a malformed age from overflowing.
+constexpr std::uint64_t maximumAgeUs = 1'000'000'000'000'000;
 
 void encodeReports(
     const std::vector<CrashReport> &reports, capnp::List<schema::CrashReport>::Builder target)
@@ -38,8 +40,6 @@
 
 std::vector<CrashReport> decodeReports(capnp::List<schema::CrashReport>::Reader reports)
 {
-    /// Older than any process; keeps a malformed age from overflowing.
-    constexpr std::uint64_t maximumAgeUs = 1'000'000'000'000'000;
     const TimePoint now = currentTime();
     std::vector<CrashReport> result;
     for (const auto &record : reports) {
@@ -60,6 +60,42 @@
     return result;
 }
 
+void encodeRates(const std::vector<RateStatement> &statements,
+    capnp::List<schema::RateStatement>::Builder target)
+{
+    const TimePoint now = currentTime();
+    unsigned index = 0;
+    for (const RateStatement &statement : statements) {
+        auto record = target[index++];
+        record.setTargetId(statement.targetId.c_str());
+        record.setStartedMs(statement.startedMs);
+        record.setLimited(statement.perSecond.has_value());
+        record.setPerSecond(statement.perSecond.value_or(0));
+        record.setAgeUs(static_cast<std::uint64_t>(
+            std::max<Duration>(now - statement.at, Duration::zero()).count()));
+    }
+}
+
+std::vector<RateStatement> decodeRates(capnp::List<schema::RateStatement>::Reader statements)
+{
+    const TimePoint now = currentTime();
+    std::vector<RateStatement> result;
+    for (const auto &record : statements) {
+        RateStatement statement;
+        statement.targetId = record.getTargetId().cStr();
+        statement.startedMs = record.getStartedMs();
+        // A rate that is no number fails the comparison.
+        if (record.getLimited() && record.getPerSecond() >= 0) {
+            statement.perSecond = std::min(record.getPerSecond(), maximumStatedRate);
+        } else if (record.getLimited()) {
+            continue;
+        }
+        statement.at = now - Duration(std::min(record.getAgeUs(), maximumAgeUs));
+        result.push_back(std::move(statement));
+    }
+    return result;
+}
+
 } // namespace
 
 std::vector<GrantMessage> crashReportMessages(const Quarantine &quarantine)
@@ -98,6 +134,7 @@
     root.setFreeSlots(static_cast<std::uint32_t>(message.load.freeSlots));
     root.setWaiting(static_cast<std::uint32_t>(message.load.waiting));
     root.setStartDelayUs(message.load.startDelay.count());
+    root.setUntilPermitUs(message.load.untilPermit.count());
     root.setPrefillPerMs(message.load.prefillTokensPerMs);
     root.setDecodePerMs(message.load.decodeTokensPerMs);
     root.setTargetStartedMs(message.load.startedMs);
@@ -126,6 +163,11 @@
     root.setMoreFollow(message.moreFollow);
     root.setTargetId(message.targetId.c_str());
     root.setTargetEnded(message.targetEnded);
+    encodeRates(message.rates, root.initRates(static_cast<unsigned>(message.rates.size())));
+    root.setPermits(static_cast<std::uint32_t>(message.permits.permits));
+    root.setUntilNextUs(message.permits.untilNext.count());
+    root.setAsDeputy(message.asDeputy);
+    root.setUnused(message.unused);
     encodeReports(message.crashReports,
         root.initCrashReports(static_cast<unsigned>(message.crashReports.size())));
     // Packed encoding: traffic between failure domains is charged, and most fields are zero.
@@ -157,6 +199,7 @@
         message.load.freeSlots = static_cast<int>(root.getFreeSlots());
         message.load.waiting = static_cast<int>(root.getWaiting());
         message.load.startDelay = Duration(root.getStartDelayUs());
+        message.load.untilPermit = Duration(root.getUntilPermitUs());
         message.load.prefillTokensPerMs = root.getPrefillPerMs();
         message.load.decodeTokensPerMs = root.getDecodePerMs();
         message.load.startedMs = root.getTargetStartedMs();
@@ -178,6 +221,11 @@
         message.moreFollow = root.getMoreFollow();
         message.targetId = root.getTargetId().cStr();
         message.targetEnded = root.getTargetEnded();
+        message.rates = decodeRates(root.getRates());
+        message.permits.permits = static_cast<int>(root.getPermits());
+        message.permits.untilNext = Duration(root.getUntilNextUs());
+        message.asDeputy = root.getAsDeputy();
+        message.unused = root.getUnused();
         message.crashReports = decodeReports(root.getCrashReports());
         return message;
     } catch (const kj::Exception &) {
--- a/src/libforward/grantmessage.h
+++ b/src/libforward/grantmessage.h
@@ -20,6 +20,8 @@
     CrashReports, ///< Both: reports of ended targets.
     TargetQuery, ///< Entry: asks whether the target has ended.
     TargetState, ///< Agent: whether it has, by a report asked for since.
+    PermitRequest, ///< Entry: wants to send to a target without an agent that states a rate.
+    Permits, ///< Agent: how many requests may be sent there.
 };
 
 /// A decoded datagram.
@@ -37,6 +39,12 @@
     std::uint64_t crashDigest = 0; ///< Of all reports that the sender knows.
     std::string targetId; ///< In TargetQuery and TargetState; load.startedMs is its start.
     bool targetEnded = false; ///< In TargetState.
+    /// In Usage: statements that the entry received. In OthersUsage: all that the agent knows. In
+    /// others: that of the message's target, if it stated a rate.
+    std::vector<RateStatement> rates;
+    PermitIssuer::Answer permits; ///< In PermitRequest: the number wanted.
+    bool asDeputy = false; ///< In PermitRequest and Permits: the first issuer didn't answer.
+    bool unused = false; ///< In Release: nothing was sent to the target.
     bool moreFollow = false; ///< In CrashReports: this is not the last of several datagrams.
 };
 
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -42,6 +42,7 @@
 RequestFlow::~RequestFlow()
 {
     this->state.flows.erase(this);
+    this->state.permitWaiters.erase(this);
     for (const std::uint64_t id :
         { this->reservationId, this->attempt ? this->attempt->reservationId : 0 }) {
         if (id != 0) {
@@ -290,6 +291,7 @@
 void RequestFlow::finish(std::string_view outcome, int status, std::string_view detail)
 {
     this->phase = Phase::Finished;
+    this->state.permitWaiters.erase(this);
     this->timer.cancel();
     DecisionLine line("entry", "finished");
     line.text("request", this->request.id)
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -26,6 +26,8 @@
     void start();
     /// The caller closed its connection: withdraws all reservations and cancels the send.
     void onCallerDisconnected();
+    /// Places the requests that wait for a permit, the most useful ones first.
+    static void placePermitWaiters(EntryState &entryState);
     /// Gives the request its final answer because the process is about to exit.
     void finishForShutdown();
 
@@ -63,6 +65,15 @@
     bool isWaitUseful() const;
     /// Waits for a target that takes requests, or refuses the request.
     void waitOrRefuse();
+    /// The targets that the request may be sent to, now or later.
+    std::vector<const Target *> candidates() const;
+    /// Expected time until the rates of all candidates leave room for this request, behind the more
+    /// useful ones that wait here. Empty when a candidate states no rate.
+    std::optional<Duration> untilRateLeavesRoom() const;
+    /// Whether each agent declined the request for the rate that its target states.
+    bool isDeclinedForRates() const;
+    /// Refuses the request because the targets' rates leave no room for it.
+    void refuseForRates(Duration untilRoom);
     /// Resends unanswered reservations and adds one.
     void maintainReservations();
     void onTimer();
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -81,8 +81,16 @@
             || !this->state.admitsRequest(*candidate, now)) {
             continue;
         }
+        if (!this->service->isEngine && this->state.rates.isLimited(*candidate)) {
+            // Asked for also while one is at hand, so that the next request finds another one.
+            this->state.rates.recordDemand(*candidate);
+            if (!this->state.rates.admits(*candidate, now)) {
+                continue;
+            }
+        }
         TargetView view;
         view.target = candidate;
+        view.hasPermit = !this->service->isEngine && this->state.rates.isLimited(*candidate);
         view.ownRequests = this->state.requestsAt(candidate->id);
         view.failing = this->state.isFailing(candidate->id, now);
         if (this->service->isEngine) {
@@ -99,13 +107,35 @@
 void RequestFlow::placeWithoutReservation()
 {
     const std::vector<TargetView> knownTargets = this->targetViews();
-    const auto order = rankTargets(
+    auto order = rankTargets(
         knownTargets, this->request, this->state.settings.location, this->state.random());
-    if (order.empty()) {
+    // A permit lapses when it isn't used.
+    std::stable_partition(order.begin(), order.end(),
+        [](const TargetView *view) { return view->hasPermit && !view->failing; });
+    const auto chosen = std::find_if(order.begin(), order.end(), [this](const TargetView *view) {
+        return this->state.rates.tryTake(*view->target, currentTime());
+    });
+    if (chosen == order.end()) {
         this->waitOrRefuse();
         return;
     }
-    this->sendTo(*order.front()->target);
+    this->state.permitWaiters.erase(this);
+    this->sendTo(*(*chosen)->target);
+}
+
+void RequestFlow::placePermitWaiters(EntryState &entryState)
+{
+    std::vector<std::pair<double, std::shared_ptr<RequestFlow>>> byUtility;
+    byUtility.reserve(entryState.permitWaiters.size());
+    for (RequestFlow *flow : entryState.permitWaiters) {
+        byUtility.emplace_back(flow->profile().utility, flow->shared_from_this());
+    }
+    std::sort(byUtility.rbegin(), byUtility.rend());
+    for (const auto &[utility, flow] : byUtility) {
+        if (flow->phase == Phase::Reserving && flow->reservations.empty()) {
+            flow->place();
+        }
+    }
 }
 
 void RequestFlow::placeByReservation()
@@ -124,6 +154,47 @@
     }
 }
 
+std::vector<const Target *> RequestFlow::candidates() const
+{
+    std::vector<const Target *> result = this->state.targets.usable(this->service->name);
+    std::erase_if(result,
+        [this](const Target *candidate) { return this->excludedTargets.contains(candidate->id); });
+    return result;
+}
+
+std::optional<Duration> RequestFlow::untilRateLeavesRoom() const
+{
+    const auto rate = this->state.rates.totalRate(this->candidates());
+    if (!rate) {
+        return std::nullopt;
+    }
+    const double utility = this->profile().utility;
+    const auto ahead = std::count_if(this->state.permitWaiters.begin(),
+        this->state.permitWaiters.end(), [this, utility](const RequestFlow *other) {
+            return other != this && other->service == this->service
+                && other->profile().utility >= utility;
+        });
+    const std::chrono::duration<double> time(static_cast<double>(ahead) / *rate);
+    return std::chrono::duration_cast<Duration>(time);
+}
+
+bool RequestFlow::isDeclinedForRates() const
+{
+    return !this->reservations.empty() && this->nextRankedTarget == this->rankedTargets.size()
+        && std::all_of(this->reservations.begin(), this->reservations.end(),
+            [this](const Reservation &reservation) {
+                return reservation.state == ReservationState::Declined
+                    && this->state.rates.isLimited(reservation.target);
+            });
+}
+
+void RequestFlow::refuseForRates(Duration untilRoom)
+{
+    this->state.metrics.count("wigeonsill_requests_over_rate_total");
+    this->refuse(ResultCode::Overloaded,
+        "all targets of the service are at the rates that they state", this->retryDelay(untilRoom));
+}
+
 bool RequestFlow::isWaitUseful() const
 {
     const TimePoint now = currentTime();
@@ -138,7 +209,15 @@
 
 void RequestFlow::waitOrRefuse()
 {
+    const auto untilRoom = this->untilRateLeavesRoom();
+    if (untilRoom && this->elapsed() + *untilRoom > this->maximumWait) {
+        this->refuseForRates(*untilRoom);
+        return;
+    }
     if (this->isWaitUseful()) {
+        if (!this->service->isEngine) {
+            this->state.permitWaiters.insert(this);
+        }
         this->rankedTargetsVersion = this->state.targetsVersion;
         this->phase = Phase::Reserving;
         this->startTimer(waitCheckInterval);
@@ -214,6 +293,10 @@
         return;
     }
     if (this->elapsed() >= this->maximumWait || !this->continuation.isTimeLeft(this->timeLeft())) {
+        if (const auto untilRoom = this->untilRateLeavesRoom()) {
+            this->refuseForRates(*untilRoom);
+            return;
+        }
         this->refuse(ResultCode::Overloaded, "no target had room within the maximum wait",
             this->retryDelay());
         return;
@@ -233,6 +316,10 @@
         this->place();
         return;
     }
+    if (this->isDeclinedForRates() && !this->headSentToCaller) {
+        this->refuseForRates(this->untilRateLeavesRoom().value_or(Duration::zero()));
+        return;
+    }
     this->startTimer(waitCheckInterval);
 }
 
@@ -244,7 +331,7 @@
             return false;
         }
         --this->state.requestsAt(reservation.target.id);
-        this->state.grantClient.release(reservation.target, this->reservationId);
+        this->state.grantClient.withdraw(reservation.target, this->reservationId);
         return true;
     });
 }
@@ -366,7 +453,8 @@
             = this->state.grantClient.view(reservation.target, now).unresponsive;
         // The count includes the current request.
         if (unresponsive && this->state.isOpen(reservation.target, now)
-            && this->state.requestsAt(reservation.target.id) <= maximumPastUnresponsiveAgent) {
+            && this->state.requestsAt(reservation.target.id) <= maximumPastUnresponsiveAgent
+            && this->state.rates.tryTakeShare(reservation.target, now)) {
             const Target chosen = reservation.target;
             this->state.metrics.count("wigeonsill_sent_without_agent_total");
             this->moveTo(chosen, false);
@@ -445,7 +533,7 @@
     for (const Reservation &reservation : this->reservations) {
         --this->state.requestsAt(reservation.target.id);
         if (reservation.target.id != exceptTarget) {
-            this->state.grantClient.release(reservation.target, this->reservationId);
+            this->state.grantClient.withdraw(reservation.target, this->reservationId);
         }
     }
     this->reservations.clear();
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -27,7 +27,7 @@
 {
     const auto self = this->shared_from_this();
     const AnswerFacts facts = this->state.dialect.decodeAnswer(received);
-    this->state.recordTargetFacts(this->attempt->target, facts);
+    this->state.recordTargetFacts(this->attempt->target, facts, this->arrived + *this->timeToSend);
     if (facts.isWrongTarget) {
         this->state.recordReplacement(this->attempt->target.id);
         // The intended target never received it, so this was not an attempt.
--- a/src/libforward/targetstate_test.cpp
+++ b/src/libforward/targetstate_test.cpp
@@ -236,5 +236,43 @@
         << "an incarnation that started later is used at once";
 }
 
+/// An agent that was started anew learns the rate from the reservation that it has to decide on.
+TEST_F(StatedState, reservationTellsTheRateThatTheTargetStated)
+{
+    this->write("HTTP/1.1 200 OK\r\nTest-Rate: 2.5\r\nContent-Length: 2\r\n\r\nok");
+    asio::ip::tcp::socket second(this->io);
+    this->sendRequest(second);
+    const auto reserved = this->queueAll(milliseconds(100));
+    ASSERT_TRUE(reserved.contains(this->firstAgent));
+    const std::vector<RateStatement> &rates = reserved.at(this->firstAgent).rates;
+    ASSERT_EQ(rates.size(), 1U);
+    EXPECT_EQ(rates.front().perSecond, 2.5);
+    EXPECT_EQ(rates.front().startedMs, 1'000);
+    for (const auto &[agent, message] : reserved) {
+        EXPECT_EQ(message.rates.empty(), agent != this->firstAgent);
+    }
+}
+
+/// The agents do not answer. Only a share of the rate is used, as other entries may send as well.
+TEST_F(StatedState, entrySendsPastSilentAgentNoMoreThanItsShareOfTheRate)
+{
+    this->write("HTTP/1.1 200 OK\r\nTest-Rate: 2\r\nContent-Length: 2\r\n\r\nok");
+    int sentToFirst = 0;
+    int sentToOthers = 0;
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> callers;
+    for (int i = 0; i < 20; ++i) {
+        callers.push_back(std::make_unique<asio::ip::tcp::socket>(this->io));
+        this->sendRequest(*callers.back());
+        this->runFor(milliseconds(100));
+        for (const auto &agent : this->agents) {
+            if (this->wasConnected(*agent)) {
+                ++(agent.get() == this->firstAgent ? sentToFirst : sentToOthers);
+            }
+        }
+    }
+    EXPECT_LE(sentToFirst, 1) << "one of up to 300 entries";
+    EXPECT_GE(sentToOthers, 2);
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libgateway/targetadmission.cpp
+++ b/src/libgateway/targetadmission.cpp
@@ -64,6 +64,9 @@
         this->targetStartedMs = *startedMs;
         this->leaving = false;
         this->quietUntil = {};
+        this->permits = {};
+        this->statedRate.reset();
+        this->rateStatedAt.reset();
     }
     this->leaving = this->leaving || isLeaving;
 }
@@ -73,6 +76,20 @@
     this->quietUntil = std::max(this->quietUntil, now + std::min(time, QuietTargets::longestTime));
 }
 
+bool TargetAdmission::recordRate(std::optional<double> perSecond, TimePoint at, TimePoint now)
+{
+    if (this->rateStatedAt && at <= *this->rateStatedAt) {
+        return false;
+    }
+    this->rateStatedAt = at;
+    if (perSecond == this->statedRate) {
+        return false;
+    }
+    this->statedRate = perSecond;
+    this->permits.setRate(perSecond, now);
+    return true;
+}
+
 std::vector<ReservationProfile> TargetAdmission::removeWaiting()
 {
     std::vector<ReservationProfile> result;
@@ -85,13 +102,16 @@
 }
 
 void TargetAdmission::release(
-    const ReservationId &reservationId, std::uint32_t generated, TimePoint now)
+    const ReservationId &reservationId, std::uint32_t generated, bool unused, TimePoint now)
 {
     this->waiting.erase(reservationId);
     const auto found = this->granted.find(reservationId);
     if (found == this->granted.end()) {
         return;
     }
+    if (unused) {
+        this->permits.giveBack(now);
+    }
     if (found->second.firstEventAt && generated > 0) {
         this->decodedTokens += generated - decodeLearningRate * this->decodedTokens;
         this->decodedMs
@@ -162,7 +182,7 @@
     while (
         !this->waiting.empty() && this->occupiedSlots() < this->slots + this->limits.queueAhead) {
         const double aheadMs = this->prefillAheadMs(now);
-        if (aheadMs > toMs(this->limits.prefillBacklog)) {
+        if (aheadMs > toMs(this->limits.prefillBacklog) || !this->permits.tryTake(now)) {
             break;
         }
         auto best = this->waiting.end();
@@ -197,6 +217,36 @@
     std::erase_if(this->granted, [this, now](const auto &record) {
         return now - record.second.at > this->limits.grantTimeout;
     });
+    const std::vector<ReservationProfile> beyondRate = this->removeBeyondRate(now);
+    result.insert(result.end(), beyondRate.begin(), beyondRate.end());
+    return result;
+}
+
+std::vector<ReservationProfile> TargetAdmission::removeBeyondRate(TimePoint now)
+{
+    std::vector<ReservationProfile> result;
+    if (!this->isLimited()) {
+        return result;
+    }
+    const double aheadMs = this->prefillAheadMs(now);
+    std::vector<std::pair<double, ReservationId>> byScore;
+    byScore.reserve(this->waiting.size());
+    for (const auto &[reservationId, record] : this->waiting) {
+        byScore.emplace_back(this->scoreOf(record, aheadMs, now), reservationId);
+    }
+    std::sort(byScore.rbegin(), byScore.rend());
+    std::size_t kept = 0;
+    for (const auto &[score, reservationId] : byScore) {
+        const auto record = this->waiting.find(reservationId);
+        const Duration waitLeft
+            = record->second.profile.waitLeft - (now - record->second.reservedAt);
+        if (this->permits.untilAvailable(kept + 1, now) <= waitLeft) {
+            ++kept;
+            continue;
+        }
+        result.push_back(record->second.profile);
+        this->waiting.erase(record);
+    }
     return result;
 }
 
@@ -252,6 +302,7 @@
         delayMs += soonestEndMs;
     }
     result.startDelay = toDuration(delayMs);
+    result.untilPermit = this->permits.untilAvailable(this->waiting.size() + 1, now);
     return result;
 }
 
--- a/src/libgateway/targetadmission_test.cpp
+++ b/src/libgateway/targetadmission_test.cpp
@@ -51,7 +51,7 @@
     const auto granted = admission.grant(now);
     ASSERT_EQ(granted.size(), 1U);
     EXPECT_EQ(granted.front().reservationId.number, 2U);
-    admission.release({ 1, 2 }, 0, now);
+    admission.release({ 1, 2 }, 0, false, now);
     EXPECT_EQ(admission.grant(now).size(), 1U)
         << "granted when no other request waits, since the estimate may be wrong";
 }
@@ -86,7 +86,7 @@
     const auto first = admission.grant(now);
     ASSERT_EQ(first.size(), static_cast<std::size_t>(slots));
     for (const ReservationProfile &profile : first) {
-        admission.release(profile.reservationId, 0, now);
+        admission.release(profile.reservationId, 0, false, now);
     }
     EXPECT_EQ(admission.grant(now).size(), static_cast<std::size_t>(slots));
 }
@@ -126,7 +126,7 @@
         admission.grant(now);
         now += milliseconds(200 + 8);
         admission.recordFirstEvent({ 1, i }, now);
-        admission.release({ 1, i }, 0, now);
+        admission.release({ 1, i }, 0, false, now);
     }
     EXPECT_NEAR(admission.load(now).prefillTokensPerMs, 30, 4);
 }
@@ -153,7 +153,7 @@
     admission.reserve(makeProfile(2, 10, 1), 1, now);
     admission.recordTargetState(std::nullopt, true);
     EXPECT_TRUE(admission.isClosed(now));
-    admission.release({ 1, 1 }, 0, now);
+    admission.release({ 1, 1 }, 0, false, now);
     EXPECT_TRUE(admission.grant(now).empty()) << "its slot is free, but it is leaving";
     const auto removed = admission.removeWaiting();
     ASSERT_EQ(removed.size(), 1U);
@@ -182,7 +182,7 @@
     EXPECT_FALSE(admission.isClosed(now));
     admission.reserve(makeProfile(2, 10, 1), 1, now);
     EXPECT_EQ(admission.grant(now).size(), 1U);
-    admission.release({ 1, 2 }, 0, now);
+    admission.release({ 1, 2 }, 0, false, now);
     admission.recordQuiet(std::chrono::hours(24), now);
     EXPECT_FALSE(admission.isClosed(now + QuietTargets::longestTime));
     admission.recordTargetState(5'000, false);
@@ -206,7 +206,7 @@
         } else if (!running.empty()) {
             const std::uint64_t ended = *std::next(
                 running.begin(), static_cast<std::ptrdiff_t>(number) % std::ssize(running));
-            admission.release({ 1, ended }, 0, now);
+            admission.release({ 1, ended }, 0, false, now);
             running.erase(ended);
         }
         admission.expire(now);
@@ -218,5 +218,73 @@
     }
 }
 
+TEST(TargetAdmission, grantsNoMoreThanTheStatedRate)
+{
+    TargetAdmission admission({});
+    std::uint64_t next = 1;
+    int granted = 0;
+    EXPECT_TRUE(admission.recordRate(2, TimePoint{ seconds(1) }, TimePoint{ seconds(1) }));
+    for (Duration at{}; at < seconds(10); at += milliseconds(25)) {
+        const TimePoint now = TimePoint{ seconds(1) } + at;
+        admission.expire(now);
+        admission.reserve(makeProfile(next++, 100, 1), slots, now);
+        for (const ReservationProfile &profile : admission.grant(now)) {
+            ++granted;
+            admission.recordFirstEvent(profile.reservationId, now);
+            admission.release(profile.reservationId, 10, false, now);
+        }
+    }
+    EXPECT_GE(granted, 19);
+    EXPECT_LE(granted, 20);
+}
+
+/// The grant of a request that was sent elsewhere meanwhile leaves its permit to the next one.
+TEST(TargetAdmission, unusedGrantLeavesItsPermit)
+{
+    TargetAdmission admission({});
+    const TimePoint now{ seconds(1) };
+    admission.recordRate(2, now, now);
+    const TimePoint later = now + milliseconds(500);
+    admission.reserve(makeProfile(1, 100, 1), slots, later);
+    ASSERT_EQ(admission.grant(later).size(), 1U);
+    admission.release({ 1, 1 }, 0, true, later);
+    admission.release({ 1, 1 }, 0, true, later);
+    for (const std::uint64_t number : { 2, 3 }) {
+        admission.reserve(makeProfile(number, 100, 1), slots, later);
+    }
+    EXPECT_EQ(admission.grant(later).size(), 1U) << "it is given back once";
+}
+
+TEST(TargetAdmission, leastUsefulRequestsBeyondTheRateAreDeclinedAtOnce)
+{
+    TargetAdmission admission({});
+    const TimePoint now{ seconds(1) };
+    admission.recordRate(4, now, now);
+    for (std::uint64_t i = 1; i <= 5; ++i) {
+        admission.reserve(makeProfile(i, 100, static_cast<double>(i)), slots, now);
+    }
+    EXPECT_TRUE(admission.grant(now).empty());
+    const auto declined = admission.expire(now);
+    EXPECT_EQ(declined.size(), 4U) << "one permit comes within their wait of 360 ms";
+    EXPECT_TRUE(admission.isWaiting({ 1, 5 })) << "the most useful one waits for it";
+    EXPECT_EQ(admission.load(now).untilPermit, milliseconds(500));
+}
+
+TEST(TargetAdmission, rateIsForgottenWithItsIncarnationAndOlderStatementsAreIgnored)
+{
+    TargetAdmission admission({});
+    const TimePoint now{ seconds(1) };
+    admission.recordTargetState(1, false);
+    EXPECT_TRUE(admission.recordRate(4, now, now));
+    EXPECT_FALSE(admission.recordRate(9, now - milliseconds(1), now));
+    EXPECT_FALSE(admission.recordRate(std::nullopt, now, now));
+    EXPECT_EQ(admission.ratePerSecond(), 4);
+    EXPECT_TRUE(admission.recordRate(std::nullopt, now + milliseconds(1), now));
+    EXPECT_FALSE(admission.isLimited());
+    admission.recordRate(4, now + milliseconds(2), now);
+    admission.recordTargetState(2, false);
+    EXPECT_FALSE(admission.isLimited());
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libgateway/targetranking.cpp
+++ b/src/libgateway/targetranking.cpp
@@ -29,6 +29,11 @@
 /// Cost reduction for a target that has processed the prompt of the same session before.
 constexpr double cachedPrefixGainMs = 15;
 
+double toMs(Duration duration)
+{
+    return static_cast<double>(duration.count()) / 1'000;
+}
+
 /// Measured rates of the targets, for those of which none is known. Otherwise an entry that knows
 /// few of hundreds of targets would send its longest answers to unknown ones.
 struct MeanRates
@@ -64,9 +69,14 @@
     cost += view.failing ? failingTargetCostMs : 0;
     cost += view.agentUnresponsive ? unresponsiveAgentCostMs : 0;
     cost -= view.hasCachedPrefix ? cachedPrefixGainMs : 0;
+    double delayMs = 0;
     if (view.load && view.loadAge < maximumLoadAge) {
-        cost += static_cast<double>(view.load->startDelay.count()) / 1'000;
+        delayMs = toMs(view.load->startDelay);
+    }
+    if (view.load) {
+        delayMs = std::max(delayMs, toMs(view.load->untilPermit - view.loadAge));
     }
+    cost += delayMs;
     const MeanRates rates = view.load
         ? MeanRates{ view.load->prefillTokensPerMs, view.load->decodeTokensPerMs }
         : mean;
