Soak: engines and plain services that name a limit, and the promise LIMIT

The promise counts, as the users' rule does, what reaches an incarnation from processes that passed on its limit half a second before.

--- a/src/include/wigeonsill/rates.h
+++ b/src/include/wigeonsill/rates.h
@@ -41,7 +41,7 @@
 {
 public:
     /// Bounds what one process tells another.
-    static constexpr std::size_t maximumStatements = 64;
+    static constexpr std::size_t maximumStatements = 32;
     /// How long a process that only passes statements on keeps one that it isn't told again.
     static constexpr Duration relayTime = seconds(10);
 
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -54,7 +54,7 @@
         self.gives_up_s = None  # after which its caller leaves, in the middle of a stream
         self.entry = None
         self.incarnation = None  # of the entry's process that has the connection
-        self.sent_at = self.ended_at = None
+        self.sent_at = self.answered_at = self.ended_at = None
         self.status = None
         self.headers = {}
         self.body = b""
@@ -205,6 +205,7 @@
         response = http.client.HTTPResponse(self.stream, method=method)
         try:
             response.begin()
+            attempt.answered_at = time.monotonic()
             attempt.status, attempt.headers = response.status, dict(response.getheaders())
             if response.length is not None:
                 attempt.body = response.read()
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -37,12 +37,15 @@
     "operator": {"config": (3, 0, 0), "revoke": (3, 0, 0), "quota": (1, 0, 0)},
 }
 KINDS["plain"] = KINDS["engine"]
-# Drawn apart from the others, so that the seeds recorded before still play the same faults.
+# Each of these is drawn apart from the others, so that the seeds recorded before it still play the same faults:
+# draws a second, and the kinds.
 LATER_KINDS = {
-    "engine": {"half-event": (3, 1, 4), "half-unframed": (3, 1, 4)},
-    "callers": {"crashing-part": (2, 6, 12)},
+    "later": (0.25, {
+        "engine": {"half-event": (3, 1, 4), "half-unframed": (3, 1, 4)},
+        "callers": {"crashing-part": (2, 6, 12)},
+    }),
+    "limits": (0.15, {"engine": {"limit": (2, 7, 14)}, "plain": {"limit": (1, 7, 14)}}),
 }
-LATER_PER_S = 0.25
 SORT_WEIGHTS = {"entry": 5, "agent": 3, "engine": 6, "plain": 3, "store": 2, "operator": 4}
 
 SERIES_SHARE = 0.25  # of the draws, that come as a series on one subject
@@ -63,7 +66,8 @@
     while True:
         at_s += rng.expovariate(per_second)
         if at_s >= duration_s:
-            faults += draw_later_kinds(seed, duration_s, counts)
+            for name in LATER_KINDS:
+                faults += draw_later_kinds(name, seed, duration_s, counts)
             return sorted(faults, key=lambda fault: fault.at_s)
         sort = rng.choices(list(SORT_WEIGHTS), SORT_WEIGHTS.values())[0]
         subject = "%s-%d" % (sort, rng.randrange(counts[sort]) + 1) if sort in counts else sort
@@ -81,19 +85,20 @@
             moment_s += rng.uniform(0.05, SERIES_GAP_S)
 
 
-def draw_later_kinds(seed, duration_s, counts):
+def draw_later_kinds(name, seed, duration_s, counts):
     """Returns faults of the kinds that were added after seeds had been recorded."""
-    rng = random.Random("plan-%d-later" % seed)
-    kinds = [(sort, kind) for sort, of_sort in LATER_KINDS.items() for kind in of_sort]
-    weights = [LATER_KINDS[sort][kind][0] for sort, kind in kinds]
+    rng = random.Random("plan-%d-%s" % (seed, name))
+    per_s, by_sort = LATER_KINDS[name]
+    kinds = [(sort, kind) for sort, of_sort in by_sort.items() for kind in of_sort]
+    weights = [by_sort[sort][kind][0] for sort, kind in kinds]
     faults = []
     at_s = 0.0
     while True:
-        at_s += rng.expovariate(LATER_PER_S)
+        at_s += rng.expovariate(per_s)
         if at_s >= duration_s:
             return faults
         sort, kind = rng.choices(kinds, weights)[0]
         subject = "%s-%d" % (sort, rng.randrange(counts[sort]) + 1) if sort in counts else sort
-        _, shortest_s, longest_s = LATER_KINDS[sort][kind]
+        _, shortest_s, longest_s = by_sort[sort][kind]
         for_s = min(rng.uniform(shortest_s, longest_s), duration_s - at_s)
         faults.append(Fault(round(at_s, 3), kind, subject, round(for_s, 3), round(rng.random(), 3)))
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -7,6 +7,7 @@
 from deployment import (
     CONFIG_APPLY_S, CONTACT_S, DOWNGRADE_S, DRAIN_S, QUOTA_EXCESS, QUOTA_SLACK, QUOTA_WINDOW_S, RECOVERY_S,
     RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S, REVOKE_S, ROUTES)
+from limitedrates import WINDOW_S, allowed, most_in_a_window
 
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)/(\d+)/(\S+)\n\n")
 SLOWED_FACTOR = 8  # how much longer a slowed machine may take until it keeps to a configuration
@@ -15,6 +16,7 @@
 RETRY_AFTER_SLACK_S = 0.5
 BOUND_STEP_S = 0.25
 RETRY_AFTER_ARRIVALS = 2
+LIMIT_TOLD_S = 0.5  # after an answer that names a limit, from which on its process is counted
 LATE_REQUESTS_WITH_PART = 3
 FEWEST_FOR_SHARE = 20
 
@@ -53,6 +55,8 @@
         self.check_drains()
         self.check_leaving()
         self.check_pauses()
+        for limit in self.journal.limits:
+            self.check_limit(*limit)
         self.check_configurations()
         self.check_retries()
         self.check_quota()
@@ -220,6 +224,26 @@
                              incarnation, refusal.retry_after_s)
                     break
 
+    def check_limit(self, instance, limit, begun, ended):
+        """An engine gets no more than it names, from all processes that have passed on an answer that names it."""
+        told = {}  # by process: when it passed on such an answer
+        for attempt in self.attempts.values():
+            if attempt.answered_at and attempt.headers.get("Server-Limit") \
+                    and attempt.headers.get("Server-Stamp", "").rsplit(".", 1)[0] == instance:
+                at = told.get(attempt.incarnation, attempt.answered_at)
+                told[attempt.incarnation] = min(at, attempt.answered_at)
+        arrivals = []
+        for arrival in self.journal.arrivals:
+            attempt = self.attempts.get(arrival.attempt)
+            if arrival.instance == instance and arrival.outcome != 421 and attempt is not None \
+                    and arrival.at >= told.get(attempt.incarnation, float("inf")) + LIMIT_TOLD_S \
+                    and self.disturbances.calm((attempt.entry, "harness"), arrival.at - CONTACT_S, arrival.at):
+                arrivals.append(arrival.at)
+        most = most_in_a_window(arrivals, begun + CONTACT_S, ended)
+        if most > allowed(limit):
+            self.add("LIMIT", "-", "%s names %g a second and gets %d requests in %.0f s, %d allowed", instance, limit, most,
+                     WINDOW_S, allowed(limit))
+
     def frozen(self, entry, start, end):
         return any(subject == entry and what == "freeze" and begun <= end and ended >= start
                    for subject, what, begun, ended in self.disturbances.spans)
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -92,6 +92,7 @@
         self.fault = None
         self.fault_share = 1.0
         self.dark = False
+        self.limit = None  # the requests a second that this incarnation names in its answers
         self.retry_after_s = 0.0  # sent with the refusals of the fault "refuse"
         self.state = self.listed_state = "ready"  # what its answers and the store's list say of it
         self.sequence = 0
@@ -105,6 +106,7 @@
         self.load = Load(self.slots)
         self.state = self.listed_state = "ready"
         self.dark = False
+        self.limit = None
 
     def own_state_headers(self):
         if self.dark:
@@ -124,6 +126,8 @@
         echo = [("Attempt-Id", headers.get("Attempt-Id", ""))]
         if self.state == "draining":
             echo += [("Server-Leaving", "1"), ("Connection", "close")]
+        if self.limit is not None:
+            echo.append(("Server-Limit", str(self.limit)))
 
         def note_arrival(outcome, retry_after_s=0.0):
             self.journal.arrivals.append(
@@ -238,6 +242,7 @@
         self.arrivals = []
         self.crashing_parts = set()  # each ends the engine that begins to answer on it
         self.part_ends = []  # (when an engine ended, the parts, its instance)
+        self.limits = []  # [instance, requests a second, from, until]
         self.drains = []  # (acknowledged at, engine's name, its instance)
         self.lock = threading.Lock()
 
