--- a/testsuite/platformdeployment.py
+++ b/testsuite/platformdeployment.py
@@ -38,7 +38,8 @@
         ],
         "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 100000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
         "tenants": [
-            {"name": "ganga", "apiKeys": keys, "unit": "token_count", "plainTokens": 200, "ratePerS": rate, "burst": rate}
+            {"name": "ganga", "apiKeys": keys, "unit": "token_count", "plainTokens": 200, "ratePerS": rate, "burst": rate},
+            {"name": "yamuna", "apiKeys": ["key-of-yamuna"]},
         ],
     }
 
--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -193,7 +193,9 @@
     def __init__(self, engine, store, service, down_s):
         self.engine, self.store, self.service, self.down_s = engine, store, service, down_s
         self.parts = set()  # ends the engine as it begins to write an answer on one of them
-        self.ends = []  # (when an incarnation ended, the parts that ended it)
+        self.requests = set()  # ends the engine as it begins to run one: (method, target, organisation, body)
+        self.before_head = True  # ends it before the answer's head when a request does it
+        self.ends = []  # (when an incarnation ended, the parts or the request that ended it)
         self.lock = threading.Lock()
         self.up = True
 
@@ -312,6 +314,12 @@
                 "at": time.monotonic(), "method": method, "target": target, "headers": headers, "body": body})
             self.running += 1
         try:
+            request = (method, target, headers.get("Tenant"), body)
+            if self.crashes and request in self.crashes.requests:
+                if not self.crashes.before_head:
+                    self.send_stream_head(connection, common_headers)
+                self.crashes.crash([request])
+                return False
             return self.respond(connection, behaviour, headers, common_headers)
         except OSError:
             self.disconnected.append(headers.get("Attempt-Id"))
@@ -374,11 +382,14 @@
         while True:
             connection.sendall(block)
 
-    def stream(self, connection, behaviour, headers, common_headers):
-        """Streams the events after Last-Event-Id; the "torn" behaviours truncate the stream."""
+    def send_stream_head(self, connection, common_headers):
         response_headers = common_headers + [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
         head = "HTTP/1.1 200 X\r\n" + "".join("%s: %s\r\n" % header for header in response_headers) + "\r\n"
         connection.sendall(head.encode())
+
+    def stream(self, connection, behaviour, headers, common_headers):
+        """Streams the events after Last-Event-Id; the "torn" behaviours truncate the stream."""
+        self.send_stream_head(connection, common_headers)
         crashing = self.crashes.parts.intersection(shared_parts(headers)) if self.crashes else None
         if crashing:
             self.crashes.crash(crashing)
