A request that crashes each target that runs it is held back by its identity

Its callers got 502 each time, and the three servers of the service were down for most of a minute.

Cause: an end under a request without prompt parts taught nothing. Reports had parts only, were made for engines only, and a hold asked for two different requests.

Change: a request's identity (hash of method, path, organisation and body) is another kind of evidence in libquarantine: same reports, confirmation, exchange, holds and release.

Ruled out: three separate moments, as for parts: three servers end within 0.1 s, and the next ones only seconds later, so that six would end before a hold. Explaining ends by identity first and learning parts from the rest: each request with a crashing part may come again, and no end would be left.

crashing-parts: its crashing requests all had one path, caller and body, so that the whole request was held and not the part, and one check (the part's hold at a later entry) found none.

--- a/src/include/wigeonsill/util.h
+++ b/src/include/wigeonsill/util.h
@@ -76,6 +76,7 @@
     FirstAttemptRunning = 2011,
     RequestExpired = 2012,
     PartsHeld = 2013,
+    RequestHeld = 2014,
     // 3xxx: the request was run; its answer is incomplete.
     TargetBrokeOff = 3001,
     AnswerLost = 3002,
--- a/src/libforward/crashwatch.cpp
+++ b/src/libforward/crashwatch.cpp
@@ -29,19 +29,40 @@
     return result;
 }
 
+/// A log line about a hold. \param event Ending of its name.
+DecisionLine describe(const Hold &hold, std::string_view event)
+{
+    const bool isRequest = hold.identity != 0;
+    DecisionLine line("entry", (isRequest ? "request" : "part") + std::string(event));
+    line.text("hold", hexadecimal(hold.id));
+    return isRequest ? line.text("identity", hexadecimal(hold.identity))
+                     : line.text("parts", partList(hold.parts));
+}
+
+boost::json::object dump(const Hold &hold, TimePoint now)
+{
+    return {
+        { "hold", hexadecimal(hold.id) },
+        { "heldMs", std::chrono::duration_cast<milliseconds>(now - hold.since).count() },
+        { "targets", hold.targets },
+        { "requests", hold.requests },
+    };
+}
+
 } // namespace
 
-SuspectRequest makeSuspectRequest(const RequestMetadata &request, std::string_view organisation)
+SuspectRequest makeSuspectRequest(const MessageHead &head, const RequestMetadata &request,
+    std::string_view organisation, std::string_view body)
 {
     SuspectRequest result;
-    result.id = request.id;
-    result.hash = stableHash(request.id);
-    result.organisation = organisation.empty() ? 0 : stableHash(organisation);
+    result.attempt = stableHash(request.id);
+    result.traits.organisation = organisation.empty() ? 0 : stableHash(organisation);
+    result.traits.identity = requestIdentity(head.method, head.target, organisation, body);
     std::vector<std::uint64_t> ids;
     for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
         ids.push_back(request.parts[i].id);
     }
-    result.parts = makePartSet(std::move(ids));
+    result.traits.parts = makePartSet(std::move(ids));
     return result;
 }
 
@@ -56,7 +77,13 @@
 
 void CrashWatch::recordAnswered(const SuspectRequest &request)
 {
-    this->quarantine.recordAnswered(request.organisation, request.parts, currentTime());
+    this->quarantine.recordAnswered(request.traits, currentTime());
+}
+
+void CrashWatch::recordRejected(const SuspectRequest &request)
+{
+    const RequestTraits &traits = request.traits;
+    this->quarantine.recordAnswered({ traits.organisation, traits.identity, {} }, currentTime());
 }
 
 void CrashWatch::recordBrokenOff(const Target &target, const SuspectRequest &request)
@@ -64,11 +91,13 @@
     const TimePoint now = currentTime();
     CrashReport report;
     report.target = stableHash(target.id, static_cast<std::uint64_t>(target.startedMs));
-    report.request = request.hash;
-    report.organisation = request.organisation;
-    report.parts = this->quarantine.unansweredParts(request.parts, now);
+    report.request = request.attempt;
+    RequestTraits open = this->quarantine.unanswered(request.traits, now);
+    report.organisation = open.organisation;
+    report.identity = open.identity;
+    report.parts = std::move(open.parts);
     report.at = now;
-    if (report.parts.empty()) {
+    if (report.identity == 0 && report.parts.empty()) {
         return;
     }
     this->unconfirmed.record(target.id, std::move(report), now);
@@ -109,6 +138,7 @@
         this->log.decision(DecisionLine("entry", "target-ended")
                                .text("target", targetId)
                                .text("request_hash", hexadecimal(report.request))
+                               .text("request_identity", hexadecimal(report.identity))
                                .text("suspected_parts", partList(report.parts))
                                .ms("noticed_after_ms", now - report.at));
     }
@@ -168,14 +198,14 @@
     }
 }
 
-const PartHold *CrashWatch::findHold(const SuspectRequest &request) const
+const Hold *CrashWatch::findHold(const SuspectRequest &request) const
 {
-    return this->quarantine.findHold(request.organisation, request.parts);
+    return this->quarantine.findHold(request.traits);
 }
 
 bool CrashWatch::isSuspected(const SuspectRequest &request) const
 {
-    return this->quarantine.isSuspected(request.hash, request.parts, currentTime());
+    return this->quarantine.isSuspected(request.attempt, request.traits, currentTime());
 }
 
 bool CrashWatch::release(std::string_view id)
@@ -193,14 +223,14 @@
 
 void CrashWatch::logChanges()
 {
-    std::map<std::uint64_t, PartHold> current;
-    for (const PartHold &hold : this->quarantine.holds()) {
+    std::map<std::uint64_t, Hold> current;
+    double requestHolds = 0;
+    for (const Hold &hold : this->quarantine.holds()) {
         current[hold.id] = hold;
+        requestHolds += hold.identity != 0 ? 1 : 0;
         if (!this->loggedHolds.contains(hold.id)) {
             this->log.stateChange(
-                DecisionLine("entry", "part-held")
-                    .text("hold", hexadecimal(hold.id))
-                    .text("parts", partList(hold.parts))
+                describe(hold, "-held")
                     .number("targets", static_cast<double>(hold.targets))
                     .number("requests", static_cast<double>(hold.requests))
                     .number("organisations", static_cast<double>(hold.organisations.size())));
@@ -208,29 +238,41 @@
     }
     for (const auto &[id, hold] : this->loggedHolds) {
         if (!current.contains(id)) {
-            this->log.stateChange(DecisionLine("entry", "part-released")
-                                      .text("hold", hexadecimal(id))
-                                      .text("parts", partList(hold.parts))
-                                      .ms("held_ms", currentTime() - hold.since));
+            this->log.stateChange(
+                describe(hold, "-released").ms("held_ms", currentTime() - hold.since));
         }
     }
     this->loggedHolds = std::move(current);
-    this->metrics.gauge("wigeonsill_part_holds", {}, static_cast<double>(this->loggedHolds.size()));
+    this->metrics.gauge("wigeonsill_request_holds", {}, requestHolds);
+    this->metrics.gauge(
+        "wigeonsill_part_holds", {}, static_cast<double>(this->loggedHolds.size()) - requestHolds);
 }
 
-boost::json::array CrashWatch::dumpHolds() const
+boost::json::array CrashWatch::dumpPartHolds() const
 {
     const TimePoint now = currentTime();
     boost::json::array result;
-    for (const PartHold &hold : this->quarantine.holds()) {
-        result.push_back(boost::json::object{
-            { "hold", hexadecimal(hold.id) },
-            { "parts", partList(hold.parts) },
-            { "heldMs", std::chrono::duration_cast<milliseconds>(now - hold.since).count() },
-            { "targets", hold.targets },
-            { "requests", hold.requests },
-            { "everyone", hold.organisations.size() > 1 },
-        });
+    for (const Hold &hold : this->quarantine.holds()) {
+        if (hold.identity == 0) {
+            boost::json::object record = dump(hold, now);
+            record["parts"] = partList(hold.parts);
+            record["everyone"] = hold.organisations.size() > 1;
+            result.push_back(std::move(record));
+        }
+    }
+    return result;
+}
+
+boost::json::array CrashWatch::dumpRequestHolds() const
+{
+    const TimePoint now = currentTime();
+    boost::json::array result;
+    for (const Hold &hold : this->quarantine.holds()) {
+        if (hold.identity != 0) {
+            boost::json::object record = dump(hold, now);
+            record["identity"] = hexadecimal(hold.identity);
+            result.push_back(std::move(record));
+        }
     }
     return result;
 }
--- a/src/libforward/crashwatch.h
+++ b/src/libforward/crashwatch.h
@@ -1,7 +1,7 @@
 /// \file crashwatch.h
-/// What an entry does about prompt parts that crash targets: reports what it sees, exchanges
-/// reports with the agents, and tells which requests are held back. The decisions are in the
-/// quarantine library.
+/// What an entry does about requests and prompt parts that crash targets: reports what it sees,
+/// exchanges reports with the agents, and tells which requests are held back. The decisions are in
+/// the quarantine library.
 #pragma once
 
 #include "grantclient.h"
@@ -12,13 +12,12 @@
 /// What matters of a request.
 struct SuspectRequest
 {
-    std::string id;
-    std::uint64_t hash = 0; ///< Of the id.
-    std::uint64_t organisation = 0; ///< Hash of the name; 0 without one.
-    PartSet parts; ///< Of its prompt, but the last.
+    std::uint64_t attempt = 0; ///< Hash of the id.
+    RequestTraits traits;
 };
 /// \param organisation Name; empty without one.
-SuspectRequest makeSuspectRequest(const RequestMetadata &request, std::string_view organisation);
+SuspectRequest makeSuspectRequest(const MessageHead &head, const RequestMetadata &request,
+    std::string_view organisation, std::string_view body);
 
 /// The quarantine of one entry with its sockets and log. Not thread-safe.
 class CrashWatch
@@ -30,6 +29,8 @@
 
     /// A target has gone on answering a request, or has answered it whole.
     void recordAnswered(const SuspectRequest &request);
+    /// A target has turned a request down with a whole answer, which doesn't speak for its parts.
+    void recordRejected(const SuspectRequest &request);
     /// The connection of a request ended before its target had begun to answer it. It counts once
     /// the target is known to have ended.
     void recordBrokenOff(const Target &target, const SuspectRequest &request);
@@ -41,7 +42,7 @@
     void onTargetState(const std::string &targetId, bool ended);
 
     /// The hold that a request falls under; nullptr without one. Valid until the next call.
-    const PartHold *findHold(const SuspectRequest &request) const;
+    const Hold *findHold(const SuspectRequest &request) const;
     /// Whether a request whose target ended must not be sent to a second one.
     bool isSuspected(const SuspectRequest &request) const;
     std::uint64_t digest() const { return this->quarantine.digest(); }
@@ -55,7 +56,9 @@
     void onCrashReports(const GrantMessage &message, const boost::asio::ip::address &agent);
     /// Releases a hold. \param id As in the log, in hexadecimal. \returns Whether there was one.
     bool release(std::string_view id);
-    boost::json::array dumpHolds() const;
+    /// The holds of parts, or of requests, for the state page.
+    boost::json::array dumpPartHolds() const;
+    boost::json::array dumpRequestHolds() const;
 
 private:
     /// Finds out whether a target has ended: its machine refuses a connection, or its agent says
@@ -73,7 +76,7 @@
     Quarantine quarantine;
     UnconfirmedCrashes unconfirmed;
     std::set<std::string> probedTargets; ///< That are being probed.
-    std::map<std::uint64_t, PartHold> loggedHolds;
+    std::map<std::uint64_t, Hold> loggedHolds;
     std::vector<Target> collectors;
     std::optional<TimePoint> collectorAnsweredAt;
 };
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -462,7 +462,8 @@
         { "configurationAgeMs",
             state.configurationConfirmedAt ? state.timeSinceConfirmation().count() / 1'000 : -1 },
         { "targets", std::move(targets) },
-        { "partHolds", state.crashes.dumpHolds() },
+        { "partHolds", state.crashes.dumpPartHolds() },
+        { "requestHolds", state.crashes.dumpRequestHolds() },
     };
 }
 
--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -36,6 +36,7 @@
   evidence @4 :Bool;
   released @5 :Bool;
   parts @6 :List(UInt64);  # of the request's prompt; those that may have ended the target
+  identity @7 :UInt64;     # of the request, if it may have ended the target; else 0
 }
 
 struct RateStatement {
--- a/src/libforward/grant.capnp.h
+++ b/src/libforward/grant.capnp.h
@@ -69,7 +69,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8c676bd193fe0c4d, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8c676bd193fe0c4d, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -236,6 +236,8 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
+  inline  ::uint64_t getIdentity() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -290,6 +292,9 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
 
+  inline  ::uint64_t getIdentity();
+  inline void setIdentity( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -878,6 +883,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CrashReport::Reader::getIdentity() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getIdentity() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setIdentity( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RateStatement::Reader::hasTargetId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -32,6 +32,7 @@
         record.setOrganisation(report.organisation);
         record.setAgeUs(static_cast<std::uint64_t>(
             std::max<Duration>(now - report.at, Duration::zero()).count()));
+        record.setIdentity(report.identity);
         record.setEvidence(report.evidence);
         record.setReleased(report.released);
         record.setParts(kj::arrayPtr(report.parts.data(), report.parts.size()));
@@ -48,6 +49,7 @@
         report.request = record.getRequest();
         report.organisation = record.getOrganisation();
         report.at = now - Duration(std::min(record.getAgeUs(), maximumAgeUs));
+        report.identity = record.getIdentity();
         report.evidence = record.getEvidence();
         report.released = record.getReleased();
         std::vector<std::uint64_t> parts;
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -71,7 +71,7 @@
     this->request = std::move(decoded.value());
     this->configuration = this->state.configuration;
     if (this->checkConfiguration() && this->checkRoute() && this->checkDrain() && this->checkKey()
-        && this->checkParts() && this->checkQuota()) {
+        && this->checkHolds() && this->checkQuota()) {
         this->placeRequest();
     }
 }
@@ -156,24 +156,24 @@
     return false;
 }
 
-bool RequestFlow::checkParts()
+bool RequestFlow::checkHolds()
 {
-    if (!this->service->isEngine) {
-        return true;
-    }
-    this->suspect = makeSuspectRequest(
-        this->request, this->organisation != nullptr ? this->organisation->name : "");
+    this->suspect = makeSuspectRequest(this->head, this->request,
+        this->organisation != nullptr ? this->organisation->name : "", this->body);
     return !this->refuseIfHeld();
 }
 
 bool RequestFlow::refuseIfHeld()
 {
-    const PartHold *hold = this->state.crashes.findHold(this->suspect);
+    const Hold *hold = this->state.crashes.findHold(this->suspect);
     if (hold == nullptr) {
         return false;
     }
     this->state.metrics.count("wigeonsill_requests_held_total");
-    this->refuse(ResultCode::PartsHeld, "targets ended under requests with the same prompt parts",
+    const bool isRequest = hold->identity != 0;
+    this->refuse(isRequest ? ResultCode::RequestHeld : ResultCode::PartsHeld,
+        isRequest ? "targets ended under this request"
+                  : "targets ended under requests with the same prompt parts",
         heldReturnDelay(currentTime() - hold->since, this->state.uniformRandom()));
     return true;
 }
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -47,7 +47,7 @@
     bool checkRoute();
     bool checkDrain();
     bool checkKey();
-    bool checkParts();
+    bool checkHolds();
     bool checkQuota();
 
     void placeRequest();
@@ -90,7 +90,7 @@
     {
         return !this->attempt || (this->canContinueElsewhere() && !this->isHeld());
     }
-    /// Whether parts of the prompt are held back. Such a request is not sent to any target.
+    /// Whether the request or parts of its prompt are held back. It is then not sent to any target.
     bool isHeld() const { return this->state.crashes.findHold(this->suspect) != nullptr; }
     /// Gives a request that is held its final answer. Returns whether it is held.
     bool refuseIfHeld();
@@ -164,7 +164,7 @@
     const Route *route = nullptr;
     const OrganisationAccount *organisation = nullptr;
     const ServiceProfile *service = nullptr;
-    SuspectRequest suspect; ///< Without parts for a service without engines.
+    SuspectRequest suspect;
     TimePoint arrived;
     Duration timeLimit = {}; ///< From arrival until the final answer.
     Duration maximumWait = {}; ///< From arrival until it is refused when no target has room.
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -207,6 +207,8 @@
     if (this->attempt->head.status < 300
         && (!this->attempt->streaming || this->attempt->events.count() > 0)) {
         this->recordAnswering();
+    } else if (this->attempt->head.status >= 300) {
+        this->state.crashes.recordRejected(this->suspect);
     }
     CallerConnection *answeredCaller = this->caller;
     const std::string remainder
@@ -269,7 +271,7 @@
     const bool hadBegun = this->attempt->answering
         || (this->attempt->firstEventAt
             && currentTime() - *this->attempt->firstEventAt >= answeringTime);
-    if (connectionEnded && !hadBegun && !this->suspect.parts.empty()) {
+    if (connectionEnded && !hadBegun) {
         this->mayHaveEndedTarget = true;
         this->state.crashes.recordBrokenOff(this->attempt->target, this->suspect);
     }
--- a/src/libquarantine/quarantine.cpp
+++ b/src/libquarantine/quarantine.cpp
@@ -1,5 +1,5 @@
 /// \file quarantine.cpp
-/// Which prompt parts are held back.
+/// Which requests and prompt parts are held back.
 #include "wigeonsill/quarantine.h"
 
 #include <algorithm>
@@ -36,21 +36,57 @@
 
 std::uint64_t hashOf(const CrashReport &report)
 {
-    const PartSet marks
-        = { report.target, report.request, report.evidence ? 1U : 0U, report.released ? 1U : 0U };
+    const PartSet marks = { report.target, report.request, report.identity,
+        report.evidence ? 1U : 0U, report.released ? 1U : 0U };
     return hashOf(report.parts, hashOf(marks));
 }
 
+/// Clears what an answer speaks for. Returns whether anything was cleared.
+bool clearAnswered(CrashReport &report, const RequestTraits &answered)
+{
+    const bool isSame = answered.identity != 0 && report.identity == answered.identity;
+    report.identity = isSame ? 0 : report.identity;
+    const auto removed = std::erase_if(report.parts, [&answered](std::uint64_t part) {
+        return std::binary_search(answered.parts.begin(), answered.parts.end(), part);
+    });
+    return isSame || removed > 0;
+}
+
 } // namespace
 
+std::uint64_t requestIdentity(std::string_view method, std::string_view target,
+    std::string_view organisation, std::string_view body)
+{
+    /// Keeps identities apart from other uses of the same hash.
+    constexpr std::uint64_t identityKey = 0x6964656e74697479;
+    std::uint64_t hash = identityKey;
+    for (const std::string_view text : { method, target, organisation, body }) {
+        hash = stableHash(text, hash);
+    }
+    return hash != 0 ? hash : identityKey;
+}
+
 struct Quarantine::Candidate
 {
+    std::uint64_t identity = 0; ///< Of all requests; 0 if it is held by its parts.
     PartSet parts;
-    std::vector<const CrashReport *> reports; ///< Whose requests have all the parts.
+    std::vector<const CrashReport *>
+        reports; ///< Of the identity, or whose requests have all parts.
     std::map<std::uint64_t, TimePoint> endedAt; ///< By target.
-    std::set<std::uint64_t> requests;
+    std::set<std::uint64_t> attempts; ///< Hashes of ids.
+    /// Targets that ended under each different request.
+    std::map<std::uint64_t, std::set<std::uint64_t>> targetsByRequest;
     std::size_t moments = 0;
 
+    std::size_t mostTargetsOfOneRequest() const
+    {
+        std::size_t most = 0;
+        for (const auto &[request, targets] : this->targetsByRequest) {
+            most = std::max(most, targets.size());
+        }
+        return most;
+    }
+
     /// Whether it is held rather than another one.
     bool isStrongerThan(const Candidate &other) const
     {
@@ -66,18 +102,16 @@
     }
 };
 
-void Quarantine::recordAnswered(std::uint64_t organisation, const PartSet &parts, TimePoint now)
+void Quarantine::recordAnswered(const RequestTraits &request, TimePoint now)
 {
-    this->answered.record(organisation, parts, now);
+    this->answeredParts.record(request.organisation, request.parts, now);
+    if (request.identity != 0) {
+        this->answeredIdentities.record(request.organisation, { request.identity }, now);
+    }
     this->firstAnswerAt = this->firstAnswerAt.value_or(now);
     bool changed = false;
     for (auto &[key, report] : this->byKey) {
-        changed = std::erase_if(report.parts,
-                      [&parts](std::uint64_t part) {
-                          return std::binary_search(parts.begin(), parts.end(), part);
-                      })
-                > 0
-            || changed;
+        changed = clearAnswered(report, request) || changed;
     }
     if (changed) {
         this->update(now);
@@ -87,7 +121,10 @@
 bool Quarantine::mergeReport(const CrashReport &received, TimePoint now)
 {
     CrashReport report = received;
-    report.parts = this->unansweredParts(std::move(report.parts), now);
+    RequestTraits traits
+        = this->unanswered({ report.organisation, report.identity, std::move(report.parts) }, now);
+    report.identity = traits.identity;
+    report.parts = std::move(traits.parts);
     report.parts.resize(std::min(report.parts.size(), CrashReport::maximumParts));
     const auto known = this->byKey.find({ report.target, report.request });
     if (known == this->byKey.end()) {
@@ -102,6 +139,7 @@
     const CrashReport before = known->second;
     CrashReport &merged = known->second;
     merged.parts = intersection(merged.parts, report.parts);
+    merged.identity = merged.identity == report.identity ? merged.identity : 0;
     merged.at = report.released ? std::max(merged.at, report.at) : std::min(merged.at, report.at);
     merged.evidence = merged.evidence || report.evidence;
     merged.released = merged.released || report.released;
@@ -169,7 +207,8 @@
         const Duration age = now - report.at;
         return report.released
             ? age > this->limits.releaseTime
-            : !(report.evidence && !report.parts.empty()) && age > this->limits.reportTime;
+            : !(report.evidence && (report.identity != 0 || !report.parts.empty()))
+                && age > this->limits.reportTime;
     });
     if (removed > 0 || this->learned != this->hasLearned(now)) {
         this->update(now);
@@ -179,13 +218,15 @@
 bool Quarantine::release(std::uint64_t holdId, TimePoint now)
 {
     const auto hold = std::find_if(this->currentHolds.begin(), this->currentHolds.end(),
-        [holdId](const PartHold &record) { return record.id == holdId; });
+        [holdId](const Hold &record) { return record.id == holdId; });
     if (hold == this->currentHolds.end()) {
         return false;
     }
+    const std::uint64_t identity = hold->identity;
     const PartSet parts = hold->parts;
     for (auto &[key, report] : this->byKey) {
-        if (isSubset(parts, report.parts)) {
+        if (identity != 0 ? report.identity == identity : isSubset(parts, report.parts)) {
+            report.identity = 0;
             report.parts.clear();
             report.released = true;
             report.at = now;
@@ -195,18 +236,17 @@
     return true;
 }
 
-Quarantine::Candidate Quarantine::makeCandidate(
-    std::uint64_t part, const std::vector<const CrashReport *> &reports) const
+Quarantine::Candidate Quarantine::makeCandidate(std::vector<const CrashReport *> reports) const
 {
     Candidate candidate;
-    for (const CrashReport *report : reports) {
-        if (!std::binary_search(report->parts.begin(), report->parts.end(), part)) {
-            continue;
-        }
-        candidate.parts = candidate.reports.empty() ? report->parts
-                                                    : intersection(candidate.parts, report->parts);
-        candidate.reports.push_back(report);
-        candidate.requests.insert(report->request);
+    candidate.reports = std::move(reports);
+    for (const CrashReport *report : candidate.reports) {
+        candidate.parts = report == candidate.reports.front()
+            ? report->parts
+            : intersection(candidate.parts, report->parts);
+        candidate.attempts.insert(report->request);
+        const std::uint64_t request = report->identity != 0 ? report->identity : report->request;
+        candidate.targetsByRequest[request].insert(report->target);
         const auto [ended, isNew] = candidate.endedAt.emplace(report->target, report->at);
         ended->second = std::min(ended->second, report->at);
     }
@@ -231,14 +271,48 @@
     return this->firstAnswerAt && now - *this->firstAnswerAt >= this->limits.learningTime;
 }
 
-bool Quarantine::qualifies(const Candidate &candidate) const
+bool Quarantine::isEvident(const Candidate &candidate) const
 {
     const auto evidence = static_cast<std::size_t>(std::count_if(candidate.reports.begin(),
         candidate.reports.end(), [](const CrashReport *report) { return report->evidence; }));
+    return this->learned || evidence >= this->limits.minimumTargets;
+}
+
+bool Quarantine::qualifies(const Candidate &candidate) const
+{
+    const auto ends = static_cast<double>(candidate.endedAt.size());
     return candidate.endedAt.size() >= this->limits.minimumTargets
         && candidate.moments >= this->limits.minimumMoments
-        && candidate.requests.size() >= this->limits.minimumRequests
-        && (this->learned || evidence >= this->limits.minimumTargets);
+        && candidate.targetsByRequest.size() >= this->limits.minimumRequests
+        && static_cast<double>(candidate.mostTargetsOfOneRequest())
+        <= this->limits.maximumShareOfIdentity * ends
+        && this->isEvident(candidate);
+}
+
+bool Quarantine::qualifiesByIdentity(const Candidate &candidate) const
+{
+    return candidate.endedAt.size() >= this->limits.minimumTargets
+        && candidate.attempts.size() >= this->limits.minimumRequests && this->isEvident(candidate);
+}
+
+std::vector<Quarantine::Candidate> Quarantine::identityCandidates() const
+{
+    std::map<std::uint64_t, std::vector<const CrashReport *>> byIdentity;
+    for (const auto &[key, report] : this->byKey) {
+        if (report.identity != 0) {
+            byIdentity[report.identity].push_back(&report);
+        }
+    }
+    std::vector<Candidate> result;
+    for (auto &[identity, reports] : byIdentity) {
+        Candidate candidate = this->makeCandidate(std::move(reports));
+        if (this->qualifiesByIdentity(candidate)) {
+            candidate.identity = identity;
+            candidate.parts.clear();
+            result.push_back(std::move(candidate));
+        }
+    }
+    return result;
 }
 
 std::optional<Quarantine::Candidate> Quarantine::strongestCandidate(
@@ -250,7 +324,12 @@
     }
     std::optional<Candidate> strongest;
     for (const std::uint64_t part : parts) {
-        Candidate candidate = this->makeCandidate(part, unexplained);
+        std::vector<const CrashReport *> withPart;
+        std::copy_if(unexplained.begin(), unexplained.end(), std::back_inserter(withPart),
+            [part](const CrashReport *report) {
+                return std::binary_search(report->parts.begin(), report->parts.end(), part);
+            });
+        Candidate candidate = this->makeCandidate(std::move(withPart));
         if (this->qualifies(candidate) && (!strongest || candidate.isStrongerThan(*strongest))) {
             strongest = std::move(candidate);
         }
@@ -265,41 +344,57 @@
         [](const CrashReport *left, const CrashReport *right) { return left->at < right->at; });
     std::size_t kept = 0;
     std::map<std::uint64_t, std::size_t> keptOfRequest;
+    std::set<std::uint64_t> keptTargets;
     std::optional<TimePoint> last;
     for (const CrashReport *report : oldestFirst) {
-        const bool addsMoment = (!last || report->at - *last >= this->limits.momentGap)
-            && kept < this->limits.evidencePerHold
+        // For an identity, ends of one moment count each.
+        const bool isNew = candidate.identity != 0
+            ? !keptTargets.contains(report->target)
+            : !last || report->at - *last >= this->limits.momentGap;
+        const bool adds = isNew && kept < this->limits.evidencePerHold
             && keptOfRequest[report->request] < this->limits.evidencePerRequest;
-        if (report->evidence || addsMoment) {
+        if (report->evidence || adds) {
             this->byKey.at({ report->target, report->request }).evidence = true;
             ++keptOfRequest[report->request];
+            keptTargets.insert(report->target);
             ++kept;
             last = report->at;
         }
     }
 }
 
+Hold Quarantine::makeHold(const Candidate &candidate) const
+{
+    Hold hold;
+    hold.identity = candidate.identity;
+    hold.parts = candidate.parts;
+    hold.id = hashOf(hold.parts, hold.identity);
+    hold.targets = candidate.endedAt.size();
+    hold.requests
+        = candidate.identity != 0 ? candidate.attempts.size() : candidate.targetsByRequest.size();
+    for (const CrashReport *report : candidate.reports) {
+        hold.organisations.insert(report->organisation);
+        hold.since = std::max(hold.since, report->evidence ? report->at : hold.since);
+    }
+    return hold;
+}
+
 void Quarantine::update(TimePoint now)
 {
     this->learned = this->hasLearned(now);
     this->currentHolds.clear();
+    for (const Candidate &candidate : this->identityCandidates()) {
+        this->keepEvidence(candidate);
+        this->currentHolds.push_back(this->makeHold(candidate));
+    }
     std::vector<const CrashReport *> unexplained;
     unexplained.reserve(this->byKey.size());
     for (const auto &[key, report] : this->byKey) {
         unexplained.push_back(&report);
     }
     while (const auto candidate = this->strongestCandidate(unexplained)) {
-        PartHold hold;
-        hold.parts = candidate->parts;
-        hold.id = hashOf(hold.parts);
-        hold.targets = candidate->endedAt.size();
-        hold.requests = candidate->requests.size();
         this->keepEvidence(*candidate);
-        for (const CrashReport *report : candidate->reports) {
-            hold.organisations.insert(report->organisation);
-            hold.since = std::max(hold.since, report->evidence ? report->at : hold.since);
-        }
-        this->currentHolds.push_back(std::move(hold));
+        this->currentHolds.push_back(this->makeHold(*candidate));
         std::erase_if(unexplained, [&candidate](const CrashReport *report) {
             return candidate->endedAt.contains(report->target);
         });
@@ -310,32 +405,44 @@
     }
 }
 
-const PartHold *Quarantine::findHold(std::uint64_t organisation, const PartSet &parts) const
+const Hold *Quarantine::findHold(const RequestTraits &request) const
 {
-    for (const PartHold &hold : this->currentHolds) {
+    for (const Hold &hold : this->currentHolds) {
+        if (hold.identity != 0) {
+            if (hold.identity == request.identity) {
+                return &hold;
+            }
+            continue;
+        }
         const bool concerns
-            = hold.organisations.size() > 1 || hold.organisations.contains(organisation);
-        if (concerns && isSubset(hold.parts, parts)) {
+            = hold.organisations.size() > 1 || hold.organisations.contains(request.organisation);
+        if (concerns && isSubset(hold.parts, request.parts)) {
             return &hold;
         }
     }
     return nullptr;
 }
 
-bool Quarantine::isSuspected(std::uint64_t request, const PartSet &parts, TimePoint now) const
+bool Quarantine::isSuspected(
+    std::uint64_t attempt, const RequestTraits &request, TimePoint now) const
 {
-    const PartSet unanswered = this->unansweredParts(parts, now);
+    const RequestTraits open = this->unanswered(request, now);
     return std::any_of(this->byKey.begin(), this->byKey.end(), [&](const auto &record) {
         const CrashReport &report = record.second;
-        return report.request != request && !intersection(report.parts, unanswered).empty();
+        const bool isSame = open.identity != 0 && report.identity == open.identity;
+        return report.request != attempt
+            && (isSame || !intersection(report.parts, open.parts).empty());
     });
 }
 
-PartSet Quarantine::unansweredParts(PartSet parts, TimePoint now) const
+RequestTraits Quarantine::unanswered(RequestTraits request, TimePoint now) const
 {
-    std::erase_if(
-        parts, [this, now](std::uint64_t part) { return this->answered.contains(part, now); });
-    return parts;
+    std::erase_if(request.parts,
+        [this, now](std::uint64_t part) { return this->answeredParts.contains(part, now); });
+    if (this->answeredIdentities.contains(request.identity, now)) {
+        request.identity = 0;
+    }
+    return request;
 }
 
 std::vector<CrashReport> Quarantine::reports() const
--- a/src/libutil/resultcode.cpp
+++ b/src/libutil/resultcode.cpp
@@ -47,6 +47,7 @@
     ResultInfo { FirstAttemptRunning, "FirstAttemptRunning", 409, notRun, "An earlier request with this idempotency key is still running; this one was not run." },
     ResultInfo { RequestExpired, "RequestExpired", 503, notRun, "The request waited until its deadline and was not run." },
     ResultInfo { PartsHeld, "PartsHeld", 503, notRun, "Targets ended under requests with the same prompt parts." },
+    ResultInfo { RequestHeld, "RequestHeld", 503, notRun, "Targets ended under this request." },
     ResultInfo { TargetBrokeOff, "TargetBrokeOff", 502, interrupted, "The target broke off its answer." },
     ResultInfo { AnswerLost, "AnswerLost", 502, interrupted, "The request ran and its answer is no longer held." },
     ResultInfo { Preempted, "Preempted", 503, interrupted, "The request was stopped for one of a higher tier." },
--- a/testsuite/crashing-parts/run.py
+++ b/testsuite/crashing-parts/run.py
@@ -30,6 +30,7 @@
         self.running = True
         self.threads = []
         self.last_parts = iter(range(1, 1_000_000))
+        self.bodies = iter(range(1, 1_000_000))  # no two requests with a crashing part are alike
         for number in range(SOUND_CALLERS):
             self.start(self.send_sound, number)
 
@@ -63,7 +64,8 @@
     def send_one_crashing(self, entry, parts):
         at = time.monotonic()
         client = Client(entry)
-        reply = client.exchange("/ask/crashing", extra=self.prefix(*parts))
+        body = b"prompt %d" % next(self.bodies)
+        reply = client.exchange("/ask/crashing", body=body, extra=self.prefix(*parts))
         self.crashing.append((at, client.last_request, parts, reply))
 
     def stop(self):
