--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -23,6 +23,7 @@
 FIRST_PART = "f0"  # that all prompts share
 SUBJECTS = ("a1", "a2", "a3", "a4", "a5")
 CRASHING_PER_S = 5
+REPEATS_PER_S = 3
 
 
 class KeptStream:
@@ -49,6 +50,7 @@
         self.kind, self.target, self.key, self.tokens = kind, target, key, tokens
         self.is_retry = False
         self.parts = ()  # of its prompt, but its own last one
+        self.fixed_body = b""  # of a request that comes again; otherwise each attempt has its own
         self.first_event = 1
         self.version_1_0 = False
         self.gives_up_s = None  # after which its caller leaves, in the middle of a stream
@@ -184,7 +186,7 @@
         return bool(data) or bool(poll.poll(0))
 
     def exchange(self, attempt, deadline):
-        method, body = "POST", b"prompt of " + attempt.id.encode()
+        method, body = "POST", attempt.fixed_body or b"prompt of " + attempt.id.encode()
         if attempt.kind in ("look", "probe"):
             method, body = "GET", b""
         lines = [
@@ -233,6 +235,18 @@
             self.disconnect()
 
 
+class RepeatingCaller(Caller):
+    """Sends one request again and again, to any entry."""
+
+    def send(self, kind, target, body, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and not self.deployment.stopping.wait(self.rng.expovariate(REPEATS_PER_S)):
+            attempt = Attempt(kind, target, "key-stable", (100, 20))
+            attempt.fixed_body = body
+            self.send_and_record(attempt, time.monotonic() + DEADLINE_S)
+            self.disconnect()
+
+
 class Prober(Caller):
     """Asks one entry for the routes of the newest configurations."""
 
@@ -262,7 +276,11 @@
 
     def send_crashing(part, seconds):
         CrashingCaller(deployment, "crashing " + part, "key-stable", 0, attempts).send(part, seconds)
+    def send_crashing_request(kind, target, body, seconds):
+        name = "repeating " + target
+        RepeatingCaller(deployment, name, "key-stable", 0, attempts).send(kind, target, body, seconds)
     deployment.send_crashing = send_crashing
+    deployment.send_crashing_request = send_crashing_request
     threads = [threading.Thread(target=caller.run, daemon=True) for caller in callers]
     for thread in threads:
         thread.start()
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -193,6 +193,7 @@
         self.store = SoakStore()
         self.operator = Operator(self.store)
         self.stopping = threading.Event()
+        self.send_crashing_request = None  # set by the callers: sends one request again and again for a time
         self.send_crashing = None  # set by the callers: sends requests with a part for a time
         self.rotation = set()
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
@@ -334,7 +335,7 @@
             "crash": self.crash, "drain": self.drain, "replace": self.replace, "forget": self.forget_history,
             "back": self.go_back, "config": self.change_configuration, "revoke": self.change_configuration,
             "quota": self.change_configuration, "crashing-part": self.add_crashing_part,
-            "limit": self.limit_engine,
+            "limit": self.limit_engine, "crashing-request": self.add_crashing_request,
         }
         if fault.kind in methods:
             methods[fault.kind](fault)
@@ -466,6 +467,15 @@
         self.journal.crashing_parts.add(part)
         self.send_crashing(part, fault.for_s)
 
+    def add_crashing_request(self, fault):
+        """From now on one request ends servers; it comes again and again for as long as the fault lasts."""
+        kind = list(ROUTES)[int(len(ROUTES) * fault.amount)]
+        number = len(self.journal.crashing_requests) + 1
+        method, body = ("GET", b"") if kind == "look" else ("POST", b"crashing request %d" % number)
+        target = "/%s/%d?n=5" % (kind, 5000 + number)
+        self.journal.crashing_requests.add((method, target, body))
+        self.send_crashing_request(kind, target, body, fault.for_s)
+
     def begin_engine(self, engine, old_instance, unlisted_s):
         """Starts an engine's next incarnation, which takes the address before the store's list shows it."""
         engine.begin_incarnation()
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -18,6 +18,7 @@
 RETRY_AFTER_ARRIVALS = 2
 LIMIT_TOLD_S = 0.5  # after an answer that names a limit, from which on its process is counted
 LATE_REQUESTS_WITH_PART = 3
+LATE_SENDS_OF_REQUEST = 3
 FEWEST_FOR_SHARE = 20
 
 Finding = collections.namedtuple("Finding", "promise request text")
@@ -63,6 +64,8 @@
         self.check_recovery()
         for part in sorted(self.journal.crashing_parts):
             self.check_crashing_part(part)
+        for request in sorted(self.journal.crashing_requests):
+            self.check_crashing_request(request)
         self.check_held()
         return self.findings
 
@@ -354,6 +357,16 @@
             self.add("LOST", "-", "sound requests begin in %.2f of the cases while part %s is held, before in %.2f",
                      meanwhile, part, undisturbed)
 
+    def check_crashing_request(self, request):
+        """A request that ends servers is known to all entries in touch once it has ended three."""
+        ends = sorted(at for at, ended_by, _ in self.journal.request_ends if ended_by == request)
+        late = [run.attempt for attempt in self.attempts.values() if getattr(attempt, "request", None) == request
+                for run in self.runs[attempt.id] if len(ends) >= 3 and run.at > ends[2] + CONTACT_S
+                and self.disturbances.in_touch(attempt.entry, run.at)]
+        if len(late) > LATE_SENDS_OF_REQUEST:
+            self.add("BUDGET", late[-1], "%s %s reached servers %d times %.0f s after it had ended three; %d ended",
+                     request[0], request[1], len(late), CONTACT_S, len(ends))
+
     def begun_share(self, start, end):
         """Returns how many of the sound first attempts of streams began; None for too few of them."""
         begun = [bool(self.runs[attempt.id]) for attempt in self.attempts.values()
@@ -367,6 +380,10 @@
         held = [attempt for attempt in self.attempts.values() if b"PartsHeld" in attempt.body]
         if held and not self.journal.crashing_parts:
             self.add("HELD", held[0].id, "%d requests are held back though no part ends engines", len(held))
+        sound = [attempt for attempt in self.attempts.values()
+                 if b"RequestHeld" in attempt.body and attempt.request not in self.journal.crashing_requests]
+        if sound:
+            self.add("HELD", sound[0].id, "%d requests are held back that end no server", len(sound))
 
     def check_recovery(self):
         late = [a for a in self.attempts.values()
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -96,7 +96,7 @@
         self.retry_after_s = 0.0  # sent with the refusals of the fault "refuse"
         self.state = self.listed_state = "ready"  # what its answers and the store's list say of it
         self.sequence = 0
-        self.crash = None  # called with the engine when a prompt part ends it
+        self.crash = None  # called with the engine when a prompt part or a request ends it
         super().__init__(name, slots=2 if service == "engines" else self.slots_of_plain)
         self.begin_incarnation()
 
@@ -154,6 +154,10 @@
     def run(self, connection, fault, run, echo):
         run.stamp = "%s.%d" % (self.instance, self.journal.add_run(run))
         run.leaving = ("Server-Leaving", "1") in echo
+        if run.request in self.journal.crashing_requests and not self.dark:
+            self.journal.request_ends.append((time.monotonic(), run.request, self.instance))
+            self.crash(self)
+            return False
         headers = echo + [("Server-Stamp", run.stamp)]
         if fault == "garbage":
             connection.sendall(b"\x00\x01 this is no answer\r\n\r\n")
@@ -241,6 +245,8 @@
         self.runs = []
         self.arrivals = []
         self.crashing_parts = set()  # each ends the engine that begins to answer on it
+        self.crashing_requests = set()  # (method, target, body); each ends the server that begins to run it
+        self.request_ends = []  # (when a server ended, the request, its instance)
         self.part_ends = []  # (when an engine ended, the parts, its instance)
         self.limits = []  # [instance, requests a second, from, until]
         self.drains = []  # (acknowledged at, engine's name, its instance)
