--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -34,7 +34,7 @@
 SHUTDOWN_S = 2.0  # how long an engine goes on after its drain time
 REWRITE_MINIMUM_S, REWRITE_SPREAD_S = 0.5, 3.0  # until the operator notices that the store went back
 PART_DOWN_S = 2.0  # until an engine is back that a prompt part has ended
-LIMITS = (0, 0.5, 2, 4, 8)  # requests a second that an engine in need takes
+LIMITS = (0, 0.5, 1, 2)  # requests a second that an engine in need takes
 RESTART_S = 0.3  # the platform's delay before it starts an ended process again
 
 ROUTES = {
@@ -426,18 +426,14 @@
             engine.fault = None
 
     def limit_engine(self, fault):
-        """The incarnation that is there names a limit of requests a second, over all entries."""
+        """The engine names a limit of requests a second, over all entries; so do those that replace it meanwhile."""
         engine = self.engines[fault.subject]
         if engine.limit is not None:
             return
-        engine.limit, instance = LIMITS[int(len(LIMITS) * fault.amount)], engine.instance
-        span = [instance, engine.limit, time.monotonic(), float("inf")]
-        self.journal.limits.append(span)
         with self.disturbances.span(fault.subject, "limit"):
+            engine.set_limit(LIMITS[int(len(LIMITS) * fault.amount)])
             time.sleep(fault.for_s)
-            span[3] = time.monotonic()
-            if engine.instance == instance:
-                engine.limit = None
+            engine.set_limit(None)
 
     def crash(self, fault):
         engine, link = self.engines[fault.subject], self.links[fault.subject]
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -54,12 +54,23 @@
 SERIES_GAP_S = 1.2
 
 
-def make_plan(seed, duration_s, counts):
-    """Returns the faults of a run, ordered by time.
+GROUPS = ("base", *LATER_KINDS)
+
+
+def make_plan(seed, duration_s, counts, groups=GROUPS):
+    """Returns the faults of the groups, ordered by time. Without "base", machines are mostly in touch.
 
     counts gives the number of subjects of each sort that has numbers. Faults overlap freely: a large
     deployment gets more of them at once.
     """
+    faults = draw_base_kinds(seed, duration_s, counts) if "base" in groups else []
+    for name in LATER_KINDS:
+        if name in groups:
+            faults += draw_later_kinds(name, seed, duration_s, counts)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def draw_base_kinds(seed, duration_s, counts):
     rng = random.Random("plan-%d" % seed)
     faults = []
     per_second = 1.5 + 0.03 * sum(counts.values())
@@ -67,9 +78,7 @@
     while True:
         at_s += rng.expovariate(per_second)
         if at_s >= duration_s:
-            for name in LATER_KINDS:
-                faults += draw_later_kinds(name, seed, duration_s, counts)
-            return sorted(faults, key=lambda fault: fault.at_s)
+            return faults
         sort = rng.choices(list(SORT_WEIGHTS), SORT_WEIGHTS.values())[0]
         subject = "%s-%d" % (sort, rng.randrange(counts[sort]) + 1) if sort in counts else sort
         repeats = rng.randint(2, SERIES_MAXIMUM) if rng.random() < SERIES_SHARE else 1
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -18,7 +18,7 @@
 
 from callers import start_callers  # noqa: E402
 from deployment import DRAIN_S, GRACE_S, RECOVERY_S, SHUTDOWN_S, Deployment  # noqa: E402
-from plan import make_plan  # noqa: E402
+from plan import GROUPS, make_plan  # noqa: E402
 from promises import Promises  # noqa: E402
 
 WARM_UP_S = 2.0
@@ -111,12 +111,12 @@
     return lines
 
 
-def run_seed(seed, minutes, size, folder):
+def run_seed(seed, minutes, size, folder, groups=GROUPS):
     """Plays one seed and returns the lines of its report and the findings."""
     counts = count_subjects(size)
     end_s = 60 * minutes
     faults_s = max(SHORTEST_FAULTS_S, end_s - WARM_UP_S - RECOVERY_S - MEASURE_S)
-    plan = make_plan(seed, faults_s, counts)
+    plan = make_plan(seed, faults_s, counts, groups)
     lines = ["soak --seed %d --minutes %g --size %d: %d faults in %.0f s, %d processes" % (
         seed, minutes, size, len(plan), faults_s, counts["entry"] + counts["agent"])]
     start = time.monotonic()
@@ -137,6 +137,7 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds, from --seed on")
     parser.add_argument("--minutes", type=float, default=0.5, help="of each seed")
     parser.add_argument("--size", type=int, default=6, help="engines with agents; a third as many entries")
+    parser.add_argument("--groups", default=",".join(GROUPS), help="of faults, separated by commas: " + ", ".join(GROUPS))
     parser.add_argument("--plan", action="store_true", help="prints the faults and ends")
     parser.add_argument("--report", type=pathlib.Path, help="file to which the report is appended")
     parser.add_argument("--logs", type=pathlib.Path, help="folder in which the logs of a failed seed are kept")
@@ -152,14 +153,14 @@
         if options.plan:
             counts = count_subjects(size)
             faults_s = max(SHORTEST_FAULTS_S, 60 * minutes - WARM_UP_S - RECOVERY_S - MEASURE_S)
-            print("\n".join(map(str, make_plan(seed, faults_s, counts))))
+            print("\n".join(map(str, make_plan(seed, faults_s, counts, options.groups.split(",")))))
             continue
         with tempfile.TemporaryDirectory() as temporary:
             folder = pathlib.Path(temporary)
             if options.logs:
                 folder = options.logs / ("seed-%d" % seed)
                 folder.mkdir(parents=True, exist_ok=True)
-            lines, findings = run_seed(seed, minutes, size, folder)
+            lines, findings = run_seed(seed, minutes, size, folder, options.groups.split(","))
             if options.logs and not findings:
                 shutil.rmtree(folder)
         failed += bool(findings)
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -92,7 +92,7 @@
         self.fault = None
         self.fault_share = 1.0
         self.dark = False
-        self.limit = None  # the requests a second that this incarnation names in its answers
+        self.limit = None  # the requests a second that it names in its answers
         self.retry_after_s = 0.0  # sent with the refusals of the fault "refuse"
         self.state = self.listed_state = "ready"  # what its answers and the store's list say of it
         self.sequence = 0
@@ -106,7 +106,17 @@
         self.load = Load(self.slots)
         self.state = self.listed_state = "ready"
         self.dark = False
-        self.limit = None
+        self.set_limit(self.limit)
+
+    def set_limit(self, limit):
+        """Begins to name a limit, as the incarnation that is there, or ends it."""
+        now = time.monotonic()
+        for span in self.journal.limits:
+            if span[0].rsplit(".", 1)[0] == self.name and span[3] == float("inf"):
+                span[3] = now
+        self.limit = limit
+        if limit is not None:
+            self.journal.limits.append([self.instance, limit, now, float("inf")])
 
     def own_state_headers(self):
         if self.dark:
