An agent is asked again whether its target has ended

Cause: the agent's answer that its target has not ended was final. An engine may give its agent one more report just after it has closed the connection of the request that ends it; the entry then forgot what it had seen, and with no connection refused nothing else confirmed the end.

Change: such an answer leaves the report where it is, and the agent is asked every 400 ms, the interval of its reports, until the report lapses after two seconds. No more connections are made, only datagrams to one agent.

Probing by connections again: each broken answer would cost several.

--- a/src/include/wigeonsill/quarantine.h
+++ b/src/include/wigeonsill/quarantine.h
@@ -202,8 +202,8 @@
     void record(const std::string &targetId, CrashReport report, TimePoint now);
     /// Removes and returns the reports of a target that is known to have ended.
     std::vector<CrashReport> confirm(const std::string &targetId, TimePoint now);
-    /// Forgets the reports of a target that has not ended.
-    void forget(const std::string &targetId) { this->reports.erase(targetId); }
+    /// Forgets reports whose time is over.
+    void expire(TimePoint now);
     bool contains(const std::string &targetId) const { return this->reports.contains(targetId); }
 
 private:
--- a/src/libforward/crashwatch.cpp
+++ b/src/libforward/crashwatch.cpp
@@ -11,6 +11,9 @@
 /// Collectors answer within a few milliseconds, four times a second. After this they count as lost,
 /// and reports are exchanged with one agent after another.
 constexpr Duration collectorTimeout = milliseconds(600);
+/// Time after which an agent is asked again whether its target has ended: the interval of its
+/// reports.
+constexpr Duration queryAgainTime = milliseconds(400);
 
 std::string hexadecimal(std::uint64_t value)
 {
@@ -118,6 +121,7 @@
     }
     this->metrics.count("wigeonsill_target_probes_total");
     this->grantClient.queryTarget(target);
+    this->queries[target.id] = { target, currentTime() };
     this->pool.probe(target, [this, id = target.id](bool refused) {
         this->probedTargets.erase(id);
         if (refused) {
@@ -152,8 +156,19 @@
 {
     if (ended) {
         this->recordEnd(targetId);
-    } else {
-        this->unconfirmed.forget(targetId);
+    }
+}
+
+void CrashWatch::askAgain(TimePoint now)
+{
+    this->unconfirmed.expire(now);
+    std::erase_if(this->queries,
+        [this](const auto &record) { return !this->unconfirmed.contains(record.first); });
+    for (auto &[id, query] : this->queries) {
+        if (now - query.askedAt >= queryAgainTime) {
+            query.askedAt = now;
+            this->grantClient.queryTarget(query.target);
+        }
     }
 }
 
@@ -170,6 +185,7 @@
 {
     const TimePoint now = currentTime();
     this->quarantine.expire(now);
+    this->askAgain(now);
     this->logChanges();
     this->collectors.clear();
     for (std::size_t i = 0; i < std::min(collectorCount, agents.size()); ++i) {
--- a/src/libforward/crashwatch.h
+++ b/src/libforward/crashwatch.h
@@ -38,7 +38,8 @@
     void recordNotConnected(const Target &target);
     /// The target is known to have ended.
     void recordEnd(const std::string &targetId);
-    /// The target's agent has told whether the target has ended.
+    /// The target's agent has told whether the target has ended. One that has not is asked for again:
+    /// a target may answer its agent for a moment after it has closed a request's connection.
     void onTargetState(const std::string &targetId, bool ended);
 
     /// The hold that a request falls under; nullptr without one. Valid until the next call.
@@ -66,6 +67,8 @@
     void probe(const Target &target);
     /// Logs which parts are held or released since the last call.
     void logChanges();
+    /// Asks the agents of the targets whose end is not confirmed again.
+    void askAgain(TimePoint now);
     /// Sends all reports to the collectors at once.
     void spread();
 
@@ -76,6 +79,12 @@
     Quarantine quarantine;
     UnconfirmedCrashes unconfirmed;
     std::set<std::string> probedTargets; ///< That are being probed.
+    struct Query
+    {
+        Target target;
+        TimePoint askedAt;
+    };
+    std::map<std::string, Query> queries; ///< By id of the targets whose end is not confirmed.
     std::map<std::uint64_t, Hold> loggedHolds;
     std::vector<Target> collectors;
     std::optional<TimePoint> collectorAnsweredAt;
--- a/src/libforward/crashwatch_test.cpp
+++ b/src/libforward/crashwatch_test.cpp
@@ -211,6 +211,29 @@
     EXPECT_EQ(this->reservationsFromNow(), 0U);
 }
 
+/// A target that ends still answers its agent for a moment after it has closed the connection.
+TEST_F(CrashingParts, areConcludedThoughTheAgentSeesTheEndLater)
+{
+    this->learn();
+    for (int i = 0; i < 3; ++i) {
+        this->send("sb" + std::to_string(i));
+        auto [agent, connection] = this->grant();
+        connection.close();
+        for (const bool ended : { false, true }) {
+            const auto [asked, query] = this->nextMessage(GrantKind::TargetQuery);
+            ASSERT_EQ(asked, agent);
+            GrantMessage answer;
+            answer.kind = GrantKind::TargetState;
+            answer.targetId = query.targetId;
+            answer.targetEnded = ended;
+            agent->socket.send_to(asio::buffer(encode(answer)), agent->entry);
+        }
+        this->pass(milliseconds(300));
+    }
+    this->send("sb9");
+    EXPECT_EQ(this->reservationsFromNow(), 0U);
+}
+
 /// The target had been writing when it ended, so that request did not end it.
 TEST_F(CrashingParts, areNotSuspectedOnceTheAnswerGoesOn)
 {
--- a/src/libquarantine/quarantine.cpp
+++ b/src/libquarantine/quarantine.cpp
@@ -457,13 +457,18 @@
 
 void UnconfirmedCrashes::record(const std::string &targetId, CrashReport report, TimePoint now)
 {
-    std::erase_if(this->reports,
-        [now](const auto &record) { return now - record.second.at > confirmationTime; });
+    this->expire(now);
     if (this->reports.size() < maximumReports) {
         this->reports.emplace(targetId, std::move(report));
     }
 }
 
+void UnconfirmedCrashes::expire(TimePoint now)
+{
+    std::erase_if(this->reports,
+        [now](const auto &record) { return now - record.second.at > confirmationTime; });
+}
+
 std::vector<CrashReport> UnconfirmedCrashes::confirm(const std::string &targetId, TimePoint now)
 {
     std::vector<CrashReport> result;
--- a/testsuite/crashing-parts/run.py
+++ b/testsuite/crashing-parts/run.py
@@ -81,12 +81,13 @@
 class Case:
     """A deployment whose engines crash and start again, with two entries."""
 
-    def __init__(self, folder, crashing_parts):
+    def __init__(self, folder, crashing_parts, refuses=True, lingers_s=0):
         self.deployment = Deployment(folder)
         self.entries = [self.deployment.entry, self.deployment.start_entry("entry-2", "127.0.0.2")]
         for engine in self.deployment.engines:
             engine.crashes = Crashes(engine, self.deployment.store, "engines", DOWN_S)
             engine.crashes.parts = set(crashing_parts)
+            engine.crashes.refuses, engine.crashes.lingers_s = refuses, lingers_s
 
     def __enter__(self):
         return self
@@ -127,8 +128,8 @@
         check(float(reply.headers["Retry-After"]) > 0, "it is told when to come back")
 
 
-def play(folder, crashing_parts, choose_parts, seconds=14):
-    with Case(folder, crashing_parts) as case:
+def play(folder, crashing_parts, choose_parts, seconds=14, **way_to_end):
+    with Case(folder, crashing_parts, **way_to_end) as case:
         callers = Callers(case.deployment, case.entries)
         time.sleep(2)
         undisturbed = callers.served_share(0)
@@ -147,6 +148,14 @@
     play(folder, ["bad"], lambda rng, number: ("bad", rng.choice(SUBJECTS)))
 
 
+def engines_that_close_connections_instead_of_refusing(folder):
+    """No connection tells that an engine has ended; it is back as the same instance with a later start.
+
+    Its agent still gets a report just after the connection of the request has ended.
+    """
+    play(folder, ["bad"], lambda rng, number: ("bad", rng.choice(SUBJECTS)), refuses=False, lingers_s=0.4)
+
+
 def two_parts_at_once(folder):
     choices = [("bad", "e0"), (FIRST, "bad"), (FIRST, "e0"), (FIRST, "bad", "e0")]
     play(folder, ["bad", "e0"], lambda rng, number: choices[number % len(choices)], seconds=16)
@@ -191,7 +200,7 @@
 
 
 def main():
-    for part in (part_in_the_middle, part_first, two_parts_at_once, operator_releases_a_hold, other_ends_hold_nothing_back):
+    for part in (part_in_the_middle, part_first, engines_that_close_connections_instead_of_refusing, two_parts_at_once, operator_releases_a_hold, other_ends_hold_nothing_back):
         with tempfile.TemporaryDirectory() as folder:
             print(part.__name__, flush=True)
             part(pathlib.Path(folder))
--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -194,20 +194,31 @@
         self.engine, self.store, self.service, self.down_s = engine, store, service, down_s
         self.parts = set()  # ends the engine as it begins to write an answer on one of them
         self.requests = set()  # ends the engine as it begins to run one: (method, target, organisation, body)
+        self.refuses = True  # connections while it is down; otherwise closes each at once, and is back as the same instance
+        self.lingers_s = 0  # for so long it still answers its agent after the connection of the request has ended
         self.before_head = True  # ends it before the answer's head when a request does it
         self.ends = []  # (when an incarnation ended, the parts or the request that ended it)
         self.lock = threading.Lock()
         self.up = True
+        self.ending = False
 
     def crash(self, parts=()):
         with self.lock:
-            if not self.up:
+            if not self.up or self.ending:
                 return
-            self.up = False
+            self.ending = True
         self.ends.append((time.monotonic(), set(parts)))
+        if self.lingers_s:
+            threading.Timer(self.lingers_s, self.end).start()
+        else:
+            self.end()
+
+    def end(self):
+        self.up = self.ending = False
         engine = self.engine
-        engine.server.shutdown(socket.SHUT_RDWR)  # wakes the thread that accepts
-        engine.server.close()
+        if self.refuses:
+            engine.server.shutdown(socket.SHUT_RDWR)  # wakes the thread that accepts
+            engine.server.close()
         for connection in engine.connections:
             try:
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -219,6 +230,11 @@
 
     def restart(self):
         engine = self.engine
+        engine.born = int(time.time() * 1000)
+        if not self.refuses:
+            self.up = True
+            self.store.put("servers/" + engine.instance, dict(engine.instance_record(self.service), born=engine.born))
+            return
         host, port = engine.address.split(":")
         server = socket.socket()
         server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -226,7 +242,6 @@
         server.listen(64)
         former = engine.instance
         engine.instance = "%s.%d" % (former.split(".")[0], len(self.ends) + 1)
-        engine.born = int(time.time() * 1000)
         engine.server = server
         self.up = True
         threading.Thread(target=engine.accept_connections, daemon=True).start()
@@ -266,6 +281,8 @@
 
     def serve(self, connection):
         data = b""
+        if self.crashes and not self.crashes.up:
+            return
         while True:
             request = read_request(connection, data)
             if request is None:
