Nobody's evidence gives way to the reports of other organisations

Change: an organisation with evidence or a release is never the one that is dropped; where all have some, the newcomer's reports are.

manyOrganisationsPushNoEvidenceOut failed before (the hold was gone).

--- a/src/libforward/crashwatch.h
+++ b/src/libforward/crashwatch.h
@@ -38,8 +38,9 @@
     void recordNotConnected(const Target &target);
     /// The target is known to have ended.
     void recordEnd(const std::string &targetId);
-    /// The target's agent has told whether the target has ended. One that has not is asked for again:
-    /// a target may answer its agent for a moment after it has closed a request's connection.
+    /// The target's agent has told whether the target has ended. One that has not is asked for
+    /// again: a target may answer its agent for a moment after it has closed a request's
+    /// connection.
     void onTargetState(const std::string &targetId, bool ended);
 
     /// The hold that a request falls under; nullptr without one. Valid until the next call.
--- a/src/libquarantine/quarantine.cpp
+++ b/src/libquarantine/quarantine.cpp
@@ -168,19 +168,28 @@
 void Quarantine::limitReports(std::uint64_t organisation)
 {
     std::vector<const CrashReport *> own;
-    std::map<std::uint64_t, TimePoint> lastReportOf;
+    std::set<std::uint64_t> known;
+    std::map<std::uint64_t, TimePoint> lastReportOf; ///< Of organisations without evidence.
     for (const auto &[key, report] : this->byKey) {
+        known.insert(report.organisation);
         TimePoint &last = lastReportOf[report.organisation];
         last = std::max(last, report.at);
         if (report.organisation == organisation) {
             own.push_back(&report);
         }
     }
-    if (lastReportOf.size() > this->limits.maximumOrganisations) {
+    for (const auto &[key, report] : this->byKey) {
+        if (report.evidence || report.released) {
+            lastReportOf.erase(report.organisation);
+        }
+    }
+    if (known.size() > this->limits.maximumOrganisations) {
+        // Nobody's evidence gives way to others; at the bound, the newcomer's reports do.
         const auto oldest = std::min_element(lastReportOf.begin(), lastReportOf.end(),
             [](const auto &left, const auto &right) { return left.second < right.second; });
+        const std::uint64_t dropped = oldest == lastReportOf.end() ? organisation : oldest->first;
         std::erase_if(this->byKey,
-            [oldest](const auto &record) { return record.second.organisation == oldest->first; });
+            [dropped](const auto &record) { return record.second.organisation == dropped; });
         return;
     }
     if (own.size() <= this->limits.reportsPerOrganisation) {
--- a/src/libquarantine/quarantine_test.cpp
+++ b/src/libquarantine/quarantine_test.cpp
@@ -278,6 +278,21 @@
     }
 }
 
+/// Many organisations, each with a report newer than the evidence of a hold.
+TEST(Quarantine, manyOrganisationsPushNoEvidenceOut)
+{
+    Quarantine quarantine = learned();
+    quarantine.merge(crashes(4), start + seconds(1));
+    ASSERT_FALSE(quarantine.holds().empty());
+    const std::size_t most = Quarantine::Limits().maximumOrganisations;
+    for (std::uint64_t i = 0; i < 3 * most; ++i) {
+        quarantine.merge({ report(1'000 + i, 2'000 + i, { 3'000 + i }, seconds(2), 100 + i) },
+            start + seconds(3));
+    }
+    EXPECT_FALSE(quarantine.holds().empty());
+    EXPECT_LE(quarantine.reports().size(), most + 4);
+}
+
 TEST(UnconfirmedCrashes, countOnceTheTargetIsKnownToHaveEnded)
 {
     UnconfirmedCrashes unconfirmed;
