--- a/src/libforward/crashwatch_test.cpp
+++ b/src/libforward/crashwatch_test.cpp
@@ -122,6 +122,18 @@
         connection.close(ignored);
         this->pass(milliseconds(50));
     }
+    /// The entry asks an agent whether its target has ended, and the agent answers.
+    void answerQuery(ManualAgent *agent, bool ended)
+    {
+        const auto [asked, query] = this->nextMessage(GrantKind::TargetQuery);
+        ASSERT_EQ(asked, agent);
+        EXPECT_EQ(query.load.startedMs, 1'000);
+        GrantMessage answer;
+        answer.kind = GrantKind::TargetState;
+        answer.targetId = query.targetId;
+        answer.targetEnded = ended;
+        agent->socket.send_to(asio::buffer(encode(answer)), agent->entry);
+    }
     /// Sends a request and crashes the target that it reaches, before it answers.
     Caller &crashUnder(const std::string &parts)
     {
@@ -224,14 +236,7 @@
         this->send("sb" + std::to_string(i));
         auto [agent, connection] = this->grant();
         connection.close();
-        const auto [asked, query] = this->nextMessage(GrantKind::TargetQuery);
-        EXPECT_EQ(asked, agent);
-        EXPECT_EQ(query.load.startedMs, 1'000);
-        GrantMessage answer;
-        answer.kind = GrantKind::TargetState;
-        answer.targetId = query.targetId;
-        answer.targetEnded = true;
-        agent->socket.send_to(asio::buffer(encode(answer)), agent->entry);
+        ASSERT_NO_FATAL_FAILURE(this->answerQuery(agent, true));
         this->pass(milliseconds(300));
     }
     this->send("sb9");
@@ -247,13 +252,7 @@
         auto [agent, connection] = this->grant();
         connection.close();
         for (const bool ended : { false, true }) {
-            const auto [asked, query] = this->nextMessage(GrantKind::TargetQuery);
-            ASSERT_EQ(asked, agent);
-            GrantMessage answer;
-            answer.kind = GrantKind::TargetState;
-            answer.targetId = query.targetId;
-            answer.targetEnded = ended;
-            agent->socket.send_to(asio::buffer(encode(answer)), agent->entry);
+            ASSERT_NO_FATAL_FAILURE(this->answerQuery(agent, ended));
         }
         this->pass(milliseconds(300));
     }
