Relay: answers are read at the pace of their callers

Up to 8 MiB a connection were copied in a burst and then thrown away, since a caller more than 4 MiB behind was cut off, also one that read a large sound answer slowly. Change: past 256 KiB that are held (unsent, or of an event that has not ended) reading pauses and goes on in turns of 64 KiB, 26 MB/s for all together (ReadAheadPacer), so that a target is still free soon after its answer; past 4 MiB unsent it waits for the caller, up to the request's time limit, and is not counted as silent. No caller is cut off for being slow; wigeonsill_slow_callers_total counts such waits. The rate: relaying cost 1 to 2 ns a byte here, so it takes a twentieth of the process. Tests, failed before: LargeAnswer: 793,021 and 196,554 of 24,000,000 bytes came. The memory bound of endless-answers for bodies goes from 8 to 5 MiB a connection. Ruled out: waiting at 256 KiB: targets would be held by slow callers whose answers are taken whole today.

--- a/src/libforward/callerconnection.cpp
+++ b/src/libforward/callerconnection.cpp
@@ -21,8 +21,6 @@
 constexpr std::size_t pipelineLimit = 65'536;
 /// Interval between checks whether a caller whose pipeline is full has left.
 constexpr Duration leaveCheckInterval = milliseconds(100);
-/// Maximum bytes of buffered answers. The connection of a slower caller is aborted.
-constexpr std::size_t sendBufferLimit = 4'194'304;
 /// How long the caller may take to read the last answer and close, before the connection is closed.
 constexpr Duration lingerTime = seconds(1);
 
@@ -364,10 +362,6 @@
 void CallerConnection::enqueue(std::string_view bytes)
 {
     this->sendBuffer += bytes;
-    if (this->sendBuffer.size() > sendBufferLimit) {
-        this->state.metrics.count("wigeonsill_slow_callers_total");
-        this->abort();
-    }
 }
 
 void CallerConnection::flush()
@@ -407,6 +401,9 @@
             self->writeBuffer.clear();
             if (!error) {
                 self->flush();
+                if (self->flow) {
+                    self->flow->onCallerWritten();
+                }
             }
         });
 }
--- a/src/libforward/callerconnection.h
+++ b/src/libforward/callerconnection.h
@@ -22,6 +22,9 @@
     /// Sends the head of an answer of unknown length. \pre no answer was begun.
     void beginAnswer(int status, std::string_view reason, const HttpFields &fields);
     void writeBody(std::string_view bytes);
+    /// Bytes that were not handed to the system yet. RequestFlow::onCallerWritten() is called when
+    /// they become fewer while it answers.
+    std::size_t unsentBytes() const { return this->sendBuffer.size() + this->writeBuffer.size(); }
     void endAnswer();
     /// Closes the connection immediately, so that the caller does not mistake a truncated answer
     /// for a complete one. Where the end of the connection would complete it, it is reset.
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -4,6 +4,7 @@
 
 #include "crashwatch.h"
 #include "grantclient.h"
+#include "readahead.h"
 #include "targetpool.h"
 #include "targetrates.h"
 
@@ -57,6 +58,7 @@
     const WireDialect &dialect;
     ForwardEntrySettings settings;
     TargetPool pool;
+    std::shared_ptr<ReadAheadPacer> readAhead;
     StatedRates statedRates;
     GrantClient grantClient;
     TargetRates rates;
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -54,6 +54,7 @@
     , dialect(dialectIn)
     , settings(settingsIn)
     , pool(context, metricsIn, dialectIn)
+    , readAhead(std::make_shared<ReadAheadPacer>(context))
     , grantClient(context, metricsIn, settingsIn, this->statedRates)
     , rates(metricsIn, logIn, this->grantClient, this->statedRates)
     , crashes(metricsIn, logIn, this->pool, this->grantClient)
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -28,6 +28,11 @@
     void onCallerDisconnected();
     /// Places the requests that wait for a permit, the most useful ones first.
     static void placePermitWaiters(EntryState &entryState);
+    /// The caller's connection has written more of the answer.
+    void onCallerWritten();
+    /// Reads on in the pacer's turn. Returns false when it does not, since the request has ended,
+    /// need not wait any more, or waits for its caller.
+    bool readAhead();
     /// Gives the request its final answer because the process is about to exit.
     void finishForShutdown();
 
@@ -131,7 +136,17 @@
     void onQueued(std::uint64_t reservation, const std::string &targetId) override;
     void onDeclined(std::uint64_t reservation, const std::string &targetId) override;
 
+    /// Relays a piece of the body that is no stream of events.
+    void forwardBody(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
+    /// Pauses the reading of the answer when much of it is held and nothing is left to read ahead.
+    /// \param bytes Number of bytes that were read.
+    void paceReading(std::size_t bytes);
+    void waitForTurnToRead();
+    void resumeReading();
+    std::size_t heldAnswerBytes() const;
+    /// Whether the answer is not read on since the caller is behind. The target is not silent then.
+    bool isTargetWaitingForCaller() const;
     /// \param eventsBefore Number of the attempt's events before these.
     void relayEvents(const std::string &completeEvents, std::uint64_t eventsBefore);
     /// Closes the target's connection, whose answer can't be used.
@@ -193,6 +208,7 @@
     std::optional<Duration> timeToFirstEvent;
     std::optional<Duration> timeToSend;
     TimePoint lastEventAt;
+    bool waitsForTurnToRead = false; ///< In the state's pacer.
     AnswerContinuation continuation;
 };
 
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -375,6 +375,9 @@
         this->fail(504, "no complete answer within the time limit");
         return;
     }
+    if (this->isTargetWaitingForCaller()) {
+        this->recordProgress();
+    }
     if (this->isSearching()) {
         this->maintainReservations();
     } else if (this->service->isEngine
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -13,6 +13,13 @@
 
 /// A target that still answers this long after its first event has not crashed as it began.
 constexpr Duration answeringTime = milliseconds(250);
+/// Larger answers are relayed as they arrive, so that memory stays bounded.
+constexpr std::size_t answerBufferLimit = 262'144;
+/// Bytes of an answer that may be held before its reading is paced.
+constexpr std::size_t pacedReadingThreshold = answerBufferLimit;
+/// Unsent bytes of an answer at which its target has to wait for the caller. Below it, the target
+/// is free for others once it has given its answer.
+constexpr std::size_t unsentBytesLimit = 4'194'304;
 
 } // namespace
 
@@ -106,13 +113,84 @@
 void RequestFlow::onAnswerBody(std::string_view bytes)
 {
     const auto self = this->shared_from_this();
+    const TargetConnection *const connection = this->attempt->connection.get();
     if (this->attempt->streaming) {
         this->forwardEvents(bytes);
+    } else {
+        this->forwardBody(bytes);
+    }
+    if (this->attempt && this->attempt->connection.get() == connection) {
+        this->paceReading(bytes.size());
+    }
+}
+
+std::size_t RequestFlow::heldAnswerBytes() const
+{
+    return this->caller->unsentBytes() + this->attempt->heldBytes();
+}
+
+bool RequestFlow::isTargetWaitingForCaller() const
+{
+    return this->phase == Phase::Relaying && this->attempt->readingPaused
+        && this->caller->unsentBytes() > pacedReadingThreshold;
+}
+
+void RequestFlow::paceReading(std::size_t bytes)
+{
+    std::size_t &left = this->attempt->readAheadLeft;
+    left -= std::min(bytes, left);
+    if (left == 0 && this->heldAnswerBytes() > pacedReadingThreshold) {
+        this->attempt->readingPaused = true;
+        this->attempt->connection->pauseReading();
+        this->waitForTurnToRead();
+    }
+}
+
+void RequestFlow::waitForTurnToRead()
+{
+    if (!this->waitsForTurnToRead) {
+        this->waitsForTurnToRead = true;
+        this->state.readAhead->enqueue(this->weak_from_this());
+    }
+}
+
+bool RequestFlow::readAhead()
+{
+    this->waitsForTurnToRead = false;
+    if (this->phase != Phase::Relaying || !this->attempt->readingPaused) {
+        return false;
+    }
+    if (this->caller->unsentBytes() >= unsentBytesLimit) {
+        this->state.metrics.count("wigeonsill_slow_callers_total");
+        return false; // Until onCallerWritten().
+    }
+    this->resumeReading();
+    return true;
+}
+
+void RequestFlow::resumeReading()
+{
+    this->attempt->readingPaused = false;
+    this->attempt->readAheadLeft = ReadAheadPacer::portion;
+    this->attempt->connection->resumeReading();
+}
+
+void RequestFlow::onCallerWritten()
+{
+    if (this->phase != Phase::Relaying || !this->attempt->readingPaused) {
         return;
     }
+    this->recordProgress(); // The target waited, and was not silent.
+    if (this->heldAnswerBytes() <= pacedReadingThreshold) {
+        this->resumeReading();
+    } else {
+        this->waitForTurnToRead();
+    }
+}
+
+void RequestFlow::forwardBody(std::string_view bytes)
+{
     this->recordProgress();
-    // Larger answers are relayed as they arrive, so that memory stays bounded.
-    constexpr std::size_t answerBufferLimit = 262'144;
     std::string &held = this->attempt->body;
     held += bytes;
     if (this->headSentToCaller || held.size() > answerBufferLimit) {
--- a/src/libforward/targetattempt.h
+++ b/src/libforward/targetattempt.h
@@ -23,6 +23,8 @@
     std::string body; ///< Received and not relayed, unless streaming.
     EventSplitter events; ///< The answer's body when streaming.
     std::optional<TimePoint> firstEventAt;
+    bool readingPaused = false; ///< Much is held already; see RequestFlow::paceReading().
+    std::size_t readAheadLeft = 0; ///< Bytes that may be read before it pauses.
     bool answering = false; ///< It has gone on after the first event, or ended whole.
 
     /// Bytes of the answer that were received and not relayed.
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -148,6 +148,7 @@
     this->skippedBytes = 0;
     this->headReceived = false;
     this->sent = false;
+    this->readingPaused = false;
     if (this->connected) {
         this->write();
     } else {
@@ -203,7 +204,7 @@
 
 void TargetConnection::read()
 {
-    if (this->reading || !this->socket.is_open()) {
+    if (this->reading || this->readingPaused || !this->socket.is_open()) {
         return;
     }
     this->reading = true;
@@ -215,6 +216,12 @@
         });
 }
 
+void TargetConnection::resumeReading()
+{
+    this->readingPaused = false;
+    this->read();
+}
+
 void TargetConnection::awaitIdleInput()
 {
     const auto self = this->shared_from_this();
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -114,6 +114,10 @@
     /// Resets the connection, so that what the network still holds of the request is discarded. The
     /// handler is not called again.
     void cancel();
+    /// Reads no further bytes until resumeReading(); those that were received are still handed on.
+    /// May be called from within the handler.
+    void pauseReading() { this->readingPaused = true; }
+    void resumeReading();
     /// Closes the connection since its answer exceeds a bound. The handler is told, and that the
     /// answer failed. Does nothing on an idle connection. May be called from within the handler.
     void endAtBound(AnswerBound bound);
@@ -163,6 +167,7 @@
     AnswerHandler *handler = nullptr; ///< nullptr while idle.
     bool connected = false;
     bool reading = false;
+    bool readingPaused = false;
     bool writing = false;
     bool sent = false;
     bool headReceived = false;
--- a/testsuite/endless-answers/run.py
+++ b/testsuite/endless-answers/run.py
@@ -28,7 +28,7 @@
 # The entry's limits, in bytes: what each kind may hold for one connection.
 HELD = {
     "head": 65_536, "garbage": 65_536, "chunk-header": 16_384, "event": MIB, "after": 65_536, "foreign": 65_536,
-    "body": 2 * 4 * MIB,  # The caller's send buffer, and as much that is being written.
+    "body": 4 * MIB + MIB,  # What is unsent to the caller, and an event more.
 }
 READ_BUFFER = 8_192
 # A string that grows allocates up to twice its size.
