Quotas: an entry waits for its first report before it admits a large request

An entry without a report admits its share of the quota, one of 300; a larger request was admitted at once when the entry had admitted nothing, so that it isn't refused for ever where nobody collects reports. An entry that was started in its predecessor's place admitted one so too, before its first report told what had been used, each time. Change: it waits two rounds of reports, 500 ms, for its first one. The list of targets asks for it, so it is there some milliseconds after the entry can place a request.

--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -391,11 +391,15 @@
     double windowAllowance(const OrganisationAccount &organisation, TimePoint now) const;
     /// Whether a recent report was applied.
     bool hasReport(TimePoint now) const;
+    /// Whether the first report may still come. The usage in the window, of which a predecessor
+    /// that was killed may have admitted a part, is unknown until then.
+    bool awaitsFirstReport(TimePoint now);
 
     Limits limits;
     std::map<std::string, Account, std::less<>> accounts;
     int sharingEntryCount = largestDeploymentEntries;
     bool reportDue = false;
+    std::optional<TimePoint> firstAskedAt; ///< Of the first call of admit() with a limit.
     std::optional<TimePoint> firstReportAt;
     TimePoint lastReportAt;
     Duration collectorAge = {}; ///< Of the last report that was applied.
--- a/src/libgateway/sharedlimits.cpp
+++ b/src/libgateway/sharedlimits.cpp
@@ -51,6 +51,9 @@
 /// Without a report for this long, an entry admits an even share of the quota. Reports arrive four
 /// times a second.
 constexpr Duration reportTimeout = seconds(2);
+/// For this long, an entry that was started waits for its first report before it admits a request
+/// that is larger than its share: two rounds of reports.
+constexpr Duration firstReportWait = milliseconds(500);
 /// For this long after its first report, an entry does not rely on the reported number of entries:
 /// four rounds of reports, since the others may not have reported yet.
 constexpr Duration settlingTime = seconds(1);
@@ -126,6 +129,12 @@
     return this->lastReportAt != TimePoint{} && now - this->lastReportAt < reportTimeout;
 }
 
+bool QuotaLimiter::awaitsFirstReport(TimePoint now)
+{
+    this->firstAskedAt = this->firstAskedAt.value_or(now);
+    return !this->firstReportAt && now - *this->firstAskedAt < firstReportWait;
+}
+
 double QuotaLimiter::windowAllowance(const OrganisationAccount &organisation, TimePoint now) const
 {
     const double windowSeconds = toSeconds(this->limits.window);
@@ -159,7 +168,8 @@
             admitted = account.admissionCredit >= 1 && (fits || unused);
             account.admissionCredit -= admitted ? 1 : 0;
         } else {
-            const bool unused = account.ownInWindow <= 0 && account.othersInWindow <= 0;
+            const bool unused = account.ownInWindow <= 0 && account.othersInWindow <= 0
+                && !this->awaitsFirstReport(now);
             admitted = cost <= allowed / this->sharingEntryCount - account.ownInWindow || unused;
         }
         if (!admitted) {
--- a/src/libgateway/sharedlimits_test.cpp
+++ b/src/libgateway/sharedlimits_test.cpp
@@ -197,6 +197,18 @@
     EXPECT_LE(admitted * 27, windowQuota()) << "27 entries that were killed and restarted together";
 }
 
+TEST(QuotaLimiter, largeRequestWaitsForTheFirstReport)
+{
+    QuotaLimiter ledger({ window });
+    const TimePoint now{ seconds(100) };
+    const double cost = windowQuota() / 10; // More than the share of one of many entries.
+    EXPECT_TRUE(ledger.admit(limitedAccount(), cost, now))
+        << "the others' usage, which the process's predecessor knew, is not known yet";
+    EXPECT_FALSE(ledger.admit(limitedAccount(), cost, now + seconds(1)))
+        << "nobody collects reports, and the request would never be admitted";
+    EXPECT_TRUE(ledger.admit(limitedAccount(), cost, now + seconds(1)));
+}
+
 TEST(QuotaLimiter, ignoresReportOfYoungerCollector)
 {
     QuotaLimiter ledger({ window });
--- a/src/libgateway/sharedquota_test.cpp
+++ b/src/libgateway/sharedquota_test.cpp
@@ -331,7 +331,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Kills, KilledEntries,
-    testing::Values(KillCase{ "often", 2, milliseconds(500) }, KillCase{ "seldom", 2, seconds(2) }),
+    testing::Values(KillCase{ "often", 2, milliseconds(500) }, KillCase{ "seldom", 2, seconds(2) },
+        KillCase{ "oftenUnderOverload", 5, milliseconds(500) },
+        KillCase{ "seldomUnderOverload", 5, seconds(2) }),
     [](const testing::TestParamInfo<KillCase> &parameter) { return parameter.param.name; });
 
 Case makeCase(const char *name, double minimumAdmitted, void (*change)(Scenario &))
