--- a/src/libgateway/sharedlimits.cpp
+++ b/src/libgateway/sharedlimits.cpp
@@ -73,7 +73,8 @@
 constexpr double usedExcessShare = 0.7;
 /// Share of the slack by which one request may exceed the remaining quota.
 constexpr double overdraftShare = 0.5;
-/// Share of the slack that may be admitted before it is reported.
+/// Share of the slack that an entry may admit before it is reported, at most. Many entries may be
+/// killed at once, so all of them together have the slack once.
 constexpr double unreportedShare = 0.1;
 
 double toSeconds(Duration duration)
@@ -189,7 +190,8 @@
     account.total += cost;
     this->reportDue = this->reportDue
         || (organisation.ratePerSecond > 0
-            && account.total - account.reportedTotal > this->limits.slack * unreportedShare);
+            && account.total - account.reportedTotal
+                > this->limits.slack * std::min(unreportedShare, 1.0 / this->sharingEntryCount));
     return std::nullopt;
 }
 
--- a/src/libgateway/sharedquota_test.cpp
+++ b/src/libgateway/sharedquota_test.cpp
@@ -37,6 +37,8 @@
     std::optional<Duration> cutAt;
     /// Interval at which an entry is killed, one after another, and started again at once.
     std::optional<Duration> entryKilledEvery;
+    /// Time at which a third of the entries are killed and started again at once.
+    std::optional<Duration> thirdKilledAt;
     unsigned seed = 7;
 };
 
@@ -70,7 +72,7 @@
             organisation.ratePerSecond
                 = now >= start + changeAt ? this->scenario.laterRate : this->scenario.ratePerSecond;
             organisation.burst = organisation.ratePerSecond;
-            this->killEntry(now);
+            this->killEntries(now);
             this->exchangeReports(now);
             this->sendRequests(organisation, now);
             outcome.excess = std::max(outcome.excess, this->usageInWindow(now) / accepted(now));
@@ -190,16 +192,26 @@
         return QuotaLimiter({ window, played.slack, excess });
     }
 
-    /// Kills an entry if it is time to; its successor reports at once.
-    void killEntry(TimePoint now)
+    /// Kills the entries that it is time for.
+    void killEntries(TimePoint now)
     {
-        if (!this->scenario.entryKilledEvery || now == start
-            || (now - start) % *this->scenario.entryKilledEvery != Duration::zero()) {
-            return;
+        if (this->scenario.entryKilledEvery && now != start
+            && (now - start) % *this->scenario.entryKilledEvery == Duration::zero()) {
+            this->kill(this->kills % this->limiters.size(), now);
+        }
+        if (this->scenario.thirdKilledAt && now == start + *this->scenario.thirdKilledAt) {
+            for (std::size_t entry = 0; entry < this->limiters.size(); entry += 3) {
+                this->kill(entry, now);
+            }
         }
-        const std::size_t entry = this->nextKilled++ % this->limiters.size();
+    }
+
+    /// Kills an entry. Its successor reports at once.
+    void kill(std::size_t entry, TimePoint now)
+    {
+        ++this->kills;
         this->limiters[entry] = makeLimiter(this->scenario);
-        this->incarnations[entry] = this->limiters.size() + this->nextKilled;
+        this->incarnations[entry] = this->limiters.size() + this->kills;
         this->report(entry, now);
     }
 
@@ -255,7 +267,7 @@
     std::mt19937_64 random{ this->scenario.seed };
     std::vector<QuotaLimiter> limiters;
     std::vector<std::uint64_t> incarnations; ///< Of the entries.
-    std::size_t nextKilled = 0;
+    std::size_t kills = 0;
     std::vector<UsageCollector> collectors;
     std::priority_queue<Datagram, std::vector<Datagram>, std::greater<>> underway;
 };
@@ -336,6 +348,25 @@
         KillCase{ "seldomUnderOverload", 5, seconds(2) }),
     [](const testing::TestParamInfo<KillCase> &parameter) { return parameter.param.name; });
 
+/// A failure domain is lost while an organisation near its quota jumps to 7.5 times its load.
+TEST(SharedQuota, isKeptWhenAThirdOfTheEntriesIsKilledInABurst)
+{
+    for (const int entries : { 30, 103 }) {
+        for (const int killedAtMs : { 10'200, 10'600, 11'000 }) {
+            for (unsigned seed = 1; seed <= 10; ++seed) {
+                Scenario scenario;
+                scenario.entries = entries;
+                scenario.ratePerSecond = scenario.laterRate = 511'000;
+                scenario.laterLoad = 7.5;
+                scenario.thirdKilledAt = milliseconds(killedAtMs);
+                scenario.seed = seed;
+                EXPECT_LE(QuotaSimulation(scenario).run().excess, 1)
+                    << entries << " entries, at " << killedAtMs << " ms, seed " << seed;
+            }
+        }
+    }
+}
+
 Case makeCase(const char *name, double minimumAdmitted, void (*change)(Scenario &))
 {
     Case result{ name, {}, minimumAdmitted };
