Grants: a datagram can't state more than it holds

Cause: a Cap'n Proto message may state lists of elements without content, of any number, and segments of any size up to 64 MiB. A datagram of 108 bytes, drawn by the new fuzz target, was decoded into so many elements that 20,000 inputs took over 4 s until then, and that it could not be encoded again. An agent or entry is busy with it meanwhile. Change: lists with more elements than the datagram has bytes are malformed; a message has at most 1 MiB unpacked.

--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -17,6 +17,9 @@
 
 /// A report has at most 200 bytes, and a datagram 8 KiB.
 constexpr std::size_t reportsPerDatagram = 32;
+/// Largest unpacked message in words of 8 bytes, 1 MiB. One that fits into a datagram is far
+/// smaller; a malformed one may state any size.
+constexpr std::uint64_t largestMessageWords = 131'072;
 /// Older than any process; keeps a malformed age from overflowing.
 constexpr std::uint64_t maximumAgeUs = 1'000'000'000'000'000;
 
@@ -184,8 +187,16 @@
     const auto *data = reinterpret_cast<const kj::byte *>(bytes.data());
     try {
         kj::ArrayInputStream packed(kj::ArrayPtr<const kj::byte>(data, bytes.size()));
-        capnp::PackedMessageReader reader(packed);
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = largestMessageWords;
+        capnp::PackedMessageReader reader(packed, options);
         const auto root = reader.getRoot<schema::GrantMessage>();
+        // An element takes a byte at least; elements without content could be of any number.
+        if (std::max(
+                { root.getUses().size(), root.getRates().size(), root.getCrashReports().size() })
+            > bytes.size()) {
+            return std::nullopt;
+        }
         GrantMessage message;
         message.kind = static_cast<GrantKind>(root.getKind());
         message.sender = root.getSender();
