Permits: taking one looks as admits() does

Cause: TargetRates::admits and tryTake held the same decision twice, once looking and once taking (stock, then issuer, then share), so a change of one could leave the other behind. Change: tryTake() asks admits() and then uses what it found. Behaviour stays: what is available at a time can be taken at that time.

--- a/src/libforward/targetrates.cpp
+++ b/src/libforward/targetrates.cpp
@@ -144,14 +144,16 @@
 
 bool TargetRates::tryTake(const Target &target, TimePoint now)
 {
-    if (!this->isLimited(target)) {
-        return true;
+    if (!this->admits(target, now)) {
+        return false;
     }
-    Record &record = this->recordFor(target);
-    if (record.stock.tryTake(now)) {
-        return true;
+    if (this->isLimited(target)) {
+        Record &record = this->recordFor(target);
+        if (!record.stock.tryTake(now)) {
+            record.share.take();
+        }
     }
-    return !this->hasIssuer(record, now) && this->tryTakeShare(target, now);
+    return true;
 }
 
 bool TargetRates::onPermits(const GrantMessage &message)
