--- a/review/rig/client.py
+++ b/review/rig/client.py
@@ -86,9 +86,9 @@
         return attempt, await self.read(attempt)
 
 
-async def request_once(address, record, path, **options):
+async def request_once(address, record, path, key="key-of-nicolosi", **options):
     """Sends one request on a connection of its own. Returns its id and the answer."""
-    client = Client(address, record)
+    client = Client(address, record, key)
     try:
         await client.connect()
         return await client.exchange(path, **options)
--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -6,7 +6,7 @@
 import time
 import urllib.parse
 
-from .wire import answer, read_request
+from .wire import answer, read_request, reset
 
 HEARTBEAT_S = 1.2
 EXPIRY_S = 3 * HEARTBEAT_S
@@ -19,8 +19,11 @@
 
     def __init__(self):
         self.items = {}  # key -> (value, revision, revision of creation)
-        self.log = []  # (revision, key, item or None)
+        self.log = []  # (revision, key, item or None, time)
         self.revision = 1
+        self.era = 1
+        self.away = False
+        self.writers = set()
         self.changed = asyncio.Condition()
         self.written_at = {}
         self.address = None
@@ -34,10 +37,12 @@
         """Writes an item. The return of the call is the store's acknowledgement."""
         data = json.dumps(value).encode()
         async with self.changed:
+            while self.away:
+                await self.changed.wait()
             self.revision += 1
             created = self.items[key][2] if key in self.items else self.revision
             self.items[key] = (data, self.revision, created)
-            self.log.append((self.revision, key, self.items[key]))
+            self.log.append((self.revision, key, self.items[key], time.monotonic()))
             self.written_at[key] = time.monotonic()
             self.changed.notify_all()
 
@@ -45,14 +50,39 @@
         async with self.changed:
             if self.items.pop(key, None) is not None:
                 self.revision += 1
-                self.log.append((self.revision, key, None))
+                self.log.append((self.revision, key, None, time.monotonic()))
                 self.changed.notify_all()
 
+    async def go_away(self):
+        """The store does not answer: connections to it are reset until it comes back."""
+        self.away = True
+        for writer in list(self.writers):
+            reset(writer)
+
+    async def come_back_from_copy(self, age_s):
+        """Comes back as it was so many seconds before it went away, in another era."""
+        async with self.changed:
+            moment = self.log[-1][3] - age_s if self.log else 0
+            self.log = [entry for entry in self.log if entry[3] <= moment]
+            self.items = {}
+            for revision, key, item, _ in self.log:
+                if item is None:
+                    self.items.pop(key, None)
+                else:
+                    self.items[key] = item
+                self.revision = revision
+            self.written_at = {key: time.monotonic() for key in self.items}
+            self.era += 1
+            self.away = False
+            self.changed.notify_all()
+
     async def expire_servers(self):
         """Removes the entries of engines after three heartbeat intervals of silence."""
         while True:
             await asyncio.sleep(0.1)
             now = time.monotonic()
+            if self.away:
+                continue
             for key in [key for key in self.items if key.startswith("servers/")]:
                 if now - self.written_at[key] > EXPIRY_S:
                     await self.remove(key)
@@ -64,7 +94,7 @@
 
     def events(self, prefix, after):
         return [self.as_item(key, item) if item else {"key": key, "rev": revision, "removed": True}
-                for revision, key, item in self.log if revision > after and key.startswith(prefix)]
+                for revision, key, item, _ in self.log if revision > after and key.startswith(prefix)]
 
     async def reply(self, target):
         url = urllib.parse.urlparse(target)
@@ -82,6 +112,8 @@
         if url.path != "/kv-watch":
             return 404, {"error": "no such call"}
         after = int(query["after"])
+        if after > self.revision:
+            return 410, {"error": "no such revision"}
         end = time.monotonic() + int(query["waitMs"]) / 1000
         async with self.changed:
             while True:
@@ -95,11 +127,16 @@
                     pass
 
     async def serve(self, reader, writer):
+        if self.away:
+            reset(writer)
+            return
+        self.writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 status, body = await self.reply(request[1])
                 await asyncio.sleep(ANSWER_S)
-                writer.write(answer(status, [("Content-Type", "application/json"), ("Store-Era", "1")],
+                writer.write(answer(status, [("Content-Type", "application/json"), ("Store-Era", self.era)],
                                     json.dumps(body).encode()))
         finally:
+            self.writers.discard(writer)
             writer.close()
