--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 from rig.deployment import RECOVERY_S, configuration, play
 from rig.store import HEARTBEAT_S
 
-DOWN_S = 1.0
+DOWN_S = 0.65
 BEFORE_S, AFTER_S, PER_S = 6, 10, 30
 
 
@@ -54,8 +54,8 @@
     for node, engine in machines:
         await asyncio.sleep(random.uniform(0, 0.3 / len(machines)))
         if engine is not None:
-            # It writes to the store about every heartbeat, at no fixed time after its start.
-            await engine.start(first_heartbeat_s=random.uniform(0, HEARTBEAT_S))
+            # It writes to the store every heartbeat, for the first time one heartbeat after its start.
+            await engine.start(first_heartbeat_s=HEARTBEAT_S)
             deployment.record("engine %s starts again at %s" % (engine.instance, engine.address))
         node.start()
 
