Entry: a stopping process accepts no request that it would cut off

Cause: the rule that accepts requests and the one that ends them were computed apart. checkDrain() compared the time limit with the grace period; requests were ended 400 ms before that.

Change: DrainSchedule holds the whole timetable. A request is accepted only if its time limit is over before requests are ended, and is otherwise refused at once, while its caller has time for another entry.

Ruled out: ending requests later. Any margin leaves requests whose time ends within it; the time to accept has to follow from the time to end.

--- a/src/include/wigeonsill/outcomes.h
+++ b/src/include/wigeonsill/outcomes.h
@@ -77,6 +77,32 @@
 /// event and begins it anew. \param previousId Empty before the first event.
 bool isLaterEvent(std::string_view id, std::string_view previousId);
 
+/// Timetable of a process that was asked to stop. A request is only accepted if its time limit is
+/// over before unfinished requests are ended; a connection may still bring requests after that. All
+/// times count from the request to stop. Immutable, so thread-safe.
+class DrainSchedule
+{
+public:
+    /// \param gracePeriod Time after which the platform kills the process.
+    explicit DrainSchedule(Duration gracePeriod)
+        : grace(gracePeriod)
+    {
+    }
+    /// Whether new connections are accepted. The load balancer opens some until it has noticed that
+    /// the process is not ready.
+    bool acceptsConnections(Duration sinceStop) const;
+    /// Whether a request that has arrived is accepted. Any request is, whatever its time limit,
+    /// while the load balancer may not have noticed yet.
+    bool admits(Duration sinceStop, Duration timeLimit) const;
+    /// When unfinished requests are ended, so that their final answers can still be written.
+    Duration requestEnd() const;
+    /// When the process exits although answers are not written yet.
+    Duration processEnd() const;
+
+private:
+    Duration grace;
+};
+
 /// How long a caller should wait before it comes back after a refusal, for callers that accept up
 /// to a third of the time that they have left. Load pattern: bursts of seconds in which refused
 /// callers come back. Those that return early meet the same burst and use up their last attempt, so
--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -23,6 +23,10 @@
         const std::string_view id = fieldValue(head.fields, "Test-Id");
         request.id = id.empty() ? "request-1" : id;
         request.promptTokens = 100;
+        const std::string deadline(fieldValue(head.fields, "Test-Deadline-Ms"));
+        if (!deadline.empty()) {
+            request.deadline = milliseconds(std::stoi(deadline));
+        }
         for (const char part : fieldValue(head.fields, "Test-Parts")) {
             request.parts.push_back({ static_cast<std::uint64_t>(part), 100 });
         }
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -23,13 +23,6 @@
 constexpr int failuresBeforeAvoiding = 3;
 /// How long a failing target is tried last, counted from its latest failure.
 constexpr Duration avoidDuration = milliseconds(1'500);
-/// How long new connections are accepted after SIGTERM. The platform checks readiness once a second
-/// and needs two failed checks to stop sending connections, and those that it opens until then must
-/// be served.
-constexpr Duration drainAcceptTime = milliseconds(3'500);
-/// How long before the end of the grace period unfinished requests are ended, so that their final
-/// answers can still be written.
-constexpr Duration shutdownMargin = milliseconds(400);
 /// Delay before accepting again after a failed accept, for example without free file descriptors.
 constexpr Duration acceptRetryDelay = milliseconds(50);
 constexpr Duration drainCheckInterval = milliseconds(100);
@@ -290,8 +283,20 @@
 
 void ForwardEntry::Private::continueDrain()
 {
+    const DrainSchedule schedule(this->state.settings.gracePeriod);
     const Duration timeDraining = currentTime() - this->state.drainStartedAt;
-    if (timeDraining > drainAcceptTime) {
+    const bool requestsEnd = timeDraining > schedule.requestEnd();
+    if (requestsEnd) {
+        // A copy, since ending a flow removes it from the set.
+        const std::vector<RequestFlow *> remainingFlows(
+            this->state.flows.begin(), this->state.flows.end());
+        for (RequestFlow *flow : remainingFlows) {
+            if (this->state.flows.contains(flow)) {
+                flow->finishForShutdown();
+            }
+        }
+    }
+    if (requestsEnd || !schedule.acceptsConnections(timeDraining)) {
         error_code ignored;
         this->acceptor.close(ignored);
         for (const auto &record : this->connections) {
@@ -302,17 +307,7 @@
         // A request ends when its answer is buffered, which may be long before it is written.
         this->drained = this->state.flows.empty() && !this->hasUnfinishedAnswers();
     }
-    if (timeDraining > this->state.settings.gracePeriod - shutdownMargin) {
-        // A copy, since ending a flow removes it from the set.
-        const std::vector<RequestFlow *> remainingFlows(
-            this->state.flows.begin(), this->state.flows.end());
-        for (RequestFlow *flow : remainingFlows) {
-            if (this->state.flows.contains(flow)) {
-                flow->finishForShutdown();
-            }
-        }
-        this->drained = true;
-    }
+    this->drained = this->drained || timeDraining > schedule.processEnd();
     this->drainTimer.expires_after(drainCheckInterval);
     this->drainTimer.async_wait([this](const error_code &error) {
         if (!error) {
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-/// Time after SIGTERM from which requests that may outlast the grace period are refused. The load
-/// balancer checks readiness once a second and stops sending connections after two failed checks.
-constexpr Duration longRequestRefusalDelay = milliseconds(2'700);
-
 std::string fractionalSeconds(Duration duration)
 {
     const auto ms = std::chrono::duration_cast<milliseconds>(duration).count();
@@ -91,9 +87,8 @@
     if (!this->state.draining) {
         return true;
     }
-    const Duration timeDraining = currentTime() - this->state.drainStartedAt;
-    if (timeDraining > longRequestRefusalDelay
-        && timeDraining + this->timeLimit > this->state.settings.gracePeriod) {
+    const DrainSchedule schedule(this->state.settings.gracePeriod);
+    if (!schedule.admits(this->arrived - this->state.drainStartedAt, this->timeLimit)) {
         this->refuse(ResultCode::Draining, "the process is stopping", milliseconds(100));
         return false;
     }
