Answers: heads of two answers are not read as one

Cause: an engine broke off an answer within the value of a field and sent a second answer. Beast's parser reads the second status line as the rest of the value and the second answer's fields as further fields of the same head. The id was taken from the first answer, the framing and the body from the second.

The connection ends and the request counts as one that may have run.

Ruled out: refusing each value with "HTTP/1." (a Via field may name a proxy's version); comparing ids only (the first head may be cut before its id).

Also shown: an earlier refusal that is broken off before the true answer was joined with it, and a request that had run was answered with 503 (REFUSED).

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -105,6 +105,8 @@
     bool quietUnreadable = false; ///< It stated such a time in a form that cannot be read.
     StatedRate rate;
     std::string requestId; ///< Empty when the answer carries none.
+    /// Several fields carry a request id: the heads of two answers were joined.
+    bool idIsRepeated = false;
 };
 
 /// What the entry adds to a request when it forwards it to a target.
--- a/src/libforward/connections_test.cpp
+++ b/src/libforward/connections_test.cpp
@@ -16,6 +16,9 @@
     {
         AnswerFacts facts;
         facts.requestId = fieldValue(head.fields, "Id");
+        facts.idIsRepeated = std::count_if(head.fields.begin(), head.fields.end(),
+                                 [](const HttpField &field) { return field.name == "Id"; })
+            > 1;
         return facts;
     }
 };
@@ -186,6 +189,32 @@
     EXPECT_EQ(first.failure, TargetFailure::Unattributed);
 }
 
+/// MIXED: the head of the own answer was broken off and a second answer to an earlier request
+/// followed, whose body was taken for the own one.
+TEST_F(TargetConnections, answerBehindABrokenOffHeadIsNotTaken)
+{
+    ASSERT_NO_FATAL_FAILURE(this->carryOneRequest());
+    const Exchange &second = this->send("second");
+    this->write("HTTP/1.1 200 OK\r\nId: second\r\nServer-St" + std::string("amp: 1.")
+        + answer("first", "of another request"));
+    EXPECT_EQ(second.status, 0);
+    EXPECT_EQ(second.body, "");
+    EXPECT_EQ(second.failure, TargetFailure::Malformed);
+}
+
+/// As above, where the status line of the second answer is lost as well.
+TEST_F(TargetConnections, headThatNamesTwoRequestsIsNotTaken)
+{
+    ASSERT_NO_FATAL_FAILURE(this->carryOneRequest());
+    const Exchange &second = this->send("second");
+    this->write("HTTP/1.1 200 OK\r\nId: second\r\nX: 1\r\nId: first\r\nContent-Length: 5\r\n"
+                "\r\nother");
+    EXPECT_EQ(second.body, "");
+    EXPECT_EQ(second.failure, TargetFailure::Malformed);
+    this->send("third");
+    EXPECT_TRUE(this->acceptNew()) << "the connection is closed";
+}
+
 TEST_F(TargetConnections, informationalHeadsLeaveTheConnectionInUse)
 {
     const Exchange &first = this->send("first");
--- a/src/libforward/messagereader_test.cpp
+++ b/src/libforward/messagereader_test.cpp
@@ -132,5 +132,35 @@
     EXPECT_FALSE(reader.isHeadComplete());
 }
 
+/// MIXED: an answer that was broken off within a field's value was joined with the answer to
+/// another caller's request. A head that is cut at any byte must not be joined with the next one.
+TEST(MessageReader, headBehindAHeadCutAtAnyByteIsMalformed)
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Stamp: 1.2\r\n"
+                              "X-Empty:\r\nContent-Length: 4\r\n\r\n";
+    const std::string second = "HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: 4\r\n\r\nbody";
+    for (std::size_t cut = 1; cut < first.size(); ++cut) {
+        AnswerReader reader(headLimit, bodyLimit);
+        ErrorCode failure;
+        const std::string bytes = first.substr(0, cut) + second;
+        reader.consume(bytes, failure);
+        EXPECT_TRUE(failure) << "cut after " << first.substr(0, cut);
+        EXPECT_FALSE(reader.isHeadComplete()) << "cut after " << first.substr(0, cut);
+    }
+}
+
+TEST(MessageReader, fieldsThatNameAVersionOfTheProtocolAreRead)
+{
+    for (const char *value : { "HTTP/1.1 proxy", "HTTP/1.1", "HTTP/1.1 20", "HTTP/2.0 200" }) {
+        AnswerReader reader(headLimit, bodyLimit);
+        ErrorCode failure;
+        const std::string bytes
+            = "HTTP/1.1 200 OK\r\nVia: " + std::string(value) + "\r\nContent-Length: 0\r\n\r\n";
+        reader.consume(bytes, failure);
+        EXPECT_FALSE(failure) << value;
+        EXPECT_TRUE(reader.isComplete()) << value;
+    }
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libforward/mixedanswers_test.cpp
+++ b/src/libforward/mixedanswers_test.cpp
@@ -172,6 +172,24 @@
     EXPECT_TRUE(this->closed);
 }
 
+class CallOfOneRun : public SentRequest
+{
+protected:
+    CallOfOneRun()
+        : SentRequest({ .routeType = RouteType::NonIdempotent })
+    {
+    }
+};
+
+/// REFUSED: an earlier refusal was written once more, broken off, before the answer of the run. Its
+/// status must not be taken for the answer's: the request has run.
+TEST_F(CallOfOneRun, brokenOffRefusalBeforeTheAnswerIsNoPromise)
+{
+    this->write("HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nRetry-After: 0."
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_TRUE(this->received().starts_with("HTTP/1.1 502")) << this->receivedBytes;
+}
+
 class IdempotentCall : public SentRequest
 {
 protected:
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -395,6 +395,11 @@
         return true;
     }
     const AnswerFacts facts = this->pool.dialect.decodeAnswer(head);
+    if (facts.idIsRepeated) {
+        this->pool.metrics.count("wigeonsill_joined_answers_total");
+        this->fail(TargetFailure::Malformed);
+        return false;
+    }
     if (!this->isAttributable(facts)) {
         this->pool.metrics.count("wigeonsill_unattributed_answers_total");
         this->handler->onForeignAnswer({}, this->requestsCarried - 1);
