Targets: a mark "replaced" belongs to an incarnation and ends with newer evidence

Cause: an agent reports the later start of its engine before the store's list shows it, and the entry marks the target as replaced. The mark was kept by id and address until the id was gone or had another address. An engine that starts again under its id at its address is neither.

Change: the mark names the start of the incarnation and the last write of its record that was seen. It ends once the target is listed with a later start or at another address, or its record is written again.

Ruled out: not marking at a later start seen by an agent (the successor may have another id and would turn the request down); a time limit (no figure fits both a target that is back at once and a record that expires late).

--- a/src/include/wigeonsill/directory.h
+++ b/src/include/wigeonsill/directory.h
@@ -25,6 +25,8 @@
     int slots = 1; ///< Maximum number of requests that it runs concurrently.
     bool leaving = false; ///< Listed as draining: takes no new requests.
     std::int64_t startedMs = 0; ///< Unix time of this incarnation's start; 0 when not stated.
+    /// Number of the last write of its record among all writes that were seen; 0 without one.
+    std::uint64_t lastWrite = 0;
 };
 
 /// The known targets and which of them requests may be sent to. Performs no I/O.
@@ -39,9 +41,11 @@
     /// contained is then kept until a list arrives for which this is false; a target that was
     /// listed since the outage and is absent now is removed.
     void replace(std::vector<Target> list, bool listMayBeIncomplete);
-    /// Records that another target answers at this target's address. The target is not usable
-    /// while it is listed at that address.
-    void markReplaced(const std::string &id);
+    /// Records that another target, or another incarnation, answers at this incarnation's address.
+    /// The target is not usable until newer evidence: it is listed with a later start or at another
+    /// address, or its record is written again.
+    /// \param incarnation The target as it was when the request was sent to it.
+    void markReplaced(const Target &incarnation);
     /// Records that a target itself stated that it is leaving. This incarnation is never usable
     /// again, whatever a list says; one that started later under the same id is.
     /// \param incarnation The target as it was when the request was sent to it; need not be listed.
@@ -67,15 +71,23 @@
         std::int64_t startedMs = 0; ///< Of the incarnation, as Target::startedMs.
         TimePoint lastKnownAt; ///< When it stated it or was listed last.
     };
+    /// A target at whose address another one answered.
+    struct Replacement
+    {
+        std::string address;
+        std::int64_t startedMs = 0; ///< Of the incarnation, as Target::startedMs.
+        std::uint64_t lastWrite = 0; ///< As Target::lastWrite, when it was found replaced.
+    };
     void updateSuperseded();
     bool statedDeparture(const Target &target) const;
+    bool isReplaced(const Target &target) const;
     bool acceptsRequests(const Target &target) const;
 
     std::map<std::string, Target, std::less<>> targets;
     std::set<std::string, std::less<>> listedSinceOutage; ///< Of the store.
     /// Targets with a more recently started one at the same address.
     std::set<std::string, std::less<>> superseded;
-    std::map<std::string, std::string, std::less<>> replacedAddresses; ///< By target id.
+    std::map<std::string, Replacement, std::less<>> replacements; ///< By target id.
     std::map<std::string, Departure, std::less<>> departures; ///< By target id.
 };
 
@@ -230,6 +242,7 @@
     using ById = std::map<std::string, Target, std::less<>>;
 
     ById records;
+    std::uint64_t writeCount = 0; ///< Of all records, as far as they were seen.
     ById found; ///< By the current read.
     bool readIsFromCopy = false; ///< Records that were not written since may be older than known.
     std::map<std::string, TimePoint, std::less<>> goneAt;
--- a/src/libdirectory/storehistory.cpp
+++ b/src/libdirectory/storehistory.cpp
@@ -49,11 +49,14 @@
 
 void TargetRecords::recordRead(Target target)
 {
+    const auto known = this->records.find(target.id);
+    if (known != this->records.end()) {
+        target.lastWrite = known->second.lastWrite;
+    }
     if (this->readIsFromCopy) {
         if (this->goneAt.contains(target.id)) {
             return;
         }
-        const auto known = this->records.find(target.id);
         target.leaving = target.leaving
             || (known != this->records.end() && known->second.leaving
                 && known->second.startedMs == target.startedMs);
@@ -81,6 +84,7 @@
 void TargetRecords::recordWritten(Target target)
 {
     this->goneAt.erase(target.id);
+    target.lastWrite = ++this->writeCount;
     std::string id = target.id;
     this->records.insert_or_assign(std::move(id), std::move(target));
 }
--- a/src/libdirectory/targetdirectory.cpp
+++ b/src/libdirectory/targetdirectory.cpp
@@ -31,9 +31,9 @@
         }
     }
     this->targets = std::move(updated);
-    std::erase_if(this->replacedAddresses, [this](const auto &element) {
+    std::erase_if(this->replacements, [this](const auto &element) {
         const Target *target = this->find(element.first);
-        return target == nullptr || target->address != element.second;
+        return target == nullptr || !this->isReplaced(*target);
     });
     this->updateSuperseded();
 }
@@ -43,7 +43,7 @@
     std::map<std::string_view, const Target *> newestByAddress;
     this->superseded.clear();
     for (const auto &[id, target] : this->targets) {
-        if (this->replacedAddresses.contains(id)) {
+        if (this->isReplaced(target)) {
             continue;
         }
         const Target *&newest = newestByAddress[target.address];
@@ -57,12 +57,21 @@
     }
 }
 
-void TargetDirectory::markReplaced(const std::string &id)
+void TargetDirectory::markReplaced(const Target &incarnation)
 {
-    if (const Target *target = this->find(id)) {
-        this->replacedAddresses[id] = target->address;
-        this->updateSuperseded();
-    }
+    // The record may have been written since the request was sent.
+    const Target *listed = this->find(incarnation.id);
+    const std::uint64_t lastWrite = listed != nullptr ? listed->lastWrite : incarnation.lastWrite;
+    this->replacements[incarnation.id] = { incarnation.address, incarnation.startedMs, lastWrite };
+    this->updateSuperseded();
+}
+
+bool TargetDirectory::isReplaced(const Target &target) const
+{
+    const auto found = this->replacements.find(target.id);
+    return found != this->replacements.end() && target.address == found->second.address
+        && target.startedMs <= found->second.startedMs
+        && target.lastWrite <= found->second.lastWrite;
 }
 
 bool TargetDirectory::markLeaving(const Target &incarnation, TimePoint now)
@@ -99,8 +108,8 @@
 
 bool TargetDirectory::acceptsRequests(const Target &target) const
 {
-    return !target.leaving && !this->statedDeparture(target)
-        && !this->replacedAddresses.contains(target.id) && !this->superseded.contains(target.id);
+    return !target.leaving && !this->statedDeparture(target) && !this->isReplaced(target)
+        && !this->superseded.contains(target.id);
 }
 
 bool TargetDirectory::isUsable(std::string_view id) const
--- a/src/libdirectory/targetdirectory_test.cpp
+++ b/src/libdirectory/targetdirectory_test.cpp
@@ -54,7 +54,7 @@
 {
     TargetDirectory directory;
     directory.replace({ makeTarget("i1"), makeTarget("i2") }, false);
-    directory.markReplaced("i1");
+    directory.markReplaced(makeTarget("i1"));
     EXPECT_EQ(directory.usable("engines").size(), 1U);
     directory.replace({ makeTarget("i1"), makeTarget("i2") }, false);
     EXPECT_EQ(directory.usable("engines").size(), 1U)
@@ -89,7 +89,7 @@
     ASSERT_EQ(directory.usable("engines").size(), 2U);
     EXPECT_EQ(directory.usable("engines").front()->id, "i0");
     // The start time was from a wrong clock: the other target answers at the address.
-    directory.markReplaced("i0");
+    directory.markReplaced(newIncarnation);
     ASSERT_EQ(directory.usable("engines").size(), 2U);
     EXPECT_EQ(directory.usable("engines").front()->id, "i1");
 }
@@ -102,6 +102,49 @@
     return result;
 }
 
+/// RECOVER: after a power loss, targets that started again under their ids were never used again,
+/// since an agent had reported the later start before the list showed it.
+TEST(ReplacedTarget, startedAgainUnderItsIdIsUsedOnceItIsListed)
+{
+    TargetDirectory directory;
+    const Target first = makeIncarnation("i1", 1'000);
+    directory.replace({ first }, false);
+    directory.markReplaced(first);
+    EXPECT_FALSE(directory.isUsable("i1"));
+    directory.replace({ first }, true);
+    EXPECT_FALSE(directory.isUsable("i1"));
+    const Target second = makeIncarnation("i1", 2'000);
+    directory.replace({ second }, false);
+    EXPECT_TRUE(directory.isUsable("i1"));
+    directory.markReplaced(first);
+    EXPECT_TRUE(directory.isUsable("i1")) << "a late answer to a request of the first incarnation";
+    directory.markReplaced(second);
+    EXPECT_FALSE(directory.isUsable("i1")) << "the second one is replaced as well";
+}
+
+/// A false mark ended only with the target: it must not outlive the target's next heartbeat.
+TEST(ReplacedTarget, isUsedAgainOnceItsRecordIsWritten)
+{
+    TargetRecords records;
+    TargetDirectory directory;
+    const Target target = makeIncarnation("i1", 1'000);
+    records.recordWritten(target);
+    records.recordWritten(makeIncarnation("i2", 1'000));
+    directory.replace(records.list(), false);
+    directory.markReplaced(target);
+    records.recordWritten(makeIncarnation("i2", 1'000));
+    directory.replace(records.list(), false);
+    EXPECT_FALSE(directory.isUsable("i1")) << "another target's heartbeat";
+    records.beginRead(false);
+    records.recordRead(target);
+    records.endRead(TimePoint{ seconds(100) });
+    directory.replace(records.list(), false);
+    EXPECT_FALSE(directory.isUsable("i1")) << "read again, which is no heartbeat";
+    records.recordWritten(target);
+    directory.replace(records.list(), false);
+    EXPECT_TRUE(directory.isUsable("i1"));
+}
+
 /// A target states in an answer that it is leaving, and the list does not show it.
 class StatedDeparture : public testing::Test
 {
@@ -203,7 +246,7 @@
     directory.replace(
         { draining, makeTarget("i2"), makeTarget("i3"), makeTarget("i4"), superseded, successor },
         false);
-    directory.markReplaced("i2");
+    directory.markReplaced(makeTarget("i2"));
     directory.markLeaving(*directory.find("i3"), TimePoint{ seconds(1) });
     for (const char *id : { "i1", "i2", "i3", "i5", "unknown" }) {
         EXPECT_FALSE(directory.isUsable(id)) << id;
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -34,7 +34,7 @@
     /// Whether the configuration is recent enough to permanently reject names it does not contain.
     bool isConfigurationCurrent() const;
     /// Records that another incarnation answers at a target's address and requests a new list.
-    void recordReplacement(const std::string &targetId);
+    void recordReplacement(const Target &incarnation);
     /// Applies what an answer states about the target that gave it. Must be called with each answer
     /// to a request. \param target As it was when the request was sent to it.
     /// \param sentAt When the request was sent to it.
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -75,11 +75,13 @@
     return this->timeSinceConfirmation() < this->settings.maximumConfigurationAge;
 }
 
-void EntryState::recordReplacement(const std::string &targetId)
+void EntryState::recordReplacement(const Target &incarnation)
 {
-    this->targets.markReplaced(targetId);
-    this->crashes.recordEnd(targetId);
-    this->log.stateChange(DecisionLine("entry", "target-replaced").text("target", targetId));
+    this->targets.markReplaced(incarnation);
+    this->crashes.recordEnd(incarnation.id);
+    this->log.stateChange(DecisionLine("entry", "target-replaced")
+                              .text("target", incarnation.id)
+                              .number("started_ms", static_cast<double>(incarnation.startedMs)));
     if (this->refreshTargets) {
         this->refreshTargets();
     }
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -522,7 +522,7 @@
     if (load && listedTarget->startedMs != 0 && load->startedMs > listedTarget->startedMs) {
         // The incarnation that took over the address would refuse the request.
         granted->state = ReservationState::Declined;
-        this->state.recordReplacement(targetId);
+        this->state.recordReplacement(*listedTarget);
         this->reserveAtNext(1);
         return false;
     }
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -36,7 +36,7 @@
     const AnswerFacts facts = this->state.dialect.decodeAnswer(received);
     this->state.recordTargetFacts(this->attempt->target, facts, this->arrived + *this->timeToSend);
     if (facts.isWrongTarget) {
-        this->state.recordReplacement(this->attempt->target.id);
+        this->state.recordReplacement(this->attempt->target);
         // The intended target never received it, so this was not an attempt.
         --this->attempts;
     }
