Targets: one write of a record does not show that its target was not replaced

Cause: the list is read once a second, so that the first write that is seen after a mark may have been made before the target ended. The mark ended with it, and each entry met the successor's refusal (421) twice.

Change: a mark ends once the record was written in two later lists.

Evidence: isUsedAgainOnceItsRecordIsWrittenAfterTheMark fails with one write.

--- a/src/include/wigeonsill/directory.h
+++ b/src/include/wigeonsill/directory.h
@@ -43,7 +43,8 @@
     void replace(std::vector<Target> list, bool listMayBeIncomplete);
     /// Records that another target, or another incarnation, answers at this incarnation's address.
     /// The target is not usable until newer evidence: it is listed with a later start or at another
-    /// address, or its record is written again.
+    /// address, or its record was written in two later lists; the first of these writes may have
+    /// been made before the other target answered.
     /// \param incarnation The target as it was when the request was sent to it.
     void markReplaced(const Target &incarnation);
     /// Records that a target itself stated that it is leaving. This incarnation is never usable
@@ -76,7 +77,8 @@
     {
         std::string address;
         std::int64_t startedMs = 0; ///< Of the incarnation, as Target::startedMs.
-        std::uint64_t lastWrite = 0; ///< As Target::lastWrite, when it was found replaced.
+        std::uint64_t lastWrite = 0; ///< As Target::lastWrite, in the newest list.
+        int writtenLists = 0; ///< Number of lists since then in which it had been written.
     };
     void updateSuperseded();
     bool statedDeparture(const Target &target) const;
--- a/src/libdirectory/targetdirectory.cpp
+++ b/src/libdirectory/targetdirectory.cpp
@@ -6,6 +6,13 @@
 
 namespace wigeonsill {
 
+namespace {
+
+/// Lists with a newer write of a target's record that show that it was not replaced.
+constexpr int writtenListsToRefute = 2;
+
+} // namespace
+
 void TargetDirectory::replace(std::vector<Target> list, bool listMayBeIncomplete)
 {
     if (!listMayBeIncomplete) {
@@ -31,9 +38,17 @@
         }
     }
     this->targets = std::move(updated);
+    for (auto &[id, replacement] : this->replacements) {
+        const Target *target = this->find(id);
+        if (target != nullptr && target->lastWrite != replacement.lastWrite) {
+            replacement.lastWrite = target->lastWrite;
+            ++replacement.writtenLists;
+        }
+    }
     std::erase_if(this->replacements, [this](const auto &element) {
         const Target *target = this->find(element.first);
-        return target == nullptr || !this->isReplaced(*target);
+        return target == nullptr || !this->isReplaced(*target)
+            || element.second.writtenLists >= writtenListsToRefute;
     });
     this->updateSuperseded();
 }
@@ -70,8 +85,7 @@
 {
     const auto found = this->replacements.find(target.id);
     return found != this->replacements.end() && target.address == found->second.address
-        && target.startedMs <= found->second.startedMs
-        && target.lastWrite <= found->second.lastWrite;
+        && target.startedMs <= found->second.startedMs;
 }
 
 bool TargetDirectory::markLeaving(const Target &incarnation, TimePoint now)
--- a/src/libdirectory/targetdirectory_test.cpp
+++ b/src/libdirectory/targetdirectory_test.cpp
@@ -122,8 +122,8 @@
     EXPECT_FALSE(directory.isUsable("i1")) << "the second one is replaced as well";
 }
 
-/// A false mark ended only with the target: it must not outlive the target's next heartbeat.
-TEST(ReplacedTarget, isUsedAgainOnceItsRecordIsWritten)
+/// A false mark ended only with the target: it must not outlive the target's next two heartbeats.
+TEST(ReplacedTarget, isUsedAgainOnceItsRecordIsWrittenAfterTheMark)
 {
     TargetRecords records;
     TargetDirectory directory;
@@ -141,6 +141,10 @@
     directory.replace(records.list(), false);
     EXPECT_FALSE(directory.isUsable("i1")) << "read again, which is no heartbeat";
     records.recordWritten(target);
+    records.recordWritten(target);
+    directory.replace(records.list(), false);
+    EXPECT_FALSE(directory.isUsable("i1")) << "may have been written before it was replaced";
+    records.recordWritten(target);
     directory.replace(records.list(), false);
     EXPECT_TRUE(directory.isUsable("i1"));
 }
