Targets: a caller's condition does not mark a target as replaced

Cause: 421 means another instance or other weights. The entry took each one for the answer of another instance at the address, though the second kind follows from a header of the caller, and didn't read the id in the answer.

Change: a 421 marks a target as replaced only if the caller has set no condition and the answer doesn't name the target itself. It remains a promise that the request was not run.

Ruled out: removing the caller's header (it is the caller's to set, and targets answer to it).

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -98,7 +98,10 @@
 struct AnswerFacts
 {
     bool notRun = false; ///< The target guarantees that it did not run the request.
-    bool isWrongTarget = false; ///< The reason: it is not the target the request was addressed to.
+    /// The reason: it is not the target the request was addressed to, or it does not meet a
+    /// condition that the caller set.
+    bool isMisdirected = false;
+    std::string targetId; ///< Of the target that answers; empty when not stated.
     bool targetLeaving = false; ///< The target that answers takes no new requests from now on.
     /// Time for which the target, which turned the request away, wants nothing from this process.
     std::optional<Duration> quietFor;
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -182,6 +182,8 @@
     std::optional<std::uint32_t> callerOutputEstimate; ///< Output tokens that the caller expects.
     std::vector<PromptPart> parts;
     std::string lastEventId; ///< Last event that the caller received; empty for a new stream.
+    /// The caller sets a condition that a target may reject as it rejects requests for others.
+    bool hasCondition = false;
 
     bool hasTokenCounts() const { return this->promptTokens + this->outputTokens > 0; }
     /// The caller's estimate of the output in tokens if it gave one, else the maximum.
--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -23,6 +23,7 @@
         const std::string_view id = fieldValue(head.fields, "Test-Id");
         request.id = id.empty() ? "request-1" : id;
         request.promptTokens = 100;
+        request.hasCondition = !fieldValue(head.fields, "Test-Condition").empty();
         const std::string deadline(fieldValue(head.fields, "Test-Deadline-Ms"));
         if (!deadline.empty()) {
             request.deadline = milliseconds(std::stoi(deadline));
@@ -40,7 +41,9 @@
     AnswerFacts decodeAnswer(const MessageHead &head) const override
     {
         AnswerFacts facts;
-        facts.notRun = !fieldValue(head.fields, "Test-Not-Run").empty();
+        facts.isMisdirected = head.status == 421;
+        facts.notRun = facts.isMisdirected || !fieldValue(head.fields, "Test-Not-Run").empty();
+        facts.targetId = fieldValue(head.fields, "Test-Target-Id");
         facts.quietFor = parseRetryAfter(fieldValue(head.fields, "Test-Quiet-S"));
         const std::string_view rate = fieldValue(head.fields, "Test-Rate");
         facts.rate = { parseStatedRate(rate), rate.empty() };
@@ -108,6 +111,7 @@
         bool resumable = false;
         std::string callerVersion = "HTTP/1.1";
         Duration gracePeriod = seconds(8);
+        std::string callerFields = {}; ///< Further header lines of the request, each with its end.
     };
     Reservations()
         : Reservations(Options{})
@@ -186,10 +190,12 @@
     }
 
     /// Sends a request as a caller.
-    void sendRequest(asio::ip::tcp::socket &caller, const std::string &version = "HTTP/1.1")
+    void sendRequest(asio::ip::tcp::socket &caller, const std::string &version = "HTTP/1.1",
+        const std::string &fields = {})
     {
         caller.connect({ asio::ip::make_address("127.0.0.1"), this->entry->port() });
-        asio::write(caller, asio::buffer("GET /x " + version + "\r\nHost: h\r\n\r\n"));
+        asio::write(
+            caller, asio::buffer("GET /x " + version + "\r\nHost: h\r\n" + fields + "\r\n"));
         caller.non_blocking(true);
     }
 
@@ -211,7 +217,7 @@
         , caller(this->io)
         , connection(this->io)
     {
-        this->sendRequest(this->caller, options.callerVersion);
+        this->sendRequest(this->caller, options.callerVersion, options.callerFields);
         const auto [agent, reservation] = this->nextMessage(GrantKind::Reserve);
         this->firstAgent = agent;
         agent->reply(GrantKind::Queued, reservation);
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -89,8 +89,8 @@
 
 void EntryState::recordTargetFacts(const Target &target, const AnswerFacts &facts, TimePoint sentAt)
 {
-    if (facts.isWrongTarget) {
-        return; // What the answer states is about another target, whose id is not known.
+    if (facts.isMisdirected && facts.targetId != target.id) {
+        return; // What the answer states may be about another target, whose id is not known.
     }
     this->rates.recordAnswer(target, facts.rate, sentAt);
     if (facts.targetLeaving && this->targets.markLeaving(target, currentTime())) {
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -152,6 +152,9 @@
     /// Closes the target's connection, whose answer can't be used.
     void dropAttempt(TargetFailure failure);
     void beginRelay();
+    /// Whether an answer shows that another target took over the address of the one it was sent to.
+    /// No caller can bring that about by what it sends.
+    bool wasReplaced(const AnswerFacts &facts) const;
     /// Whether a target's answer can follow the part that the caller has.
     bool continuesRelayedAnswer(const MessageHead &received) const;
     HttpFields relayedFields() const;
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -35,7 +35,7 @@
     const auto self = this->shared_from_this();
     const AnswerFacts facts = this->state.dialect.decodeAnswer(received);
     this->state.recordTargetFacts(this->attempt->target, facts, this->arrived + *this->timeToSend);
-    if (facts.isWrongTarget) {
+    if (this->wasReplaced(facts)) {
         this->state.recordReplacement(this->attempt->target);
         // The intended target never received it, so this was not an attempt.
         --this->attempts;
@@ -82,6 +82,12 @@
     this->recordProgress();
 }
 
+bool RequestFlow::wasReplaced(const AnswerFacts &facts) const
+{
+    return facts.isMisdirected && !this->request.hasCondition
+        && facts.targetId != this->attempt->target.id;
+}
+
 bool RequestFlow::continuesRelayedAnswer(const MessageHead &received) const
 {
     return received.status == this->relayedHead.status
