--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -93,6 +93,7 @@
         self.copies = []
         self.changed = threading.Condition()
         self.mode = "ok"
+        self.page_size = 500
         super().__init__()
 
     def put(self, key, value):
@@ -149,8 +150,10 @@
                     return 404, {}
                 return 200, dict(records[0], currentRev=self.revision)
             if url.path == "/kv-range":
-                records = self.records(query["prefix"])
-                return 200, {"entries": records, "hasMore": False, "currentRev": self.revision}
+                records = [record for record in self.records(query["prefix"]) if record["key"] > query.get("after", "")]
+                return 200, {
+                    "entries": records[:self.page_size], "hasMore": len(records) > self.page_size,
+                    "currentRev": self.revision}
             if int(query["after"]) > self.revision:
                 return 410, {}
             deadline = time.monotonic() + int(query["waitMs"]) / 1000
