Answers: a success without a target's signature reaches no caller

Cause: what makes an answer a target's own was not checked. An answer without a request id is accepted as a connection's first, and the signature was only passed on.

Change: the dialect notes a success without the signature that each target gives. Such an answer ends the connection; the request may have run.

Ruled out: refusing the first answer of a connection that bears no id (a target's HTTP layer may refuse a request before it knows the id, with 400).

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -110,6 +110,7 @@
     std::string requestId; ///< Empty when the answer carries none.
     /// Several fields carry a request id: the heads of two answers were joined.
     bool idIsRepeated = false;
+    bool lacksSignature = false; ///< A success without the signature that each target gives.
 };
 
 /// What the entry adds to a request when it forwards it to a target.
--- a/src/libforward/connections_test.cpp
+++ b/src/libforward/connections_test.cpp
@@ -19,6 +19,7 @@
         facts.idIsRepeated = std::count_if(head.fields.begin(), head.fields.end(),
                                  [](const HttpField &field) { return field.name == "Id"; })
             > 1;
+        facts.lacksSignature = !fieldValue(head.fields, "Unsigned").empty();
         return facts;
     }
 };
@@ -215,6 +216,16 @@
     EXPECT_TRUE(this->acceptNew()) << "the connection is closed";
 }
 
+/// MIXED: a server that has nothing to do with the deployment answers whatever it is asked.
+TEST_F(TargetConnections, successWithoutSignatureIsNotTaken)
+{
+    const Exchange &first = this->send("first");
+    ASSERT_TRUE(this->acceptNew());
+    this->write("HTTP/1.1 200 OK\r\nUnsigned: 1\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_EQ(first.status, 0);
+    EXPECT_EQ(first.failure, TargetFailure::Unsigned);
+}
+
 TEST_F(TargetConnections, informationalHeadsLeaveTheConnectionInUse)
 {
     const Exchange &first = this->send("first");
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -412,6 +412,8 @@
         this->skipForeignAnswer();
         this->pool.metrics.count("wigeonsill_foreign_answers_total");
         this->handler->onForeignAnswer(facts.requestId, this->requestsCarried - 1);
+    } else if (facts.lacksSignature) {
+        this->fail(TargetFailure::Unsigned);
     } else {
         this->headReceived = true;
         this->updateIdleTime(head);
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -14,6 +14,7 @@
     Truncated, ///< The answer started but did not complete.
     NotResumed, ///< A stream that was to be resumed brought events that the caller has.
     Unattributed, ///< An answer without an id came, perhaps to an earlier request.
+    Unsigned, ///< A success without a target's signature came, perhaps from another server.
 };
 inline constexpr std::array targetFailureNames = {
     EnumName<TargetFailure>{ TargetFailure::NotConnected, "not-connected" },
@@ -22,6 +23,7 @@
     EnumName<TargetFailure>{ TargetFailure::Truncated, "answer-broken-off" },
     EnumName<TargetFailure>{ TargetFailure::NotResumed, "stream-not-resumed" },
     EnumName<TargetFailure>{ TargetFailure::Unattributed, "unattributed-answer" },
+    EnumName<TargetFailure>{ TargetFailure::Unsigned, "unsigned-answer" },
 };
 
 /// Bounds on what is read of an answer, so that no target can hold memory or time of the process.
--- a/testsuite/odd-entries/run.py
+++ b/testsuite/odd-entries/run.py
@@ -168,6 +168,21 @@
     check_served(deployment, "odd configurations", 4)
 
 
+def sound_record_of_another_server(deployment, other):
+    """A record like a target's names another server. It is sent requests, but its answers reach no caller."""
+    service = deployment.plain_services[0]
+    deployment.store.put("servers/stranger", dict(service.instance_record("plain"), address=other.address))
+    wait_until(lambda: any(target["id"] == "stranger" for target in deployment.entry.state()["targets"]),
+               "the record is read")
+    client = Client(deployment.entry)
+    for _ in range(60):
+        for path in ("/look/plain", "/book/plain"):
+            reply = client.exchange(path)
+            check(reply.status != 200 or "Server-Stamp" in reply.headers, "no success without a signature reaches a caller")
+    check(other.received, "it was sent requests")
+    deployment.store.remove("servers/stranger")
+
+
 def main():
     with tempfile.TemporaryDirectory() as folder, Deployment(pathlib.Path(folder)) as deployment:
         other = OtherServer()
@@ -175,6 +190,7 @@
             print(case.__name__, flush=True)
             case(deployment, other)
             check(not other.received, "no request reached another server: %s" % other.received[:2])
+        sound_record_of_another_server(deployment, other)
         other.close()
     print("odd entries: all checks passed")
 
