Streams: the head of an error in a stream is no event

The stream had neither length nor chunks, or the head stood within a chunk.

Cause: the blank line behind a head ends an event like any other, and the lines before it were not checked.

Change: EventSplitter recognises a head by a line that begins with a status line, or a line that is no field of an event behind one with a status line. The stream is broken off there, in the users' entry and in the agent of the product's own interface.

Ruled out: refusing each event with a status line (models write about the protocol), and each unknown field (targets add fields of their own).

--- a/src/include/wigeonsill/http.h
+++ b/src/include/wigeonsill/http.h
@@ -40,6 +40,10 @@
 /// \param head Any leading part of the message, at most up to and including the empty line.
 bool isAmbiguousHead(std::string_view head);
 
+/// Position of the first beginning of an answer's status line, such as "HTTP/1.1 200", in a text;
+/// std::string_view::npos without one. Thread-safe.
+std::size_t findStatusLine(std::string_view text);
+
 struct HttpRequest
 {
     std::string method = "GET";
@@ -156,6 +160,9 @@
     std::string feed(std::string_view bytes);
     /// Id of the first complete event; empty before it.
     const std::string &firstId() const { return this->firstEventId; }
+    /// Whether the head of an HTTP answer was found, by itself or within an event that was broken
+    /// off. It and what follows belong to another answer; nothing is returned from then on.
+    bool containsHead() const { return this->headFound; }
     /// Whether an event was dropped since it was too large.
     bool isOversized() const { return this->oversized; }
     /// Id of the last complete event that has one; empty before it.
@@ -183,6 +190,8 @@
     std::string lastEventId;
     std::uint64_t eventCount = 0;
     bool oversized = false;
+    bool statusLineFound = false; ///< In the current event, behind other text.
+    bool headFound = false;
     bool inEvent = false; ///< The current event has a complete line that is no comment.
     std::optional<std::string> eventId; ///< Of the current event.
     bool lastEventHasId = false;
--- a/src/libforward/brokenstreams_test.cpp
+++ b/src/libforward/brokenstreams_test.cpp
@@ -6,11 +6,11 @@
 namespace wigeonsill {
 namespace {
 
-class ResumableStream : public SentRequest
+class StreamOfOneRun : public SentRequest
 {
 protected:
-    ResumableStream()
-        : SentRequest({ .resumable = true })
+    explicit StreamOfOneRun(const Options &options = {})
+        : SentRequest(options)
     {
     }
     /// The target ends its answer by closing the connection, without a reset.
@@ -19,6 +19,15 @@
         this->connection.shutdown(asio::ip::tcp::socket::shutdown_send);
         this->runFor(milliseconds(50));
     }
+};
+
+class ResumableStream : public StreamOfOneRun
+{
+protected:
+    ResumableStream()
+        : StreamOfOneRun({ .resumable = true })
+    {
+    }
     /// Another target grants room and gives the second event.
     void resumeElsewhere(const std::string &typeField = {})
     {
@@ -30,15 +39,6 @@
     }
 };
 
-class StreamOfOneRun : public SentRequest
-{
-protected:
-    StreamOfOneRun()
-        : SentRequest(Options{})
-    {
-    }
-};
-
 constexpr auto halfEvent = "id: 2\ndata: half";
 
 TEST_F(ResumableStream, thatEndsItsChunksWithinAnEventIsResumed)
@@ -120,5 +120,103 @@
     EXPECT_TRUE(this->complete);
 }
 
+constexpr auto errorAnswer = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n"
+                             "Content-Length: 14\r\n\r\nupstream error";
+
+/// ORDER: a stream without length breaks off and its target writes an error on the same connection.
+TEST_F(StreamOfOneRun, errorBehindABrokenOffEventIsNoEvent)
+{
+    this->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + event(1));
+    this->write(halfEvent + std::string(errorAnswer));
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+}
+
+TEST_F(StreamOfOneRun, errorBehindAWholeEventIsNoEvent)
+{
+    this->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + event(1));
+    const std::string head = std::string(errorAnswer).substr(0, 36);
+    for (std::size_t at = 0; at < head.size(); at += 11) {
+        this->write(head.substr(at, 11));
+    }
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+}
+
+TEST_F(ResumableStream, thatEndsInAnErrorIsResumed)
+{
+    this->writeStreamHead();
+    this->writeChunk(event(1) + "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\n\r\n");
+    ASSERT_NO_FATAL_FAILURE(this->resumeElsewhere());
+    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+    EXPECT_TRUE(this->complete);
+}
+
+/// What a model writes about the protocol is text of an event.
+TEST_F(StreamOfOneRun, withTextAboutTheProtocolIsWhole)
+{
+    const std::string text
+        = "id: 2\ndata: HTTP/1.1 500 Internal Server Error\ndata: x HTTP/1.1 200 OK\n\n";
+    this->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + event(1) + text);
+    this->closeInOrder();
+    EXPECT_EQ(this->receivedBody(), event(1) + text);
+    EXPECT_TRUE(this->complete);
+}
+
+/// A stream of which the caller has the first event breaks off; the next target answers.
+class ResumedStream : public ResumableStream
+{
+protected:
+    ResumedStream()
+    {
+        this->writeStreamHead();
+        this->writeEvent(1);
+        this->connection.close();
+        this->queueReservations(milliseconds(100));
+        this->moveToLastReservation();
+    }
+    /// The next target writes bytes in pieces and ends the connection.
+    void answer(const std::string &bytes, std::size_t piece)
+    {
+        boost::system::error_code error; // The entry may have closed the connection.
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+            asio::write(this->connection, asio::buffer(bytes.substr(at, piece)), error);
+            this->runFor(milliseconds(30));
+        }
+        this->connection.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+        this->runFor(milliseconds(200));
+    }
+};
+
+/// ORDER, MIXED: callers found the text or the head of the next target's error in their stream, or
+/// the stream ended as if it were complete.
+TEST_F(ResumedStream, errorOfTheNextTargetIsNoPartOfIt)
+{
+    this->answer(errorAnswer, 23);
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+}
+
+TEST_F(ResumedStream, errorWithinTheEventsOfTheNextTargetIsNoPartOfIt)
+{
+    this->answer("HTTP/1.1 200 OK\r\n\r\n" + event(2) + "id: 3\ndata: ha" + errorAnswer, 4'096);
+    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+    EXPECT_FALSE(this->complete);
+}
+
+TEST_F(ResumedStream, errorOfTheNextTargetThatBreaksOffIsNoPartOfIt)
+{
+    this->answer(std::string(errorAnswer).substr(0, 100), 50);
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+}
+
+TEST_F(ResumedStream, refusalOfTheNextTargetIsNoPartOfIt)
+{
+    this->answer("HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy", 4'096);
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libforward/messagereader.h
+++ b/src/libforward/messagereader.h
@@ -6,29 +6,8 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
-#include <algorithm>
-
 namespace wigeonsill {
 
-/// Whether a text contains the beginning of an answer's status line, such as "HTTP/1.1 200".
-inline bool containsStatusLine(std::string_view text)
-{
-    constexpr std::string_view version = "HTTP/1.";
-    constexpr std::string_view digits = "0123456789";
-    constexpr std::string_view format = "HTTP/1.1 200";
-    for (std::size_t at = text.find(version); at != std::string_view::npos;
-         at = text.find(version, at + 1)) {
-        const std::string_view line = text.substr(at, format.size());
-        const std::string_view status = line.substr(std::min(version.size() + 2, line.size()));
-        if (line.size() == format.size() && digits.find(line[version.size()]) != digits.npos
-            && line[version.size() + 1] == ' '
-            && status.find_first_not_of(digits) == std::string_view::npos) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /// Reads one message. Body bytes accumulate in body() until the owner removes them. Not
 /// thread-safe.
 template <bool isRequest>
@@ -124,7 +103,8 @@
             return; // A trailer, which is not forwarded.
         }
         // A head that was broken off within a field's value, with another head behind it.
-        if (!isRequest && containsStatusLine({ value.data(), value.size() })) {
+        if (!isRequest
+            && findStatusLine({ value.data(), value.size() }) != std::string_view::npos) {
             error = boost::beast::http::error::bad_value;
             return;
         }
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -216,6 +216,11 @@
     if (!completeEvents.empty()) {
         this->relayEvents(completeEvents, eventsBefore);
     }
+    if (this->attempt && this->attempt->events.containsHead()) {
+        this->state.metrics.count("wigeonsill_joined_answers_total");
+        this->dropAttempt(TargetFailure::Truncated);
+        return;
+    }
     if (this->attempt && this->attempt->events.isOversized()) {
         this->attempt->connection->endAtBound(AnswerBound::Event);
     }
--- a/src/libhttp/eventsplitter.cpp
+++ b/src/libhttp/eventsplitter.cpp
@@ -12,15 +12,27 @@
     return equalsIgnoringCase(type.substr(0, type.find_first_of("; \t")), "text/event-stream");
 }
 
+namespace {
+
+bool isEventField(std::string_view line)
+{
+    constexpr std::array<std::string_view, 4> names = { "data", "id", "event", "retry" };
+    const std::string_view name = line.substr(0, line.find(':'));
+    // Comments have an empty name.
+    return name.empty() || std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
 std::string EventSplitter::feed(std::string_view bytes)
 {
-    if (this->oversized) {
+    if (this->oversized || this->headFound) {
         return {};
     }
     std::size_t at = this->partial.size();
     this->partial += bytes;
     std::size_t completeEnd = 0;
-    while (at < this->partial.size()) {
+    while (at < this->partial.size() && !this->headFound) {
         if (this->lineFeedMayFollow && at == this->lineStart && this->partial[at] == '\n') {
             completeEnd += completeEnd == at ? 1 : 0;
             this->lineStart = ++at;
@@ -73,12 +85,17 @@
         }
     }
     this->inEvent = false;
+    this->statusLineFound = false;
     this->eventId.reset();
 }
 
 void EventSplitter::readLine(std::string_view line)
 {
     this->inEvent = this->inEvent || !line.starts_with(':');
+    // Behind a status line, a line that is no field of an event is one of a head.
+    const std::size_t statusLine = findStatusLine(line);
+    this->headFound = statusLine == 0 || (this->statusLineFound && !isEventField(line));
+    this->statusLineFound = this->statusLineFound || statusLine != std::string_view::npos;
     if (line.starts_with("id:")) {
         const std::size_t valueStart = line.find_first_not_of(' ', 3);
         this->eventId = valueStart == std::string_view::npos ? "" : line.substr(valueStart);
--- a/src/libhttp/eventsplitter_test.cpp
+++ b/src/libhttp/eventsplitter_test.cpp
@@ -104,5 +104,38 @@
     EXPECT_FALSE(splitter.isOversized());
 }
 
+/// ORDER: the head of an error was relayed as an event, wherever the stream was broken off before.
+TEST(EventSplitter, headBehindAStreamCutAtAnyByteIsFound)
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\nevent: b\ndata: c\n\n: comment\n\n";
+    const std::string head = "HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\nerror";
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        for (const std::size_t size : { 1UL, 5UL, 1'000UL }) {
+            EventSplitter splitter;
+            std::string found;
+            const std::string bytes = stream.substr(0, cut) + head;
+            for (std::size_t at = 0; at < bytes.size(); at += size) {
+                found += splitter.feed(std::string_view(bytes).substr(at, size));
+            }
+            EXPECT_TRUE(splitter.containsHead()) << "cut at " << cut;
+            EXPECT_TRUE(stream.starts_with(found)) << found;
+            EXPECT_LE(found.size(), cut);
+            EXPECT_TRUE(splitter.isInsideEvent()) << "the stream has no end";
+        }
+    }
+}
+
+TEST(EventSplitter, textAboutTheProtocolIsNoHead)
+{
+    for (const std::string stream :
+        { "weights: 3\nid: 1\ndata: HTTP/1.1 200 OK\ndata: Content-Type: x\n\n",
+            "data: HTTP/1.1 200 OK\n\nweights: 3\ndata: b\n\n", "data: HTTP/1.1\nnote: HTTP/2\n\n",
+            ": HTTP/1.1 200 OK\n\nweights: 3\n\n" }) {
+        EventSplitter splitter;
+        EXPECT_EQ(splitter.feed(stream), stream);
+        EXPECT_FALSE(splitter.containsHead()) << stream;
+    }
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libhttp/httpmessage.cpp
+++ b/src/libhttp/httpmessage.cpp
@@ -69,6 +69,24 @@
         [name](std::string_view field) { return equalsIgnoringCase(field, name); });
 }
 
+std::size_t findStatusLine(std::string_view text)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::string_view format = "HTTP/1.0 000"; // 0 stands for any digit.
+    for (std::size_t at = text.find(version); at != std::string_view::npos;
+         at = text.find(version, at + 1)) {
+        const std::string_view candidate = text.substr(at, format.size());
+        const bool matches = std::equal(format.begin(), format.end(), candidate.begin(),
+            candidate.end(), [](char expected, char found) {
+                return expected == '0' ? found >= '0' && found <= '9' : found == expected;
+            });
+        if (matches) {
+            return at;
+        }
+    }
+    return std::string_view::npos;
+}
+
 bool isAmbiguousHead(std::string_view head)
 {
     for (std::size_t i = 0; i < head.size(); ++i) {
--- a/src/wigeonsill-agent/targetrunner.cpp
+++ b/src/wigeonsill-agent/targetrunner.cpp
@@ -190,6 +190,9 @@
         }
         if (run->events) {
             run->events->feed(chunk.value());
+            if (run->events->containsHead()) {
+                co_return TargetEnd::Truncated;
+            }
         }
         run->tail += chunk.value();
         if (run->tail.size() > answerTailBytes) {
--- a/src/wigeonsill-agent/targetrunner_test.cpp
+++ b/src/wigeonsill-agent/targetrunner_test.cpp
@@ -57,6 +57,15 @@
         std::string::npos);
 }
 
+/// ORDER: a stream breaks off and its target writes an error on the same connection.
+TEST_F(TargetRunnerEnds, streamThatEndsInTheHeadOfAnErrorIsBrokenOff)
+{
+    EXPECT_EQ(this->countersAfter("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+                                  "data: a\n\nHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
+                  .find(whole),
+        std::string::npos);
+}
+
 TEST_F(TargetRunnerEnds, documentWithoutLengthIsWhole)
 {
     EXPECT_NE(this->countersAfter("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}")
