Streams: an event without an id does not resume a stream

Cause: a resumed stream was checked by comparing ids, and no id counts as a later one.

Change: the first event of a resumed stream must have an id that may follow the last event of the caller. Comments before it are still passed on.

Evidence: errorAsEventWithoutIdIsNoPartOfIt fails without the change; all cases of brokenstreams_test and mixedanswers_test pass with it.

--- a/src/libforward/brokenstreams_test.cpp
+++ b/src/libforward/brokenstreams_test.cpp
@@ -211,6 +211,13 @@
     EXPECT_FALSE(this->complete);
 }
 
+TEST_F(ResumedStream, errorAsEventWithoutIdIsNoPartOfIt)
+{
+    this->answer("HTTP/1.1 200 OK\r\n\r\nevent: error\ndata: upstream error\n\n", 4'096);
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+}
+
 TEST_F(ResumedStream, refusalOfTheNextTargetIsNoPartOfIt)
 {
     this->answer("HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy", 4'096);
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -229,7 +229,7 @@
 void RequestFlow::relayEvents(const std::string &completeEvents, std::uint64_t eventsBefore)
 {
     const EventSplitter &events = this->attempt->events;
-    if (eventsBefore == 0 && this->attempt->beganAnew()) {
+    if (eventsBefore == 0 && events.count() > 0 && !this->attempt->hasResumed()) {
         this->dropAttempt(TargetFailure::NotResumed);
         return;
     }
--- a/src/libforward/targetattempt.h
+++ b/src/libforward/targetattempt.h
@@ -29,11 +29,13 @@
 
     /// Bytes of the answer that were received and not relayed.
     std::size_t heldBytes() const { return this->body.size() + this->events.remainder().size(); }
-    /// Whether the target was to resume the stream and did not. \pre the first event was received.
-    bool beganAnew() const
+    /// Whether the answer's events may follow those that the caller has. An event without an id
+    /// can't be shown to follow another one. \pre the first event was received.
+    bool hasResumed() const
     {
-        return !this->resumesAfter.empty()
-            && !isLaterEvent(this->events.firstId(), this->resumesAfter);
+        const std::string &first = this->events.firstId();
+        return this->resumesAfter.empty()
+            || (!first.empty() && isLaterEvent(first, this->resumesAfter));
     }
     /// Whether a stream ended in the middle of an event, and so was broken off, however its end was
     /// framed. \pre the answer ended.
