Store: a start in a later history confirms no configuration at once

Cause: the first history that a process saw counted as the one that had always been, so that the copy's configuration was confirmed at once.

Change: a first history after 1 counts as one that has just begun. The configuration is confirmed 2.5 s later; until then the entry is not ready and refuses requests with keys.

Ruled out: keeping what is known on a disk (edge machines have none); asking other entries (all may start together).

--- a/src/include/wigeonsill/directory.h
+++ b/src/include/wigeonsill/directory.h
@@ -194,6 +194,11 @@
 public:
     /// Time within which the operator and live targets write again what a copy lacks.
     static constexpr Duration rewriteTime = seconds(2);
+    /// Added to it in a process that starts and so knows no version that the copy may lack.
+    static constexpr Duration startMargin = milliseconds(500);
+    /// Number of a store's first history. A later one replaced another, at an unknown time before
+    /// this process saw it first.
+    static constexpr std::uint64_t firstHistory = 1;
     /// How long a target that is gone is remembered. Longer than a copy of the store is old.
     static constexpr Duration goneTargetMemory = seconds(60);
 
@@ -208,7 +213,8 @@
     void recordConfiguration(std::uint64_t version);
     /// Whether an answer to a call confirms that no configuration is newer than the one in force.
     /// Not while the store holds an older one, and not within rewriteTime after a history was
-    /// replaced, unless the operator has written a newer one since.
+    /// replaced, unless the operator has written a newer one since. A process that starts in a
+    /// history that replaced another one takes it for one that was just replaced.
     /// \param sentAt When the call was sent.
     bool confirmsConfiguration(TimePoint sentAt) const;
 
@@ -217,8 +223,9 @@
     std::uint64_t knownRevision = 0;
     std::optional<std::uint64_t> heldVersion; ///< By the store; empty while not read.
     std::uint64_t newestVersion = 0; ///< In any history.
-    std::uint64_t versionBeforeReplacement = 0;
-    std::optional<TimePoint> replacedAt;
+    /// Newest version in any earlier history; empty while that is unknown.
+    std::optional<std::uint64_t> versionBeforeReplacement;
+    std::optional<TimePoint> rewrittenFrom; ///< When the copy's gaps are filled; empty without one.
 };
 
 /// The targets' records as read from the store. In a history that replaced another one, a record
--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -208,6 +208,8 @@
     /// Sets the handler that re-reads the list of targets. It is called each time a target turns
     /// out to have been replaced at its address.
     void setTargetsOutdatedHandler(std::function<void()> refresh);
+    /// Whether new connections are welcome: targets are known, and a configuration that was
+    /// confirmed at least once where keys need that.
     bool isReady() const;
     void drain();
     bool isDrained() const;
--- a/src/libdirectory/storehistory.cpp
+++ b/src/libdirectory/storehistory.cpp
@@ -13,6 +13,9 @@
     }
     if (!this->currentHistory) {
         this->currentHistory = history;
+        if (*history > firstHistory) {
+            this->rewrittenFrom = now + rewriteTime + startMargin;
+        }
         return HistoryChange::Same;
     }
     if (*history < *this->currentHistory) {
@@ -21,8 +24,10 @@
     this->currentHistory = history;
     this->knownRevision = 0;
     this->heldVersion.reset();
-    this->versionBeforeReplacement = this->newestVersion;
-    this->replacedAt = now;
+    if (this->newestVersion > 0) {
+        this->versionBeforeReplacement = this->newestVersion;
+    }
+    this->rewrittenFrom = now + rewriteTime;
     return HistoryChange::Replaced;
 }
 
@@ -37,8 +42,10 @@
     if (!this->heldVersion || *this->heldVersion < this->newestVersion) {
         return false;
     }
-    return !this->replacedAt || *this->heldVersion > this->versionBeforeReplacement
-        || sentAt >= *this->replacedAt + rewriteTime;
+    if (!this->rewrittenFrom || sentAt >= *this->rewrittenFrom) {
+        return true;
+    }
+    return this->versionBeforeReplacement && *this->heldVersion > *this->versionBeforeReplacement;
 }
 
 void TargetRecords::beginRead(bool historyReplaced)
--- a/src/libdirectory/storehistory_test.cpp
+++ b/src/libdirectory/storehistory_test.cpp
@@ -93,6 +93,32 @@
     EXPECT_TRUE(history.confirmsConfiguration(replaced + seconds(5))) << "written since";
 }
 
+/// CONFIG: an entry that started while the store was back from an older copy confirmed the copy's
+/// configuration at once, and a key that it still held worked again.
+TEST(StoreHistory, startInAReplacedHistoryConfirmsOnlyAfterTheOperatorCouldWriteAgain)
+{
+    StoreHistory history;
+    EXPECT_EQ(history.recordHistory(2, start), HistoryChange::Same);
+    history.recordConfiguration(8);
+    EXPECT_FALSE(history.confirmsConfiguration(start));
+    EXPECT_FALSE(history.confirmsConfiguration(start + milliseconds(2'100)));
+    EXPECT_TRUE(history.confirmsConfiguration(start + milliseconds(2'500)));
+    history.recordConfiguration(9);
+    EXPECT_FALSE(history.confirmsConfiguration(start + seconds(1)))
+        << "two versions may have been lost, so that a newer one need not be the newest";
+}
+
+/// The store was replaced before the process had read any configuration.
+TEST(StoreHistory, firstConfigurationOfAReplacedHistoryIsNotTakenForANewerOne)
+{
+    StoreHistory history;
+    history.recordHistory(1, start);
+    history.recordHistory(2, start + seconds(1));
+    history.recordConfiguration(8);
+    EXPECT_FALSE(history.confirmsConfiguration(start + seconds(1)));
+    EXPECT_TRUE(history.confirmsConfiguration(start + seconds(3)));
+}
+
 TEST(TargetRecords, copyBringsNoGoneOrLeavingTargetBack)
 {
     TargetRecords records;
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -423,7 +423,9 @@
 bool ForwardEntry::isReady() const
 {
     const EntryState &state = this->d->state;
-    return !state.draining && state.configuration && state.targets.size() > 0;
+    const bool canCheckKeys
+        = !state.settings.strictRevocation || state.configurationConfirmedAt.has_value();
+    return !state.draining && state.configuration && canCheckKeys && state.targets.size() > 0;
 }
 
 void ForwardEntry::drain()
