--- a/src/libforward/connections_test.cpp
+++ b/src/libforward/connections_test.cpp
@@ -216,6 +216,24 @@
     EXPECT_TRUE(this->acceptNew()) << "the connection is closed";
 }
 
+/// REFUSED: an earlier refusal is written once more, cut at any byte, before the answer of a run.
+/// The refusal's status must not be taken for that of the request that has run.
+TEST_F(TargetConnections, earlierRefusalOnAReusedConnectionIsNotTaken)
+{
+    const std::string refusal
+        = "HTTP/1.1 503 Busy\r\nId: first\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\nno";
+    for (std::size_t cut = 1; cut <= refusal.size(); ++cut) {
+        ASSERT_NO_FATAL_FAILURE(this->carryOneRequest());
+        const Exchange &second = this->send("second");
+        ASSERT_FALSE(this->acceptNew()) << "the connection is used again";
+        this->write(refusal.substr(0, cut) + answer("second", "two"));
+        EXPECT_TRUE(second.status == 0 || second.status == 200) << "cut at " << cut;
+        EXPECT_TRUE(second.failure || second.body == "two") << "cut at " << cut;
+        EXPECT_TRUE(cut < refusal.size() || second.complete) << "a whole refusal is skipped";
+        this->pool.closeIdle(this->target.id);
+    }
+}
+
 /// MIXED: a server that has nothing to do with the deployment answers whatever it is asked.
 TEST_F(TargetConnections, successWithoutSignatureIsNotTaken)
 {
