Answers: a body that was cut is not filled with another answer

What callers would see: 200 with a body whose end is the beginning of another answer (MIXED).

Cause: an engine that breaks off a body of known length and sends a second answer on the connection supplies the bytes that are missing.

Change: where bytes follow a complete body of known length, a head that begins within the body and carries a request id shows that the body was cut. The request then counts as one that may have run.

Ruled out: searching each body (models write about the protocol, and the search costs time where nothing follows).

Evidence: all seven cases of CutBody fail without the change and pass with it, wholeBodyBeforeAnotherAnswerIsPassedOn passes with both; so do connections_test and answerbytes_test.

--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -41,6 +41,7 @@
     AnswerFacts decodeAnswer(const MessageHead &head) const override
     {
         AnswerFacts facts;
+        facts.requestId = fieldValue(head.fields, "Test-Answer-Id");
         facts.isMisdirected = head.status == 421;
         facts.notRun = facts.isMisdirected || !fieldValue(head.fields, "Test-Not-Run").empty();
         facts.targetId = fieldValue(head.fields, "Test-Target-Id");
--- a/src/libforward/mixedanswers_test.cpp
+++ b/src/libforward/mixedanswers_test.cpp
@@ -190,6 +190,40 @@
     EXPECT_TRUE(this->received().starts_with("HTTP/1.1 502")) << this->receivedBytes;
 }
 
+/// MIXED: an answer is broken off within its body, and a second answer follows on the connection:
+/// its beginning must not be taken for the rest of the body, wherever the first one was cut.
+class CutBody : public CallOfOneRun, public testing::WithParamInterface<std::size_t>
+{
+protected:
+    static constexpr std::size_t bodySize = 200;
+    static std::string answer(const std::string &id, char letter)
+    {
+        return "HTTP/1.1 200 OK\r\nTest-Answer-Id: " + id + "\r\nContent-Length: "
+            + std::to_string(bodySize) + "\r\n\r\n" + std::string(bodySize, letter);
+    }
+};
+
+TEST_P(CutBody, isNotFilledWithAnotherAnswer)
+{
+    const std::string first = answer("request-1", 'a');
+    this->write(first.substr(0, first.size() - this->GetParam()));
+    this->write(answer("request-0", 'b'));
+    EXPECT_TRUE(this->received().starts_with("HTTP/1.1 502")) << this->receivedBytes;
+}
+
+INSTANTIATE_TEST_SUITE_P(BytesThatAreMissing, CutBody, testing::Values(1, 5, 12, 40, 90, 150, 199));
+
+/// A whole answer is passed on although another one follows it, and although it quotes one.
+TEST_F(CallOfOneRun, wholeBodyBeforeAnotherAnswerIsPassedOn)
+{
+    const std::string body = "HTTP/1.1 500 X\r\nType: quoted\r\n\r\n";
+    this->write("HTTP/1.1 200 OK\r\nTest-Answer-Id: request-1\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body
+        + "HTTP/1.1 200 OK\r\nTest-Answer-Id: request-0\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(this->receivedBody(), body);
+    EXPECT_TRUE(this->complete);
+}
+
 class IdempotentCall : public SentRequest
 {
 protected:
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -130,6 +130,7 @@
     void onAnswerBody(std::string_view bytes) override;
     void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) override;
     void onAnswerEnd() override;
+    bool isBodyOwn(std::string_view following) override;
     void onBoundExceeded(AnswerBound bound) override;
     void onAnswerFailed(TargetFailure failure) override;
     bool onGranted(std::uint64_t reservation, const std::string &targetId) override;
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -345,6 +345,11 @@
         this->startReader();
         return true;
     }
+    if (!pending.empty() && this->reader->head().length && !this->handler->isBodyOwn(pending)) {
+        this->pool.metrics.count("wigeonsill_joined_answers_total");
+        this->fail(TargetFailure::Truncated);
+        return false;
+    }
     this->finish(!pending.empty());
     return false;
 }
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -55,6 +55,10 @@
     virtual void onAnswerHead(const MessageHead &head) = 0;
     virtual void onAnswerBody(std::string_view bytes) = 0;
     virtual void onAnswerEnd() = 0;
+    /// Whether a body of known length that is complete is the answer's own, where further bytes
+    /// follow it; otherwise onAnswerFailed() follows. The target may have broken it off and begun
+    /// another answer within its length. \param following The bytes that were received behind it.
+    virtual bool isBodyOwn(std::string_view /*following*/) { return true; }
     /// An answer that is not this request's was received and is kept from the handler.
     /// \param answerId Request id that it carries, and it is skipped; empty when it carries none,
     /// and onAnswerFailed() follows with Unattributed.
