Agent: an entry that is heard of again is not lost at the next tick

Cause: an agent forgets an entry that was silent for entryLostAfterMs, also on a connection that stays open. The next message made a record in which the connection counted as closed at time zero; the next tick lost the entry again, cancelled its idempotent runs and discarded the answers of others.

Change: a message of an unknown entry marks its connection as open.

--- a/src/libcore/agentcore.cpp
+++ b/src/libcore/agentcore.cpp
@@ -152,7 +152,10 @@
 
 void AgentCore::receive(TimePoint now, const Incarnation &entry, const EntryMessage &message)
 {
-    EntryConnection &connection = this->d->entries[entry];
+    const auto [found, isNew] = this->d->entries.try_emplace(entry);
+    EntryConnection &connection = found->second;
+    // An entry that was silent for too long is forgotten, though its connection may be open.
+    connection.connected = connection.connected || isNew;
     connection.lastMessageAt = now;
     std::visit(
         [this, now, &entry](const auto &typed) { this->d->onMessage(now, entry, typed); }, message);
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -215,6 +215,30 @@
     EXPECT_EQ(this->entryActionsOf<DeliverEnd>().front().result, ResultCode::AgentLost);
 }
 
+/// An entry was silent for so long that the agent forgot it, on a connection that stayed open. Its
+/// next request was cut at the agent's next tick, and a booking's answer was lost.
+TEST_F(CoreTest, requestOfAnEntryThatWasSilentOnAnOpenConnectionIsNotCut)
+{
+    for (int i = 0; i < 300; ++i) {
+        this->now += milliseconds(100);
+        this->agent->tick(this->now);
+        this->agent->takeActions();
+    }
+    const RequestId id = this->entry->submitRequest(this->now, makeRequest());
+    this->exchange();
+    this->now += milliseconds(1);
+    this->agent->tick(this->now);
+    this->exchange();
+    EXPECT_TRUE(this->agentActionsOf<CancelAtTarget>().empty());
+    this->agent->targetHead(this->now, id, 200, {});
+    this->agent->targetBytes(this->now, id, "whole");
+    this->agent->targetEnded(this->now, id, TargetEnd::Complete, {});
+    this->exchange();
+    EXPECT_EQ(this->deliveredBytes(), "whole");
+    ASSERT_EQ(this->entryActionsOf<DeliverEnd>().size(), 1U);
+    EXPECT_EQ(this->entryActionsOf<DeliverEnd>().front().result, ResultCode::Ok);
+}
+
 TEST_F(CoreTest, callerDisconnectCancelsItsRun)
 {
     const RequestId id = this->entry->submitRequest(this->now, makeRequest());
