--- /dev/null
+++ b/src/include/wigeonsill/rollout.h
@@ -0,0 +1,332 @@
+/// \file rollout.h
+/// Public header of the rollout library: moving a service's requests to targets of another version,
+/// judging that version by what all entries see, and taking it back. The library opens no sockets,
+/// sets no timers and reads no clock: callers pass the current time as an argument. Nothing is
+/// thread-safe.
+#pragma once
+
+#include "wigeonsill/util.h"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wigeonsill {
+
+// ---------------------------------------------------------------------------------------------
+// What the store holds
+
+/// Identifies an order of an operator. Revisions of different histories cannot be compared.
+struct RolloutOrderId
+{
+    std::uint64_t history = 0; ///< Of the store in which the order was read; see StoreHistory.
+    std::uint64_t revision = 0; ///< Of the order's key.
+    auto operator<=>(const RolloutOrderId &) const = default;
+};
+
+/// An operator's order to move a service's requests to targets of another version.
+struct RolloutOrder
+{
+    RolloutOrderId id;
+    std::string service;
+    std::string targetVersion;
+    Duration duration = {}; ///< From the store's acknowledgement of the order to its deadline.
+};
+
+/// Stage of a rollout. Goes forward only, and from any stage before Completed to RolledBack.
+enum class RolloutStage : std::uint8_t {
+    Canary, ///< A few targets of the new version get a small share of the requests.
+    Trial, ///< All targets of the new version get full load until the exposure limit is used.
+    Moving, ///< All new requests go to the new version; the old targets finish theirs.
+    Completed, ///< The old targets stop at once.
+    RolledBack, ///< The new version gets no requests; its targets drain.
+};
+inline constexpr std::array rolloutStageNames = {
+    EnumName<RolloutStage>{ RolloutStage::Canary, "canary" },
+    EnumName<RolloutStage>{ RolloutStage::Trial, "trial" },
+    EnumName<RolloutStage>{ RolloutStage::Moving, "moving" },
+    EnumName<RolloutStage>{ RolloutStage::Completed, "completed" },
+    EnumName<RolloutStage>{ RolloutStage::RolledBack, "rolled-back" },
+};
+inline bool isFinal(RolloutStage stage) { return stage >= RolloutStage::Completed; }
+
+/// The system's own record of a rollout in the store, written together with the status that
+/// operators read.
+struct RolloutRecord
+{
+    std::string service;
+    RolloutOrderId order;
+    std::string targetVersion;
+    RolloutStage stage = RolloutStage::Canary;
+    /// Versions of the service's targets before the order. After Completed they get no requests.
+    std::set<std::string> oldVersions;
+    /// Versions that were judged bad and that no later order named. They get no requests.
+    std::set<std::string> rejectedVersions;
+    std::int64_t orderedUnixMs = 0; ///< Time of day at which the order was first seen.
+    std::string reason; ///< Of the last change of stage.
+    std::uint64_t recordRevision = 0; ///< Of the record's key; 0 when it does not exist yet.
+    std::uint64_t statusRevision = 0; ///< Of the status key; 0 when it does not exist yet.
+};
+
+/// Everything that the store holds about rollouts, as of one read or watch call.
+struct RolloutSnapshot
+{
+    std::map<std::string, RolloutOrder, std::less<>> orders; ///< By service.
+    std::map<std::string, RolloutRecord, std::less<>> records; ///< By service.
+    std::uint64_t ownerRevision = 0; ///< Of the owner's key; 0 when there is no owner.
+    std::string ownerAddress; ///< "IP:PORT" of the owner's UDP socket; empty without one.
+    /// When the call was sent that returned this, on the steady clock. An order that was not in
+    /// the snapshot before was given after the previous call was sent.
+    TimePoint readAt;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Evidence
+
+/// Which targets of a service a request may be sent to.
+enum class VersionSide : std::uint8_t {
+    Any, ///< No rollout is in progress.
+    Old, ///< All versions but the one that is rolled out.
+    Target, ///< The version that is rolled out.
+};
+inline constexpr std::array versionSideNames = {
+    EnumName<VersionSide>{ VersionSide::Any, "any" },
+    EnumName<VersionSide>{ VersionSide::Old, "old" },
+    EnumName<VersionSide>{ VersionSide::Target, "target" },
+};
+
+/// One answer, or its absence, at a target during a rollout.
+struct AnswerSample
+{
+    std::string service;
+    std::string route;
+    std::string targetId;
+    VersionSide side = VersionSide::Old;
+    /// The target answered with a server error, broke off, sent bytes that are no answer, or gave
+    /// no answer within the time limit. Not: a refusal that says that the request has not run, a
+    /// caller that left.
+    bool failed = false;
+    Duration latency = {}; ///< From the send to the first event, or to the end of other answers.
+    /// From the target's learned speed and the request's size; zero when unknown.
+    Duration expectedLatency = {};
+};
+
+/// Counts of answers in classes of latency, half an octave wide. Merged by addition.
+class LatencyHistogram
+{
+public:
+    static constexpr std::size_t bucketCount = 24;
+    /// \param ratio To what the latency is compared, greater than 0: 1 falls into the middle.
+    void record(double ratio);
+    void merge(const LatencyHistogram &other);
+    std::uint64_t count() const;
+    /// \pre 0 <= share <= 1. \returns A ratio, 0 without any answer.
+    double quantile(double share) const;
+    /// Share of the answers whose ratio is above a bound; 0 without any answer.
+    double shareAbove(double ratio) const;
+
+    std::array<std::uint32_t, bucketCount> counts = {};
+};
+
+/// Answers on one route by one side of a rollout.
+struct RouteEvidence
+{
+    std::uint64_t answers = 0;
+    std::uint64_t failures = 0;
+    LatencyHistogram byTarget; ///< Latency against the expected one; only where that is known.
+    LatencyHistogram bySize; ///< Latency against that of a reference target for the same size.
+};
+
+/// Answers of one target of the new version.
+struct TargetEvidence
+{
+    std::uint64_t answers = 0;
+    std::uint64_t failures = 0;
+    std::uint64_t slowAnswers = 0; ///< More than 2.5 times the expected latency.
+};
+
+/// What one process has seen of a rollout since its order. Counters only grow, so a report that is
+/// lost or repeated does no harm: the newest of each process counts.
+struct RolloutEvidence
+{
+    std::map<std::string, RouteEvidence, std::less<>> oldByRoute;
+    std::map<std::string, RouteEvidence, std::less<>> targetByRoute;
+    std::map<std::string, TargetEvidence, std::less<>> byTarget; ///< New version only, by id.
+    std::uint64_t sentToOld = 0;
+    std::uint64_t sentToTarget = 0;
+};
+
+/// What an entry reports to the owner of the rollouts, some times a second.
+struct RolloutReport
+{
+    std::string service;
+    RolloutOrderId order;
+    RolloutStage stage = RolloutStage::Canary; ///< That the entry acts on.
+    Duration orderAge = {}; ///< Since the entry saw the order first; see RolloutOwner::merge.
+    std::uint64_t inProgressAtOld = 0; ///< Requests sent to old targets that have not ended.
+    std::uint32_t sequence = 0; ///< Grows with each report of this incarnation.
+    RolloutEvidence evidence;
+};
+
+/// What the owner answers to a report.
+struct RolloutDirective
+{
+    std::string service;
+    RolloutOrderId order;
+    RolloutStage stage = RolloutStage::Canary;
+    Duration orderAge = {};
+};
+
+enum class Verdict : std::uint8_t { Undecided, Good, Bad };
+inline constexpr std::array verdictNames = {
+    EnumName<Verdict>{ Verdict::Undecided, "undecided" },
+    EnumName<Verdict>{ Verdict::Good, "good" },
+    EnumName<Verdict>{ Verdict::Bad, "bad" },
+};
+
+struct Judgement
+{
+    Verdict verdict = Verdict::Undecided;
+    std::string reason; ///< For the log and the record: the route, the counts and the test.
+};
+
+/// Judges a version from the evidence of both sides on the same routes over the same time.
+Judgement judgeVersion(const RolloutEvidence &evidence);
+
+// ---------------------------------------------------------------------------------------------
+// Each entry's part
+
+struct RolloutLimits
+{
+    double exposedShare = 0.1; ///< Of a service's requests that a bad version may get.
+    double exposedRequests = 50; ///< In addition, over all entries.
+    Duration rollBackTime = seconds(5); ///< From the 50th bad answer to the last request.
+};
+
+/// Decides at one entry which side of a rollout each request goes to. The limit on exposure holds
+/// for each entry by itself, so it holds for their sum without any message.
+class RolloutGate
+{
+public:
+    explicit RolloutGate(const RolloutLimits &bounds);
+
+    /// Applies what the store holds. Must be called before the targets of the same read are used.
+    void apply(const RolloutSnapshot &snapshot, TimePoint now);
+    /// Applies what the owner says, which may be newer than the store's record.
+    void applyDirective(const RolloutDirective &directive, TimePoint now);
+    /// Sets how many entries share the additional exposed requests. \pre entries > 0.
+    void setSharingEntries(int entries);
+
+    /// The side for a new request. Does not count it.
+    VersionSide choose(std::string_view service, double uniformRandom, TimePoint now) const;
+    /// Whether a request of this side may be sent to a target. \param targetId Used for the few
+    /// targets of the Canary stage, which all entries choose alike.
+    bool admits(std::string_view service, std::string_view version, std::string_view targetId,
+        VersionSide side, TimePoint now) const;
+    /// The side that a target of a version belongs to.
+    VersionSide sideOf(std::string_view service, std::string_view version) const;
+    /// Must be called for each send to a target of a service, with the side of that target.
+    void recordSent(std::string_view service, VersionSide side, TimePoint now);
+    /// Must be called when a request has left its target, once for each recordSent().
+    void recordLeft(std::string_view service, VersionSide side);
+    void recordAnswer(const AnswerSample &sample, TimePoint now);
+
+    /// Reports on all rollouts that are not final, or became final in the last seconds.
+    std::vector<RolloutReport> reports(TimePoint now);
+    std::vector<std::string> activeServices() const;
+    /// The stage that this entry acts on; empty when no order is known for the service.
+    std::optional<RolloutStage> stage(std::string_view service) const;
+
+private:
+    struct Rollout;
+    std::map<std::string, std::shared_ptr<Rollout>, std::less<>> rollouts; ///< By service.
+    RolloutLimits limits;
+    int sharingEntries = 1;
+};
+
+// ---------------------------------------------------------------------------------------------
+// The owner's part
+
+/// The targets of a service by version, as the owner's list shows them.
+struct VersionTargets
+{
+    std::map<std::string, int> usableSlots; ///< By version; of targets that take requests.
+    std::map<std::string, int> usableTargets; ///< By version.
+};
+
+/// Decides at the process that owns the rollouts when a stage ends. Another process that becomes
+/// the owner continues from the store's record and the entries' next reports.
+class RolloutOwner
+{
+public:
+    explicit RolloutOwner(const RolloutLimits &bounds);
+
+    void apply(const RolloutSnapshot &snapshot, TimePoint now, std::int64_t unixMs);
+    void setTargets(const std::string &service, const VersionTargets &targets, TimePoint now);
+    /// \param entry Random id of the reporting entry's incarnation; the owner's own reports are
+    /// merged too.
+    void merge(std::uint64_t entry, const RolloutReport &report, TimePoint now);
+    RolloutDirective directive(const std::string &service, TimePoint now) const;
+    /// Records to be written, each under the condition that the owner's key, the record and the
+    /// status still have the revisions of the last snapshot. The same change is returned until a
+    /// snapshot contains it; at most one for each service.
+    std::vector<RolloutRecord> changes(TimePoint now);
+    /// For the state page and metrics.
+    Judgement judgement(const std::string &service) const;
+    std::size_t reportingEntries(const std::string &service, TimePoint now) const;
+    RolloutEvidence evidence(const std::string &service) const;
+
+private:
+    struct Rollout;
+    std::map<std::string, std::shared_ptr<Rollout>, std::less<>> rollouts; ///< By service.
+    RolloutLimits limits;
+};
+
+/// What a process should do next about the ownership of the rollouts.
+enum class OwnershipStep : std::uint8_t {
+    Nothing,
+    Acquire, ///< Take a lease and write the owner's key under it, if that does not exist.
+    Renew, ///< Renew the lease.
+};
+inline constexpr std::array ownershipStepNames = {
+    EnumName<OwnershipStep>{ OwnershipStep::Nothing, "nothing" },
+    EnumName<OwnershipStep>{ OwnershipStep::Acquire, "acquire" },
+    EnumName<OwnershipStep>{ OwnershipStep::Renew, "renew" },
+};
+
+/// Decides when a process tries to own the rollouts and when it no longer does. Processes try only
+/// while there is a rollout that is not final, at random moments, so that few calls are made.
+class RolloutOwnership
+{
+public:
+    static constexpr Duration leaseTime = milliseconds(1'500);
+    static constexpr Duration renewInterval = milliseconds(500);
+    /// A silent owner's key is tried again at this interval, plus a random part as long.
+    static constexpr Duration acquireInterval = milliseconds(400);
+
+    /// \param uniformRandom Uniformly distributed in [0, 1).
+    OwnershipStep nextStep(bool rolloutActive, const RolloutSnapshot &snapshot,
+        bool ownerIsSilent, double uniformRandom, TimePoint now);
+    /// \param sentAt When the first call of the acquisition was sent: the lease runs from then on.
+    void recordAcquired(std::uint64_t ownerRevision, std::string leaseId, TimePoint sentAt);
+    void recordAcquisitionFailed(TimePoint now);
+    void recordRenewed(TimePoint sentAt);
+    /// The store knows neither the lease nor the key, or another process has the key.
+    void recordLost();
+    /// Whether this process may act as the owner. False once the lease may have lapsed.
+    bool isOwner(TimePoint now) const;
+    std::uint64_t ownerRevision() const { return this->revision; }
+    const std::string &leaseId() const { return this->lease; }
+
+private:
+    std::uint64_t revision = 0;
+    std::string lease;
+    std::optional<TimePoint> heldFrom;
+    std::optional<TimePoint> renewedAt;
+    std::optional<TimePoint> nextAttemptAt;
+};
+
+} // namespace wigeonsill
