Rollout: each entry's gate, the owner's stages and the ownership

The gate enforces the exposed share at each entry, so that it holds for the sum without a message; the owner ends stages by the entries' cumulative reports; the ownership decides when a process tries to take the lease. Not tested yet: the judgement of a version is missing, so that the library does not link.

--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -7,12 +7,8 @@
 
 #include "wigeonsill/util.h"
 
-#include <array>
 #include <map>
-#include <optional>
 #include <set>
-#include <string>
-#include <vector>
 
 namespace wigeonsill {
 
@@ -36,6 +32,26 @@
     Duration duration = {}; ///< From the store's acknowledgement of the order to its deadline.
 };
 
+/// Whether an order is the one that is known. After the store came back from an older copy, an
+/// order that is there again has another id.
+bool isSameOrder(const RolloutOrder &known, const RolloutOrder &read);
+
+/// Points in the course of a rollout, from the order on.
+class RolloutSchedule
+{
+public:
+    explicit RolloutSchedule(Duration orderDuration);
+    Duration canaryEnd() const { return this->end / 2; }
+    /// Latest time at which all new requests go to the new version.
+    Duration latestMove() const { return this->end * 7 / 10; }
+    /// The rollout is final from then on, so that the store's answer and the entries' next read of
+    /// the store come before the deadline.
+    Duration endTime() const { return this->end; }
+
+private:
+    Duration end;
+};
+
 /// Stage of a rollout. Goes forward only, and from any stage before Completed to RolledBack.
 enum class RolloutStage : std::uint8_t {
     Canary, ///< A few targets of the new version get a small share of the requests.
@@ -51,7 +67,13 @@
     EnumName<RolloutStage>{ RolloutStage::Completed, "completed" },
     EnumName<RolloutStage>{ RolloutStage::RolledBack, "rolled-back" },
 };
-inline bool isFinal(RolloutStage stage) { return stage >= RolloutStage::Completed; }
+/// Whether nothing follows a stage.
+inline bool isFinal(RolloutStage stage)
+{
+    return stage == RolloutStage::Completed || stage == RolloutStage::RolledBack;
+}
+/// The one of two stages of the same order that came later.
+RolloutStage laterStage(RolloutStage first, RolloutStage second);
 
 /// The system's own record of a rollout in the store, written together with the status that
 /// operators read.
@@ -112,6 +134,8 @@
     Duration latency = {}; ///< From the send to the first event, or to the end of other answers.
     /// From the target's learned speed and the request's size; zero when unknown.
     Duration expectedLatency = {};
+    /// Of a request of the same size at a target of fixed speed; greater than zero.
+    Duration referenceLatency = milliseconds(1);
 };
 
 /// Counts of answers in classes of latency, half an octave wide. Merged by addition.
@@ -219,6 +243,8 @@
     void applyDirective(const RolloutDirective &directive, TimePoint now);
     /// Sets how many entries share the additional exposed requests. \pre entries > 0.
     void setSharingEntries(int entries);
+    /// Sets the targets of a service that take requests. \param versions By target id.
+    void setTargets(const std::string &service, std::map<std::string, std::string> versions);
 
     /// The side for a new request. Does not count it.
     VersionSide choose(std::string_view service, double uniformRandom, TimePoint now) const;
@@ -228,23 +254,52 @@
         VersionSide side, TimePoint now) const;
     /// The side that a target of a version belongs to.
     VersionSide sideOf(std::string_view service, std::string_view version) const;
-    /// Must be called for each send to a target of a service, with the side of that target.
-    void recordSent(std::string_view service, VersionSide side, TimePoint now);
+    /// Must be called for each send to a target of a service, also without a rollout: requests that
+    /// were sent before an order are in progress at its old targets.
+    void recordSent(std::string_view service, std::string_view version);
     /// Must be called when a request has left its target, once for each recordSent().
-    void recordLeft(std::string_view service, VersionSide side);
-    void recordAnswer(const AnswerSample &sample, TimePoint now);
+    void recordLeft(std::string_view service, std::string_view version);
+    /// Ignored when the sample's service has no rollout in progress.
+    void recordAnswer(const AnswerSample &sample);
 
     /// Reports on all rollouts that are not final, or became final in the last seconds.
     std::vector<RolloutReport> reports(TimePoint now);
     std::vector<std::string> activeServices() const;
     /// The stage that this entry acts on; empty when no order is known for the service.
     std::optional<RolloutStage> stage(std::string_view service) const;
+    /// Whether this entry's own evidence stopped its requests to the new version.
+    bool isStoppedByOwnEvidence(std::string_view service) const;
 
 private:
-    struct Rollout;
-    std::map<std::string, std::shared_ptr<Rollout>, std::less<>> rollouts; ///< By service.
+    struct Service
+    {
+        std::map<std::string, std::string> versions; ///< Of the usable targets, by id.
+        std::map<std::string, std::uint64_t, std::less<>> inProgress; ///< By version.
+        std::optional<RolloutOrder> order;
+        std::optional<RolloutRecord> record;
+        RolloutStage stage = RolloutStage::Canary;
+        TimePoint orderSeenAt; ///< Earliest time at which the order may have been given.
+        std::optional<TimePoint> finalSince;
+        RolloutEvidence evidence;
+        std::uint32_t sequence = 0;
+        bool stoppedByOwnEvidence = false;
+        std::set<std::string> canaryTargets;
+    };
+
+    void applyOrder(Service &service, const RolloutOrder &order, TimePoint givenAfter);
+    void setStage(Service &service, RolloutStage stage, TimePoint now);
+    /// Whether one more request may go to the new version under a share of all requests.
+    bool isWithinShare(const Service &service, double share) const;
+    bool isActive(const Service &service) const;
+    const Service *find(std::string_view service) const;
+    Service &findOrAdd(std::string_view service);
+    static void updateCanaryTargets(Service &service);
+
+    std::map<std::string, Service, std::less<>> services;
     RolloutLimits limits;
     int sharingEntries = 1;
+    std::optional<TimePoint> previousReadAt;
+    std::optional<TimePoint> lastContactAt; ///< With the store or the owner.
 };
 
 // ---------------------------------------------------------------------------------------------
@@ -255,6 +310,7 @@
 {
     std::map<std::string, int> usableSlots; ///< By version; of targets that take requests.
     std::map<std::string, int> usableTargets; ///< By version.
+    bool listComplete = true; ///< False while records of live targets may be absent.
 };
 
 /// Decides at the process that owns the rollouts when a stage ends. Another process that becomes
@@ -264,6 +320,8 @@
 public:
     explicit RolloutOwner(const RolloutLimits &bounds);
 
+    /// \param unixMs Time of day. Only used for orders that were there before this process, whose
+    /// age no entry's report tells.
     void apply(const RolloutSnapshot &snapshot, TimePoint now, std::int64_t unixMs);
     void setTargets(const std::string &service, const VersionTargets &targets, TimePoint now);
     /// \param entry Random id of the reporting entry's incarnation; the owner's own reports are
@@ -274,15 +332,48 @@
     /// status still have the revisions of the last snapshot. The same change is returned until a
     /// snapshot contains it; at most one for each service.
     std::vector<RolloutRecord> changes(TimePoint now);
+    /// Records that the store has written a change. \param revision Of the record and the status.
+    void recordWritten(const RolloutRecord &record, std::uint64_t revision, TimePoint now);
     /// For the state page and metrics.
     Judgement judgement(const std::string &service) const;
     std::size_t reportingEntries(const std::string &service, TimePoint now) const;
     RolloutEvidence evidence(const std::string &service) const;
 
 private:
-    struct Rollout;
-    std::map<std::string, std::shared_ptr<Rollout>, std::less<>> rollouts; ///< By service.
+    struct Report
+    {
+        RolloutReport report;
+        TimePoint at;
+    };
+    struct Rollout
+    {
+        std::optional<RolloutOrder> order;
+        std::optional<RolloutRecord>
+            record; ///< As the store holds it, of this or an earlier order.
+        TimePoint givenAt; ///< Earliest time at which the order may have been given.
+        TimePoint stageSince; ///< When this process saw the record's stage first.
+        std::optional<TimePoint> removedAt; ///< When the order was found to be gone.
+        std::map<std::uint64_t, Report> reports; ///< Newest one of each entry's incarnation.
+        VersionTargets targets;
+        bool targetsKnown = false;
+    };
+
+    void applyRecord(Rollout &rollout, const RolloutRecord &record, TimePoint now);
+    /// The record if it belongs to the order in progress.
+    const RolloutRecord *currentRecord(const Rollout &rollout) const;
+    RolloutEvidence evidenceOf(const Rollout &rollout) const;
+    /// The stage that follows the current one now, with the reason; empty when none does.
+    std::optional<std::pair<RolloutStage, std::string>> nextStage(
+        const Rollout &rollout, const Judgement &judgement, TimePoint now) const;
+    bool hasRoomForAll(const Rollout &rollout) const;
+    bool isOldVersionIdle(const Rollout &rollout, TimePoint now) const;
+    RolloutRecord firstRecord(const Rollout &rollout, TimePoint now) const;
+
+    std::map<std::string, Rollout, std::less<>> rollouts; ///< By service.
     RolloutLimits limits;
+    std::optional<TimePoint> previousReadAt;
+    std::int64_t unixMsAtRead = 0;
+    TimePoint readAt;
 };
 
 /// What a process should do next about the ownership of the rollouts.
@@ -298,7 +389,9 @@
 };
 
 /// Decides when a process tries to own the rollouts and when it no longer does. Processes try only
-/// while there is a rollout that is not final, at random moments, so that few calls are made.
+/// while there is a rollout that is not final, at random moments, so that few calls are made. Times are
+/// of a clock that counts suspension (CLOCK_BOOTTIME): a process that wakes up late must know that
+/// its lease has lapsed.
 class RolloutOwnership
 {
 public:
@@ -308,8 +401,8 @@
     static constexpr Duration acquireInterval = milliseconds(400);
 
     /// \param uniformRandom Uniformly distributed in [0, 1).
-    OwnershipStep nextStep(bool rolloutActive, const RolloutSnapshot &snapshot,
-        bool ownerIsSilent, double uniformRandom, TimePoint now);
+    OwnershipStep nextStep(bool rolloutActive, const RolloutSnapshot &snapshot, bool ownerIsSilent,
+        double uniformRandom, TimePoint now);
     /// \param sentAt When the first call of the acquisition was sent: the lease runs from then on.
     void recordAcquired(std::uint64_t ownerRevision, std::string leaseId, TimePoint sentAt);
     void recordAcquisitionFailed(TimePoint now);
@@ -324,7 +417,6 @@
 private:
     std::uint64_t revision = 0;
     std::string lease;
-    std::optional<TimePoint> heldFrom;
     std::optional<TimePoint> renewedAt;
     std::optional<TimePoint> nextAttemptAt;
 };
