--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -389,9 +389,9 @@
 };
 
 /// Decides when a process tries to own the rollouts and when it no longer does. Processes try only
-/// while there is a rollout that is not final, at random moments, so that few calls are made. Times are
-/// of a clock that counts suspension (CLOCK_BOOTTIME): a process that wakes up late must know that
-/// its lease has lapsed.
+/// while there is a rollout that is not final, at random moments, so that few calls are made. Times
+/// are of a clock that counts suspension (CLOCK_BOOTTIME): a process that wakes up late must know
+/// that its lease has lapsed.
 class RolloutOwnership
 {
 public:
