Rollout: orders that cannot be carried out, and a version that all targets have

An order with a problem is answered as rolled back and changes no entry's choice. Where no target of another version was seen since the order there is nothing to choose, so the share does not bind: otherwise an order that names the version in use would refuse nearly all requests.

--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -30,6 +30,8 @@
     std::string service;
     std::string targetVersion;
     Duration duration = {}; ///< From the store's acknowledgement of the order to its deadline.
+    /// Why the order cannot be carried out; it is then answered as rolled back. Empty otherwise.
+    std::string problem;
 };
 
 /// Whether an order is the one that is known. After the store came back from an older copy, an
@@ -278,6 +280,9 @@
         std::optional<RolloutOrder> order;
         std::optional<RolloutRecord> record;
         RolloutStage stage = RolloutStage::Canary;
+        /// Targets of another version than the order's were seen since the order. Otherwise all
+        /// targets have the version already, and there is nothing to choose.
+        bool hadOldTargets = false;
         TimePoint orderSeenAt; ///< Earliest time at which the order may have been given.
         std::optional<TimePoint> finalSince;
         RolloutEvidence evidence;
@@ -293,7 +298,7 @@
     bool isActive(const Service &service) const;
     const Service *find(std::string_view service) const;
     Service &findOrAdd(std::string_view service);
-    static void updateCanaryTargets(Service &service);
+    static void updateTargets(Service &service);
 
     std::map<std::string, Service, std::less<>> services;
     RolloutLimits limits;
--- a/src/librollout/rolloutgate.cpp
+++ b/src/librollout/rolloutgate.cpp
@@ -69,13 +69,16 @@
 
 bool RolloutGate::isActive(const Service &service) const
 {
-    return service.order && !isFinal(service.stage);
+    return service.order && service.hadOldTargets && !isFinal(service.stage);
 }
 
 void RolloutGate::apply(const RolloutSnapshot &snapshot, TimePoint now)
 {
     const TimePoint givenAfter = this->previousReadAt.value_or(snapshot.readAt);
     for (const auto &[name, order] : snapshot.orders) {
+        if (!order.problem.empty()) {
+            continue;
+        }
         this->applyOrder(this->findOrAdd(name), order, givenAfter);
     }
     for (const auto &[name, record] : snapshot.records) {
@@ -104,7 +107,8 @@
     service.evidence = {};
     service.sequence = 0;
     service.stoppedByOwnEvidence = false;
-    updateCanaryTargets(service);
+    service.hadOldTargets = false;
+    updateTargets(service);
 }
 
 void RolloutGate::applyDirective(const RolloutDirective &directive, TimePoint now)
@@ -138,10 +142,10 @@
 {
     Service &record = this->findOrAdd(service);
     record.versions = std::move(versions);
-    updateCanaryTargets(record);
+    updateTargets(record);
 }
 
-void RolloutGate::updateCanaryTargets(Service &service)
+void RolloutGate::updateTargets(Service &service)
 {
     service.canaryTargets.clear();
     if (!service.order) {
@@ -149,6 +153,7 @@
     }
     std::vector<std::pair<std::uint64_t, std::string>> byHash;
     for (const auto &[id, version] : service.versions) {
+        service.hadOldTargets = service.hadOldTargets || version != service.order->targetVersion;
         if (version == service.order->targetVersion) {
             byHash.emplace_back(stableHash(id, service.order->id.revision), id);
         }
@@ -206,7 +211,7 @@
         && record->record->rejectedVersions.contains(std::string(version))) {
         return false;
     }
-    if (!record->order) {
+    if (!record->order || !record->hadOldTargets) {
         return true;
     }
     if (record->stage == RolloutStage::RolledBack) {
--- a/src/librollout/rolloutowner.cpp
+++ b/src/librollout/rolloutowner.cpp
@@ -232,6 +232,9 @@
     if (judgement.verdict == Verdict::Bad) {
         return Next{ RolloutStage::RolledBack, judgement.reason };
     }
+    if (rollout.removedAt && this->currentRecord(rollout)->oldVersions.empty()) {
+        return Next{ RolloutStage::Completed, "all targets have the version" };
+    }
     if (rollout.removedAt) {
         return now - *rollout.removedAt >= removedOrderGrace
             ? std::optional(Next{ RolloutStage::RolledBack, "the order was removed" })
@@ -313,6 +316,12 @@
                 continue;
             }
             RolloutRecord record = this->firstRecord(rollout, now);
+            if (!rollout.order->problem.empty()) {
+                record.stage = RolloutStage::RolledBack;
+                record.reason = rollout.order->problem;
+                result.push_back(std::move(record));
+                continue;
+            }
             const bool isThere = rollout.targets.usableTargets.contains(record.targetVersion);
             if (record.oldVersions.empty() && isThere && rollout.targets.listComplete) {
                 record.stage = RolloutStage::Completed;
