--- a/src/include/wigeonsill/directory.h
+++ b/src/include/wigeonsill/directory.h
@@ -19,6 +19,7 @@
 {
     std::string id; ///< Of this incarnation.
     std::string service;
+    std::string version; ///< Of its software; empty when not stated.
     std::string address; ///< "IP:PORT".
     std::string failureDomain;
     std::string region;
--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -9,6 +9,7 @@
 #include "wigeonsill/daemon.h"
 #include "wigeonsill/gateway.h"
 #include "wigeonsill/outcomes.h"
+#include "wigeonsill/rollout.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -161,6 +162,40 @@
     std::unique_ptr<Private> d;
 };
 
+// ---------------------------------------------------------------------------------------------
+// Rollouts
+
+/// The calls by which the rollouts' owner uses the store. Each handler is called exactly once,
+/// unless the object is destroyed before. Not thread-safe.
+class RolloutStore
+{
+public:
+    struct Acquired
+    {
+        std::uint64_t ownerRevision = 0;
+        std::string leaseId;
+    };
+    virtual ~RolloutStore() = default;
+    /// Takes a lease and writes the owner's key under it, if the key does not exist.
+    /// \param ownerAddress "IP:PORT" of this process's UDP socket.
+    /// Errors: StoreConflict (another process is the owner), StoreUnavailable, StoreRateLimited.
+    virtual void acquire(
+        const std::string &ownerAddress, std::function<void(Result<Acquired>)> handler)
+        = 0;
+    /// Renews the owner's lease. Errors: StoreConflict (it has ended), StoreUnavailable,
+    /// StoreRateLimited.
+    virtual void renew(const std::string &leaseId, std::function<void(Result<bool>)> handler) = 0;
+    /// Writes a record and its status in one transaction, under the condition that the owner's key,
+    /// the record and the status have their known revisions. Returns the new revision.
+    /// Errors: StoreConflict, StoreUnavailable (it may have been or may still be written),
+    /// StoreRateLimited.
+    virtual void write(const RolloutRecord &record, std::uint64_t ownerRevision,
+        std::function<void(Result<std::uint64_t>)> handler)
+        = 0;
+    /// Reads the store's changes soon; a snapshot follows.
+    virtual void refresh() = 0;
+};
+
 // ---------------------------------------------------------------------------------------------
 // Entry
 
@@ -182,6 +217,7 @@
     WaitPolicy wait;
     AnswerContinuation::Limits continuation;
     QuotaLimiter::Limits quotas;
+    std::optional<RolloutLimits> rollouts; ///< Empty: orders of rollouts are not followed.
     int logLinesPerSecond = 400;
 };
 
@@ -205,6 +241,11 @@
     /// Replaces the list of targets. \param targets The complete list.
     /// \param listMayBeIncomplete See TargetDirectory::replace.
     void setTargets(std::vector<Target> targets, bool listMayBeIncomplete);
+    /// Applies what the store holds about rollouts. Must be called before setTargets() with the
+    /// list of the same read. Ignored unless ForwardEntrySettings::rollouts is set.
+    void setRollouts(const RolloutSnapshot &snapshot);
+    /// Sets the store that the owner of the rollouts writes to. \pre it outlives the entry.
+    void setRolloutStore(RolloutStore &store);
     /// Sets the handler that re-reads the list of targets. It is called each time a target turns
     /// out to have been replaced at its address.
     void setTargetsOutdatedHandler(std::function<void()> refresh);
