Rollout messages: reports and directives between entries

Cause: the owner of the rollouts needs what all entries saw, over UDP. Change: rolloutReport and rolloutDirective in grant.capnp. A report that exceeds a datagram is sent in parts that each have the totals; the receiver puts them together. The fuzz target plays both kinds.

--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -19,6 +19,8 @@
   targetState @10;  # agent: what its next report from the target showed
   permitRequest @11; # entry: wants to send requests to a target without an agent that states a rate
   permits @12;      # agent: so many may be sent
+  rolloutReport @13;    # entry to the owner of the rollouts: what it saw of one
+  rolloutDirective @14; # the owner's answer
 }
 
 struct OrganisationUse {
@@ -47,6 +49,39 @@
   ageUs @4 :UInt64;     # since the answer was received
 }
 
+struct RolloutRoute {
+  name @0 :Text;
+  ofTarget @1 :Bool;         # answers of the version that is rolled out; else of the others
+  answers @2 :UInt64;
+  failures @3 :UInt64;
+  byTarget @4 :List(UInt32); # counts of answers in classes of latency, see LatencyHistogram
+  bySize @5 :List(UInt32);
+}
+
+struct RolloutTarget {
+  id @0 :Text;
+  answers @1 :UInt64;
+  failures @2 :UInt64;
+  slowAnswers @3 :UInt64;
+}
+
+struct Rollout {
+  service @0 :Text;
+  history @1 :UInt64;      # of the store, in which the order was read
+  revision @2 :UInt64;     # of the order
+  stage @3 :UInt8;         # as RolloutStage
+  orderAgeUs @4 :UInt64;   # since the order was given, as far as the sender knows
+  # In rolloutReport only. Counters are cumulative since the order.
+  inProgressAtOld @5 :UInt64;
+  sequence @6 :UInt32;
+  part @7 :UInt16;         # a report that exceeds a datagram is sent in parts
+  parts @8 :UInt16;
+  sentToOld @9 :UInt64;
+  sentToTarget @10 :UInt64;
+  routes @11 :List(RolloutRoute);
+  targets @12 :List(RolloutTarget);
+}
+
 struct GrantMessage {
   kind @0 :GrantKind;
   sender @1 :UInt64;        # random number drawn at each start of the process
@@ -81,4 +116,5 @@
   untilPermitUs @32 :Int64;   # until the rate of the agent's target leaves one more permit
   unused @31 :Bool;           # in release: nothing was sent to the target
   moreFollow @24 :Bool;       # in crashReports: this is not the last of several datagrams
+  rollout @33 :Rollout;       # in rolloutReport and rolloutDirective
 }
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -175,6 +175,11 @@
     root.setUnused(message.unused);
     encodeReports(message.crashReports,
         root.initCrashReports(static_cast<unsigned>(message.crashReports.size())));
+    if (message.rolloutReport) {
+        encodeRollout(*message.rolloutReport, root.initRollout());
+    } else if (message.rolloutDirective) {
+        encodeRollout(*message.rolloutDirective, root.initRollout());
+    }
     // Packed encoding: traffic between failure domains is charged, and most fields are zero.
     kj::VectorOutputStream packed;
     capnp::writePackedMessage(packed, builder);
@@ -240,6 +245,16 @@
         message.asDeputy = root.getAsDeputy();
         message.unused = root.getUnused();
         message.crashReports = decodeReports(root.getCrashReports());
+        if (message.kind == GrantKind::RolloutReport) {
+            message.rolloutReport = decodeReportPart(root.getRollout());
+        } else if (message.kind == GrantKind::RolloutDirective) {
+            message.rolloutDirective = decodeDirective(root.getRollout());
+        }
+        const bool isRollout = message.kind == GrantKind::RolloutReport
+            || message.kind == GrantKind::RolloutDirective;
+        if (isRollout && !message.rolloutReport && !message.rolloutDirective) {
+            return std::nullopt;
+        }
         return message;
     } catch (const kj::Exception &) {
         return std::nullopt; // Callers count malformed datagrams.
--- a/src/libforward/grantmessage.h
+++ b/src/libforward/grantmessage.h
@@ -2,6 +2,7 @@
 /// Grant messages between entries and agents.
 #pragma once
 
+#include "rolloutmessage.h"
 #include "wigeonsill/gateway.h"
 #include "wigeonsill/quarantine.h"
 
@@ -22,6 +23,8 @@
     TargetState, ///< Agent: whether it has, by a report asked for since.
     PermitRequest, ///< Entry: wants to send to a target without an agent that states a rate.
     Permits, ///< Agent: how many requests may be sent there.
+    RolloutReport, ///< Entry to the owner of the rollouts: what it saw of one.
+    RolloutDirective, ///< The owner's answer.
 };
 
 /// A decoded datagram.
@@ -46,6 +49,8 @@
     bool asDeputy = false; ///< In PermitRequest and Permits: the first issuer didn't answer.
     bool unused = false; ///< In Release: nothing was sent to the target.
     bool moreFollow = false; ///< In CrashReports: this is not the last of several datagrams.
+    std::optional<RolloutReportPart> rolloutReport; ///< In RolloutReport, and always there.
+    std::optional<RolloutDirective> rolloutDirective; ///< In RolloutDirective, and always there.
 };
 
 /// Splits reports into messages that fit into a datagram; one message when there are no reports.
--- a/src/libforward/grantmessage_fuzz.cpp
+++ b/src/libforward/grantmessage_fuzz.cpp
@@ -6,10 +6,31 @@
 
 namespace wigeonsill {
 
+namespace {
+
+RolloutReportPart exampleReport()
+{
+    RolloutReportPart part;
+    part.report.service = "engines";
+    part.report.order = { 1, 5 };
+    part.report.sequence = 3;
+    part.parts = 2;
+    RolloutEvidence &evidence = part.report.evidence;
+    evidence.sentToOld = 40;
+    evidence.sentToTarget = 2;
+    evidence.oldByRoute["route-1"] = { 38, 1, {}, {} };
+    evidence.oldByRoute["route-1"].bySize.record(1.5);
+    evidence.targetByRoute["route-1"] = { 2, 1, {}, {} };
+    evidence.byTarget["engine-2.1"] = { 2, 1, 0 };
+    return part;
+}
+
+} // namespace
+
 std::vector<std::string> fuzzSeeds()
 {
     std::vector<std::string> seeds;
-    for (int kind = 0; kind <= static_cast<int>(GrantKind::Permits); ++kind) {
+    for (int kind = 0; kind <= static_cast<int>(GrantKind::RolloutDirective); ++kind) {
         GrantMessage message;
         message.kind = static_cast<GrantKind>(kind);
         message.sender = 7;
@@ -20,6 +41,12 @@
         message.usage.othersDemand["hot"] = 30;
         message.usage.sharingEntries = 3;
         message.targetId = "engine-1.1";
+        if (message.kind == GrantKind::RolloutReport) {
+            message.rolloutReport = exampleReport();
+        } else if (message.kind == GrantKind::RolloutDirective) {
+            message.rolloutDirective
+                = { "engines", { 1, 5 }, RolloutStage::Trial, milliseconds(900) };
+        }
         seeds.push_back(encode(message));
     }
     return seeds;
@@ -30,7 +57,6 @@
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     using namespace wigeonsill;
-    constexpr std::size_t largestDatagram = 8'192;
     if (size > largestDatagram) {
         return 0;
     }
@@ -41,6 +67,24 @@
         fuzzRequire(again->kind == message->kind && again->sender == message->sender
                 && again->profile.reservationId == message->profile.reservationId,
             "what was decoded is sent as something else");
+        fuzzRequire(again->rolloutReport.has_value() == message->rolloutReport.has_value()
+                && again->rolloutDirective.has_value() == message->rolloutDirective.has_value(),
+            "a rollout's message is sent as something else");
+        if (message->rolloutReport) {
+            const RolloutReport &report = message->rolloutReport->report;
+            fuzzRequire(report.evidence.oldByRoute.size()
+                        == again->rolloutReport->report.evidence.oldByRoute.size()
+                    && report.evidence.byTarget.size()
+                        == again->rolloutReport->report.evidence.byTarget.size()
+                    && report.order == again->rolloutReport->report.order
+                    && report.stage <= RolloutStage::RolledBack,
+                "a report is sent as another one");
+            RolloutReportAssembly assembly;
+            fuzzRequire(
+                assembly.add(1, *message->rolloutReport).has_value()
+                    == (message->rolloutReport->parts == 1),
+                "a part is taken for the whole report");
+        }
     }
     return 0;
 }
