--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -486,4 +486,8 @@
     return this->d->acceptor.local_endpoint().port();
 }
 
+void ForwardEntry::setRollouts(const RolloutSnapshot & /*snapshot*/) { }
+
+void ForwardEntry::setRolloutStore(RolloutStore & /*store*/) { }
+
 } // namespace wigeonsill
