Testsuite: transactions, leases and faults in the store's stand-in

Entries are to write to the store as the owner of rollouts. Engines have a version. The case rollout-orders is new; its last part needs the entry's part of rollouts.

--- a/testsuite/odd-entries/run.py
+++ b/testsuite/odd-entries/run.py
@@ -49,7 +49,7 @@
     """Writes bytes that are no text."""
     with store.changed:
         store.put(key, "")
-        store.items[key] = (base64.b64encode(value).decode(), store.items[key][1])
+        store.items[key] = (base64.b64encode(value).decode(),) + store.items[key][1:]
 
 
 def check_alive(deployment, what):
--- a/testsuite/platformdeployment.py
+++ b/testsuite/platformdeployment.py
@@ -79,8 +79,9 @@
     that no other instance has.
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder, entry_settings=None):
         self.folder = folder
+        self.entry_settings = entry_settings or {}  # In addition to those that each entry has.
         self.store = Store()
         self.nodes = []
         self.engines = [Engine("i-%d" % i, slots=2) for i in range(1, 7)]
@@ -129,7 +130,7 @@
             "role": "entry", "grant": "%s:%d" % (address, self.grant_port), "failureDomain": "a", "region": "r",
             "regions": {"a": "r"}, "listen": "127.0.0.1:0", "readiness": "127.0.0.1:0",
             "store": self.store.address, "strictRevocation": True, "revocationMs": 3000, "graceMs": 6000,
-            "drainMs": 1000, "retrySlack": 3000})
+            "drainMs": 1000, "retrySlack": 3000, **self.entry_settings})
         self.nodes.append(entry)
         wait_until(lambda: entry.get("readiness", "/readiness")[0] == 200, "the entry is ready")
         return entry
--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -1,183 +1,13 @@
-"""Stand-ins of the users' platform for tests: its store, its model engines and plain services.
+"""Stand-ins of the users' platform for tests: its model engines and plain services, and its store from storestandin."""
 
-They write HTTP to raw sockets, so that they can also send malformed and misplaced answers.
-"""
-
-import base64
 import json
 import socket
 import struct
 import threading
 import time
-import urllib.parse
-
-
-def listen():
-    server = socket.socket()
-    server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    server.bind(("127.0.0.1", 0))
-    server.listen(64)
-    return server
-
-
-def read_request(connection, data):
-    """Returns (method, target, headers, body, unread data), or None when the connection ends."""
-    while b"\r\n\r\n" not in data:
-        piece = connection.recv(65536)
-        if not piece:
-            return None
-        data += piece
-    head, data = data.split(b"\r\n\r\n", 1)
-    lines = head.decode("latin-1").split("\r\n")
-    method, target, _ = lines[0].split(" ")
-    headers = [line.split(": ", 1) for line in lines[1:]]
-    length = int(next((v for k, v in headers if k.lower() == "content-length"), "0"))
-    while len(data) < length:
-        piece = connection.recv(65536)
-        if not piece:
-            return None
-        data += piece
-    return method, target, headers, data[:length], data[length:]
-
-
-def format_answer(status, headers, body):
-    """Returns the bytes of an HTTP answer."""
-    lines = ["HTTP/1.1 %d X" % status] + ["%s: %s" % header for header in headers]
-    lines.append("Content-Length: %d" % len(body))
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-
-
-class Server:
-    """Accepts connections and runs serve() for each of them in a thread of its own."""
-
-    def __init__(self):
-        self.server = listen()
-        self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
-        self.connections = []
-        threading.Thread(target=self.accept_connections, daemon=True).start()
-
-    def accept_connections(self):
-        while True:
-            try:
-                connection, _ = self.server.accept()
-            except OSError:
-                return
-            self.connections.append(connection)
-            threading.Thread(target=self.serve_and_close, args=(connection,), daemon=True).start()
-
-    def serve_and_close(self, connection):
-        try:
-            self.serve(connection)
-        except OSError:
-            pass  # The peer disconnected, which some cases do on purpose.
-        connection.close()
-
-    def close(self):
-        self.server.close()
-        for connection in self.connections:
-            connection.close()
 
-
-class Store(Server):
-    """Stores keys with revisions and serves reads, ranges and watches.
-
-    mode is "ok", "busy" (answers 503 to everything) or "silent" (holds back every answer).
-    go_back() sets it to an older copy of itself; the era in all its answers then rises by one.
-    """
-
-    def __init__(self):
-        self.items = {}
-        self.removed = {}
-        self.revision = 1
-        self.era = 1
-        self.copies = []
-        self.changed = threading.Condition()
-        self.mode = "ok"
-        self.page_size = 500
-        super().__init__()
-
-    def put(self, key, value):
-        with self.changed:
-            self.revision += 1
-            text = value if isinstance(value, str) else json.dumps(value)
-            self.items[key] = (base64.b64encode(text.encode()).decode(), self.revision)
-            self.removed.pop(key, None)
-            self.keep_copy()
-            self.changed.notify_all()
-
-    def remove(self, key):
-        with self.changed:
-            self.revision += 1
-            if self.items.pop(key, None) is not None:
-                self.removed[key] = self.revision
-            self.keep_copy()
-            self.changed.notify_all()
-
-    def keep_copy(self):
-        self.copies.append((time.monotonic(), dict(self.items), dict(self.removed), self.revision))
-
-    def go_back(self, seconds):
-        """Forgets what was written in the last seconds: values, removals and revisions."""
-        with self.changed:
-            moment = time.monotonic() - seconds
-            _, items, removed, self.revision = [copy for copy in self.copies if copy[0] <= moment][-1]
-            self.items, self.removed = dict(items), dict(removed)
-            self.copies = [copy for copy in self.copies if copy[0] <= moment]
-            self.era += 1
-            self.changed.notify_all()
-
-    def records(self, prefix, after=0):
-        return [
-            {"key": key, "value": value, "rev": revision, "createdRev": revision, "lease": 0}
-            for key, (value, revision) in sorted(self.items.items())
-            if key.startswith(prefix) and revision > after
-        ]
-
-    def changes_after(self, prefix, after):
-        return self.records(prefix, after) + [
-            {"key": key, "rev": revision, "removed": True}
-            for key, revision in sorted(self.removed.items())
-            if key.startswith(prefix) and revision > after
-        ]
-
-    def reply(self, target):
-        url = urllib.parse.urlparse(target)
-        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
-        with self.changed:
-            if url.path == "/kv-key":
-                records = self.records(query["key"])
-                if not records:
-                    return 404, {}
-                return 200, dict(records[0], currentRev=self.revision)
-            if url.path == "/kv-range":
-                records = [record for record in self.records(query["prefix"]) if record["key"] > query.get("after", "")]
-                return 200, {
-                    "entries": records[:self.page_size], "hasMore": len(records) > self.page_size,
-                    "currentRev": self.revision}
-            if int(query["after"]) > self.revision:
-                return 410, {}
-            deadline = time.monotonic() + int(query["waitMs"]) / 1000
-            while True:
-                records = self.changes_after(query["prefix"], int(query["after"]))
-                remaining_s = deadline - time.monotonic()
-                if records or remaining_s <= 0:
-                    return 200, {"events": records, "currentRev": self.revision}
-                self.changed.wait(remaining_s)
-
-    def serve(self, connection):
-        data = b""
-        while True:
-            request = read_request(connection, data)
-            if request is None:
-                return
-            data = request[4]
-            status, body = self.reply(request[1])
-            while self.mode == "silent":
-                time.sleep(0.05)
-            if self.mode == "busy":
-                status, body = 503, {}
-            headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
-            connection.sendall(format_answer(status, headers, json.dumps(body).encode()))
+from standinserver import Server, format_answer, read_request
+from storestandin import Store
 
 
 def events(first, last, text="tok"):
@@ -260,6 +90,7 @@
         self.slots = slots
         self.event_delay_s = event_delay_s
         self.event_count = event_count
+        self.version = "v1"  # Of its software.
         self.runs = []
         self.disconnected = []
         self.born = 0  # Unix time of its start in milliseconds.
@@ -278,7 +109,7 @@
     def instance_record(self, service, domain="a", state="ready"):
         """Returns this instance's record in the instance list."""
         return {
-            "backend": service, "address": self.address, "zone": domain, "version": "v1",
+            "backend": service, "address": self.address, "zone": domain, "version": self.version,
             "slots": self.slots, "state": state, "coldLeftMs": 0, "seq": 1,
         }
 
--- /dev/null
+++ b/testsuite/rollout-orders/run.py
@@ -0,0 +1,84 @@
+"""Orders of rollouts: an entry reads them where its settings call for it, becomes the owner and writes their status."""
+
+import json
+import pathlib
+import tempfile
+import time
+
+from harness import check, wait_until
+from platformdeployment import Deployment
+
+LISTS = ["servers/", "op/rollout/", "rollout/", "status/rollout/"]
+IDLE_S = 2.5  # more than two intervals between watch calls
+
+
+def lists_read(store):
+    """Returns the prefixes of the lists that were read, in this order."""
+    return [target.split("prefix=")[1] for _, _, target in store.calls if target.startswith("/kv-range")]
+
+
+def changing_calls(store):
+    return [call for call in store.calls if call[1] != "GET"]
+
+
+def status(deployment, service):
+    return deployment.store.value("status/rollout/" + service)
+
+
+def nothing_is_read_without_the_setting(folder):
+    with Deployment(folder) as deployment:
+        deployment.store.order_rollout("engines", "v2", 60)
+        time.sleep(IDLE_S)
+        check(lists_read(deployment.store) == LISTS[:1], "only the targets are read")
+        check(not changing_calls(deployment.store), "nothing is written")
+
+
+def keys_are_read_after_the_targets(folder):
+    with Deployment(folder, {"rollout": {}}) as deployment:
+        store = deployment.store
+        check(lists_read(store) == LISTS, "all lists are read, the targets first")
+        time.sleep(IDLE_S)
+        check(lists_read(store) == LISTS, "later changes come with the watch calls")
+        check(not changing_calls(store), "an idle deployment makes no call for rollouts")
+        store.go_back(0)
+        wait_until(lambda: lists_read(store) == LISTS + LISTS, "a new history is read completely")
+
+
+def odd_values_are_logged(folder):
+    with Deployment(folder, {"rollout": {}}) as deployment:
+        def has_logged(event, text):
+            return any('"event":"%s"' % event in line and text in line for line in deployment.entry.lines)
+        deployment.store.put("op/rollout/engines", "{ not json")
+        deployment.store.put("rollout/record/plain", "[]")
+        deployment.store.order_rollout("nobody", "v2", 60)
+        wait_until(lambda: has_logged("rollout-malformed", "op/rollout/engines"), "the order is logged")
+        wait_until(lambda: has_logged("rollout-malformed", "rollout/record/plain"), "the record is logged")
+        wait_until(lambda: has_logged("rollout-order-refused", "nobody"), "the unknown service is logged")
+        check(deployment.entry.popen.poll() is None, "the entry runs")
+
+
+def an_order_gets_an_owner_and_a_status(folder):
+    with Deployment(folder, {"rollout": {}}) as deployment:
+        store = deployment.store
+        store.order_rollout("engines", "v2", 60)
+        wait_until(lambda: status(deployment, "engines") == {"state": "active", "target": "v2"}, "the status")
+        owner = store.value("rollout/owner")
+        check(owner["address"] == "127.0.0.1:%d" % deployment.grant_port, "the owner's address: " + json.dumps(owner))
+        check(store.value("rollout/record/engines")["stage"] == "canary", "the record")
+        time.sleep(IDLE_S)
+        check(store.value("rollout/owner") == owner, "the lease is renewed")
+        deployment.entry.popen.kill()
+        wait_until(lambda: store.value("rollout/owner") is None, "the lease of an owner that was killed lapses")
+
+
+def main():
+    for case in (
+            nothing_is_read_without_the_setting, keys_are_read_after_the_targets, odd_values_are_logged,
+            an_order_gets_an_owner_and_a_status):
+        with tempfile.TemporaryDirectory() as folder:
+            print(case.__name__, flush=True)
+            case(pathlib.Path(folder))
+    print("passed")
+
+
+main()
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -32,14 +32,14 @@
     def forget(self):
         self.forgotten_revision = self.revision
 
-    def reply(self, target):
+    def reply(self, method, target, body):
         if self.mode == "slow":
             time.sleep(SLOW_S)
         if "/kv-watch" in target:
             after = int(target.split("after=")[1].split("&")[0])
             if after < self.forgotten_revision and after < self.revision:
                 return 410, {}
-        reply = super().reply(target)
+        reply = super().reply(method, target, body)
         if self.mode == "lossy":
             raise ConnectionResetError("the answer is lost")
         return reply
