Entry: requests follow rollouts, reports, directives and the owner's writes

Cause: the decisions of librollout had no effect in the entry. Requests choose a side at their first placement, respect it at every later choice and grant, and record their answers.

--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -5,6 +5,7 @@
 #include "crashwatch.h"
 #include "grantclient.h"
 #include "readahead.h"
+#include "rolloutcoordinator.h"
 #include "targetpool.h"
 #include "targetrates.h"
 
@@ -45,6 +46,8 @@
     bool admitsRequest(const Target &target, TimePoint now);
     /// Counts and logs that a target leaves. \param source Who stated it: "answer" or "store".
     void recordLeaving(const Target &target, std::string_view source);
+    /// \pre rollouts is set.
+    void startRollouts();
     /// Closes the idle connections of a target that takes no more requests.
     void closeIdleIfUnusable(const std::string &targetId);
     /// Sends the quotas' usage to its collectors.
@@ -70,6 +73,7 @@
     ServedShareTracker served;
     std::vector<Target> usageCollectors; ///< As of the last round of reports.
     TargetDirectory targets;
+    std::optional<RolloutCoordinator> rollouts; ///< Empty where the settings have none.
     QuietTargets quiet;
     /// Incremented when a target is added or starts or stops being usable.
     std::uint64_t targetsVersion = 0;
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -4,7 +4,6 @@
 #include "requestflow.h"
 
 #include <algorithm>
-#include <ctime>
 
 namespace wigeonsill {
 
@@ -19,159 +18,12 @@
 /// Number of agents that collect usage reports; two, so that usage is still shared when one is
 /// lost.
 constexpr std::size_t usageCollectorCount = 2;
-/// Number of consecutive failures after which a target is tried last.
-constexpr int failuresBeforeAvoiding = 3;
-/// How long a failing target is tried last, counted from its latest failure.
-constexpr Duration avoidDuration = milliseconds(1'500);
 /// Delay before accepting again after a failed accept, for example without free file descriptors.
 constexpr Duration acceptRetryDelay = milliseconds(50);
 constexpr Duration drainCheckInterval = milliseconds(100);
-/// Subtracted from the revocation time, to allow for timers that fire late.
-constexpr Duration revocationMargin = milliseconds(150);
 
 } // namespace
 
-Duration timeSinceBoot()
-{
-    timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return std::chrono::duration_cast<Duration>(
-        seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
-}
-
-EntryState::EntryState(asio::io_context &context, Metrics &metricsIn, DecisionLog &logIn,
-    const WireDialect &dialectIn, const ForwardEntrySettings &settingsIn)
-    : io(context)
-    , metrics(metricsIn)
-    , log(logIn)
-    , dialect(dialectIn)
-    , settings(settingsIn)
-    , pool(context, metricsIn, dialectIn)
-    , readAhead(std::make_shared<ReadAheadPacer>(context))
-    , grantClient(context, metricsIn, settingsIn, this->statedRates)
-    , rates(metricsIn, logIn, this->grantClient, this->statedRates)
-    , crashes(metricsIn, logIn, this->pool, this->grantClient)
-    , retryBudget(settingsIn.retryBudget)
-    , quotas(settingsIn.quotas)
-    , random(generateIncarnation().low)
-{
-    this->retryBudget.setSharingEntries(QuotaLimiter::largestDeploymentEntries);
-}
-
-Duration EntryState::timeSinceConfirmation() const
-{
-    return this->configurationConfirmedAt ? timeSinceBoot() - *this->configurationConfirmedAt
-                                          : Duration::max();
-}
-
-bool EntryState::areKeysCurrent() const
-{
-    return !this->settings.strictRevocation
-        || this->timeSinceConfirmation() < this->settings.maximumRevocationDelay - revocationMargin;
-}
-
-bool EntryState::isConfigurationCurrent() const
-{
-    return this->timeSinceConfirmation() < this->settings.maximumConfigurationAge;
-}
-
-void EntryState::recordReplacement(const Target &incarnation)
-{
-    this->targets.markReplaced(incarnation);
-    this->crashes.recordEnd(incarnation.id);
-    this->log.stateChange(DecisionLine("entry", "target-replaced")
-                              .text("target", incarnation.id)
-                              .number("started_ms", static_cast<double>(incarnation.startedMs)));
-    if (this->refreshTargets) {
-        this->refreshTargets();
-    }
-}
-
-void EntryState::recordTargetFacts(const Target &target, const AnswerFacts &facts, TimePoint sentAt)
-{
-    if (facts.isMisdirected && facts.targetId != target.id) {
-        return; // What the answer states may be about another target, whose id is not known.
-    }
-    this->rates.recordAnswer(target, facts.rate, sentAt);
-    if (facts.targetLeaving && this->targets.markLeaving(target, currentTime())) {
-        ++this->targetsVersion;
-        this->pool.closeIdle(target.id);
-        this->recordLeaving(target, "answer");
-    }
-    if (facts.quietUnreadable) {
-        this->metrics.count("wigeonsill_target_quiet_times_unreadable_total");
-    }
-    if (!facts.quietFor) {
-        return;
-    }
-    const TimePoint now = currentTime();
-    this->metrics.count("wigeonsill_target_quiet_times_total");
-    if (this->quiet.recordQuiet(target, *facts.quietFor, this->requestsAt(target.id), now)) {
-        this->log.stateChange(DecisionLine("entry", "target-quiet")
-                                  .text("target", target.id)
-                                  .text("service", target.service)
-                                  .ms("quiet_ms", this->quiet.remaining(target, now))
-                                  .ms("stated_ms", *facts.quietFor));
-    }
-}
-
-bool EntryState::isOpen(const Target &target, TimePoint now) const
-{
-    return this->targets.isUsable(target.id) && !this->quiet.isQuiet(target, now);
-}
-
-bool EntryState::admitsRequest(const Target &target, TimePoint now)
-{
-    return this->targets.isUsable(target.id)
-        && this->quiet.admits(target, this->requestsAt(target.id), now);
-}
-
-void EntryState::sendUsage()
-{
-    const UsageByOrganisation uses = this->quotas.ownUsage(currentTime());
-    for (const Target &collector : this->usageCollectors) {
-        this->grantClient.reportUsage(collector, uses, this->crashes.digest());
-    }
-}
-
-void EntryState::recordLeaving(const Target &target, std::string_view source)
-{
-    this->metrics.count("wigeonsill_targets_leaving_total", "by=\"" + std::string(source) + "\"");
-    this->log.stateChange(DecisionLine("entry", "target-leaving")
-                              .text("target", target.id)
-                              .text("service", target.service)
-                              .text("by", source));
-}
-
-void EntryState::closeIdleIfUnusable(const std::string &targetId)
-{
-    if (!this->targets.isUsable(targetId)) {
-        this->pool.closeIdle(targetId);
-    }
-}
-
-void EntryState::recordFailure(const std::string &targetId)
-{
-    TargetHealth &record = this->health[targetId];
-    if (++record.failuresInRow == failuresBeforeAvoiding) {
-        this->log.stateChange(DecisionLine("entry", "target-avoided").text("target", targetId));
-    }
-    if (record.failuresInRow >= failuresBeforeAvoiding) {
-        record.avoidUntil = currentTime() + avoidDuration;
-    }
-}
-
-void EntryState::recordSuccess(const std::string &targetId)
-{
-    this->health.erase(targetId);
-}
-
-bool EntryState::isFailing(const std::string &targetId, TimePoint now) const
-{
-    const auto found = this->health.find(targetId);
-    return found != this->health.end() && found->second.avoidUntil > now;
-}
-
 struct ForwardEntry::Private
 {
     Private(asio::io_context &io, Metrics &metrics, DecisionLog &log, const WireDialect &dialect,
@@ -332,6 +184,10 @@
         EntryState &state = this->d->state;
         state.quotas.applyReport(report, currentTime());
         state.retryBudget.setSharingEntries(state.quotas.sharingEntries());
+        if (state.rollouts) {
+            state.rollouts->setEntries(
+                state.quotas.sharingEntries(), report.sharingEntries);
+        }
     };
     this->d->state.grantClient.onTargetState = [this](const std::string &targetId, bool ended) {
         this->d->state.crashes.onTargetState(targetId, ended);
@@ -348,6 +204,9 @@
         = [this](const GrantMessage &message, const asio::ip::address &agent) {
               this->d->state.crashes.onCrashReports(message, agent);
           };
+    if (this->d->state.rollouts) {
+        this->d->state.startRollouts();
+    }
     this->d->state.grantClient.start();
     this->d->accept();
     this->d->scheduleUsageReport();
@@ -391,6 +250,9 @@
         this->d->reportUsage(); // More can be admitted once the others' usage is known.
     }
     state.targetsReadAt = timeSinceBoot();
+    if (state.rollouts) {
+        state.rollouts->setTargets(state.targets, listMayBeIncomplete);
+    }
     for (const auto &[id, target] : state.targets.all()) {
         const auto known = previous.find(id);
         const bool isNew = known == previous.end();
@@ -465,7 +327,7 @@
         }
         targets.push_back(std::move(record));
     }
-    return {
+    boost::json::object result{
         { "requests", state.flows.size() },
         { "configuration", state.configuration ? state.configuration->version() : 0 },
         { "configurationAgeMs",
@@ -474,6 +336,10 @@
         { "partHolds", state.crashes.dumpPartHolds() },
         { "requestHolds", state.crashes.dumpRequestHolds() },
     };
+    if (state.rollouts) {
+        result["rollouts"] = state.rollouts->dumpState();
+    }
+    return result;
 }
 
 bool ForwardEntry::releasePartHold(std::string_view id)
@@ -486,8 +352,18 @@
     return this->d->acceptor.local_endpoint().port();
 }
 
-void ForwardEntry::setRollouts(const RolloutSnapshot & /*snapshot*/) { }
+void ForwardEntry::setRollouts(const RolloutSnapshot &snapshot)
+{
+    if (this->d->state.rollouts) {
+        this->d->state.rollouts->apply(snapshot);
+    }
+}
 
-void ForwardEntry::setRolloutStore(RolloutStore & /*store*/) { }
+void ForwardEntry::setRolloutStore(RolloutStore &store)
+{
+    if (this->d->state.rollouts) {
+        this->d->state.rollouts->setStore(store);
+    }
+}
 
 } // namespace wigeonsill
--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -150,6 +150,12 @@
     this->send(target, std::move(message));
 }
 
+void GrantClient::sendRollout(const asio::ip::udp::endpoint &entry, GrantMessage message)
+{
+    message.sender = this->senderId;
+    this->sendTo(entry, message);
+}
+
 AgentView GrantClient::view(const Target &target, TimePoint now) const
 {
     AgentView result;
@@ -208,7 +214,7 @@
 
 void GrantClient::receive()
 {
-    this->socket.async_receive_from(asio::buffer(this->buffer), this->sender,
+    this->socket.async_receive_from(asio::buffer(this->buffer), this->receivedFrom,
         [this](const boost::system::error_code &error, std::size_t bytes) {
             if (error == asio::error::operation_aborted) {
                 return;
@@ -216,7 +222,7 @@
             if (!error) {
                 const auto message = decodeGrantMessage({ this->buffer.data(), bytes });
                 if (message) {
-                    this->handle(*message, this->sender);
+                    this->handle(*message, this->receivedFrom);
                 } else {
                     this->metrics.count("wigeonsill_grant_datagrams_malformed_total");
                 }
@@ -227,6 +233,13 @@
 
 void GrantClient::handle(const GrantMessage &message, const asio::ip::udp::endpoint &from)
 {
+    if (message.kind == GrantKind::RolloutReport || message.kind == GrantKind::RolloutDirective) {
+        // From an entry, which says nothing about agents.
+        if (this->onRollout) {
+            this->onRollout(message, from);
+        }
+        return;
+    }
     AgentRecord &record = this->agents[from.address()];
     record.unansweredSince.reset();
     this->askedSinceAnswer.clear();
--- a/src/libforward/grantclient.h
+++ b/src/libforward/grantclient.h
@@ -62,6 +62,13 @@
     /// \param asDeputy Another agent, which should have been asked, doesn't answer.
     void requestPermits(
         const Target &issuer, const RateStatement &statement, int wanted, bool asDeputy);
+    /// Sends a report or directive of a rollout to another entry.
+    void sendRollout(const boost::asio::ip::udp::endpoint &entry, GrantMessage message);
+    /// Random id of this incarnation, which its messages carry.
+    std::uint64_t sender() const { return this->senderId; }
+    /// Called with each report and directive of a rollout, of other entries.
+    std::function<void(const GrantMessage &, const boost::asio::ip::udp::endpoint &entry)>
+        onRollout;
     /// Called with an agent's answer to requestPermits().
     std::function<void(const GrantMessage &)> onPermits;
     /// Called with statements of rates that other entries received.
@@ -99,7 +106,7 @@
     std::uint64_t senderId;
     std::uint64_t nextReservationId = 1;
     std::array<char, 8'192> buffer;
-    boost::asio::ip::udp::endpoint sender;
+    boost::asio::ip::udp::endpoint receivedFrom;
     std::map<boost::asio::ip::address, AgentRecord> agents;
     std::map<boost::asio::ip::address, std::string> targetByAddress;
     /// Agents asked since any of them sent a datagram, and when the first of these was asked.
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -70,6 +70,28 @@
     bool isWaitUseful() const;
     /// Waits for a target that takes requests, or refuses the request.
     void waitOrRefuse();
+    /// Whether a rollout may keep requests from targets of some versions.
+    bool areVersionsRestricted() const;
+    /// The usable targets of the service of versions that the request may be sent to.
+    std::vector<const Target *> usableTargets() const;
+    /// Whether the request may go to a target of this version, as far as rollouts are concerned.
+    bool isAdmitted(const Target &target) const;
+    /// As isAdmitted(), and the limits allow one more request to the version now.
+    bool maySendTo(const Target &target) const;
+    bool hasTargetOn(VersionSide versionSide) const;
+    /// Chooses the side of a rollout at the first placement. Changes it where that side has no
+    /// target that the request may be sent to and the other one has.
+    void settleSide();
+    /// Gives up a granted reservation at a version that gets no more requests now.
+    void leaveSide(const std::string &targetId);
+    void recordSample(bool failed);
+    /// Records for a rollout how long the current target took, or is taking, to answer. Does
+    /// nothing when that is recorded already.
+    void recordLatencySample();
+    /// Records for a rollout that the current target failed.
+    void recordFailureSample();
+    /// Records a failure when the time limit is reached while the current target is silent.
+    void recordTimeLimitSample();
     /// The targets that the request may be sent to, now or later.
     std::vector<const Target *> candidates() const;
     /// Expected time until the rates of all candidates leave room for this request, behind the more
@@ -187,6 +209,7 @@
     TimePoint arrived;
     Duration timeLimit = {}; ///< From arrival until the final answer.
     Duration maximumWait = {}; ///< From arrival until it is refused when no target has room.
+    std::optional<VersionSide> side; ///< Of a rollout; empty until it is chosen.
     double quotaCharged = 0;
     Duration timeBeforeCallerRetry = {}; ///< Spent by the caller on refused requests before this.
 
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -72,40 +72,9 @@
     return result;
 }
 
-std::vector<TargetView> RequestFlow::targetViews() const
-{
-    const TimePoint now = currentTime();
-    std::vector<TargetView> result;
-    for (const Target *candidate : this->state.targets.usable(this->service->name)) {
-        if (this->excludedTargets.contains(candidate->id)
-            || !this->state.admitsRequest(*candidate, now)) {
-            continue;
-        }
-        if (!this->service->isEngine && this->state.rates.isLimited(*candidate)) {
-            // Asked for also while one is at hand, so that the next request finds another one.
-            this->state.rates.recordDemand(*candidate);
-            if (!this->state.rates.admits(*candidate, now)) {
-                continue;
-            }
-        }
-        TargetView view;
-        view.target = candidate;
-        view.hasPermit = !this->service->isEngine && this->state.rates.isLimited(*candidate);
-        view.ownRequests = this->state.requestsAt(candidate->id);
-        view.failing = this->state.isFailing(candidate->id, now);
-        if (this->service->isEngine) {
-            const AgentView agent = this->state.grantClient.view(*candidate, now);
-            view.load = agent.load;
-            view.loadAge = agent.loadAge;
-            view.agentUnresponsive = agent.unresponsive;
-        }
-        result.push_back(view);
-    }
-    return result;
-}
-
 void RequestFlow::placeWithoutReservation()
 {
+    this->settleSide();
     const std::vector<TargetView> knownTargets = this->targetViews();
     auto order = rankTargets(
         knownTargets, this->request, this->state.settings.location, this->state.random());
@@ -154,59 +123,6 @@
     }
 }
 
-std::vector<const Target *> RequestFlow::candidates() const
-{
-    std::vector<const Target *> result = this->state.targets.usable(this->service->name);
-    std::erase_if(result,
-        [this](const Target *candidate) { return this->excludedTargets.contains(candidate->id); });
-    return result;
-}
-
-std::optional<Duration> RequestFlow::untilRateLeavesRoom() const
-{
-    const auto rate = this->state.rates.totalRate(this->candidates());
-    if (!rate) {
-        return std::nullopt;
-    }
-    const double utility = this->profile().utility;
-    const auto ahead = std::count_if(this->state.permitWaiters.begin(),
-        this->state.permitWaiters.end(), [this, utility](const RequestFlow *other) {
-            return other != this && other->service == this->service
-                && other->profile().utility >= utility;
-        });
-    const std::chrono::duration<double> time(static_cast<double>(ahead) / *rate);
-    return std::chrono::duration_cast<Duration>(time);
-}
-
-bool RequestFlow::isDeclinedForRates() const
-{
-    return !this->reservations.empty() && this->nextRankedTarget == this->rankedTargets.size()
-        && std::all_of(this->reservations.begin(), this->reservations.end(),
-            [this](const Reservation &reservation) {
-                return reservation.state == ReservationState::Declined
-                    && this->state.rates.isLimited(reservation.target);
-            });
-}
-
-void RequestFlow::refuseForRates(Duration untilRoom)
-{
-    this->state.metrics.count("wigeonsill_requests_over_rate_total");
-    this->refuse(ResultCode::Overloaded,
-        "all targets of the service are at the rates that they state", this->retryDelay(untilRoom));
-}
-
-bool RequestFlow::isWaitUseful() const
-{
-    const TimePoint now = currentTime();
-    const auto targets = this->state.targets.usable(this->service->name);
-    return std::any_of(targets.begin(), targets.end(), [this, now](const Target *candidate) {
-        // A target that does not want requests is only worth waiting for where the caller has part
-        // of the answer; otherwise it is told at once when to come back.
-        return !this->excludedTargets.contains(candidate->id)
-            && (this->headSentToCaller || !this->state.quiet.isQuiet(*candidate, now));
-    });
-}
-
 void RequestFlow::waitOrRefuse()
 {
     const auto untilRoom = this->untilRateLeavesRoom();
@@ -223,23 +139,17 @@
         this->startTimer(waitCheckInterval);
         return;
     }
-    const auto quiet = this->state.quiet.untilAnyWantsRequests(
-        this->state.targets.usable(this->service->name), currentTime());
+    const auto quiet
+        = this->state.quiet.untilAnyWantsRequests(this->usableTargets(), currentTime());
     this->refuse(quiet ? ResultCode::Overloaded : ResultCode::NoTargetAvailable,
         quiet ? "all targets of the service want no requests for a time"
               : "no target of the service is known",
         this->delayUntilTarget());
 }
 
-Duration RequestFlow::delayUntilTarget() const
-{
-    const auto quiet = this->state.quiet.untilAnyWantsRequests(
-        this->state.targets.usable(this->service->name), currentTime());
-    return quiet ? quietReturnDelay(*quiet, this->state.uniformRandom()) : this->retryDelay();
-}
-
 bool RequestFlow::beginReservations()
 {
+    this->settleSide();
     const std::vector<TargetView> knownTargets = this->targetViews();
     this->rankedTargets.clear();
     this->rankedTargetsVersion = this->state.targetsVersion;
@@ -261,7 +171,7 @@
     while (count > 0 && this->reservations.size() < maximumReservations
         && this->nextRankedTarget < this->rankedTargets.size()) {
         const Target &candidate = this->rankedTargets[this->nextRankedTarget++];
-        if (!this->state.admitsRequest(candidate, currentTime())) {
+        if (!this->state.admitsRequest(candidate, currentTime()) || !this->isAdmitted(candidate)) {
             continue;
         }
         --count;
@@ -327,7 +237,7 @@
 {
     const TimePoint now = currentTime();
     std::erase_if(this->reservations, [this, now](const Reservation &reservation) {
-        if (this->state.isOpen(reservation.target, now)) {
+        if (this->state.isOpen(reservation.target, now) && this->isAdmitted(reservation.target)) {
             return false;
         }
         --this->state.requestsAt(reservation.target.id);
@@ -358,12 +268,6 @@
     }
 }
 
-AnswerContinuation::Options RequestFlow::continuationOptions() const
-{
-    return { this->canContinueElsewhere(), this->route->maximumAttempts - this->attempts,
-        this->timeLeft() };
-}
-
 void RequestFlow::onTimer()
 {
     const auto self = this->shared_from_this();
@@ -372,6 +276,7 @@
         return;
     }
     if (this->timeLeft() <= Duration::zero()) {
+        this->recordTimeLimitSample();
         this->fail(504, "no complete answer within the time limit");
         return;
     }
@@ -396,51 +301,11 @@
     this->startTimer(next);
 }
 
-void RequestFlow::searchOtherTarget()
-{
-    if (this->isHeld()) {
-        return;
-    }
-    if (!this->state.retryBudget.tryAcquire(this->service->name, currentTime())) {
-        this->state.metrics.count("wigeonsill_repeats_over_budget_total");
-        return;
-    }
-    this->state.recordFailure(this->attempt->target.id);
-    this->excludedTargets.insert(this->attempt->target.id);
-    this->maximumWait = this->timeLimit;
-    if (!this->beginReservations()) {
-        this->state.retryBudget.refund(this->service->name);
-        return;
-    }
-    DecisionLine line("entry", "searching");
-    line.text("request", this->request.id)
-        .text("target", this->attempt->target.id)
-        .ms("silent_ms", this->continuation.silence(currentTime()))
-        .number("events", static_cast<double>(this->relayedEvents))
-        .number("attempts", this->attempts)
-        .ms("left_ms", this->timeLeft());
-    this->state.log.decision(line);
-}
-
-void RequestFlow::endSearch()
-{
-    this->withdrawReservations();
-    this->state.retryBudget.refund(this->service->name);
-    this->excludedTargets.erase(this->attempt->target.id);
-}
-
-void RequestFlow::recordProgress()
-{
-    this->continuation.recordProgress(currentTime());
-    if (this->isSearching()) {
-        this->endSearch();
-    }
-}
-
 void RequestFlow::moveTo(const Target &chosen, bool byGrant)
 {
     if (this->attempt) {
         this->logMove("the target is silent and another one has room");
+        this->recordLatencySample();
         this->releaseTarget();
     }
     const std::uint64_t reservation = this->reservationId;
@@ -456,6 +321,7 @@
             = this->state.grantClient.view(reservation.target, now).unresponsive;
         // The count includes the current request.
         if (unresponsive && this->state.isOpen(reservation.target, now)
+            && this->maySendTo(reservation.target)
             && this->state.requestsAt(reservation.target.id) <= maximumPastUnresponsiveAgent
             && this->state.rates.tryTakeShare(reservation.target, now)) {
             const Target chosen = reservation.target;
@@ -516,6 +382,10 @@
         this->reserveAtNext(1);
         return false;
     }
+    if (!this->maySendTo(granted->target)) {
+        this->leaveSide(targetId);
+        return false;
+    }
     const Target *listedTarget = this->state.targets.find(targetId);
     const std::optional<TargetLoad> load
         = this->state.grantClient.view(*listedTarget, currentTime()).load;
@@ -565,6 +435,9 @@
         this->state.grantClient.unregisterReservationId(ended.reservationId);
     }
     --this->state.requestsAt(ended.target.id);
+    if (this->state.rollouts) {
+        this->state.rollouts->recordLeft(ended.target);
+    }
 }
 
 void RequestFlow::sendTo(const Target &chosen, std::uint64_t reservation, bool byGrant)
@@ -572,6 +445,10 @@
     ++this->state.requestsAt(chosen.id);
     this->attempt.emplace();
     this->attempt->target = chosen;
+    this->attempt->sentAt = currentTime();
+    if (this->state.rollouts) {
+        this->state.rollouts->recordSent(chosen);
+    }
     this->attempt->reservationId = reservation;
     this->attempt->granted = byGrant;
     this->phase = Phase::Sent;
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -56,6 +56,7 @@
         this->state.quiet.recordSuccess(this->attempt->target, this->arrived + *this->timeToSend);
     }
     if (received.status >= 500) {
+        this->recordFailureSample();
         this->state.recordFailure(this->attempt->target.id);
         this->excludedTargets.insert(this->attempt->target.id);
         if (this->canContinueElsewhere()
@@ -240,6 +241,7 @@
     this->lastEventAt = currentTime();
     if (events.count() > 0) {
         this->attempt->firstEventAt = this->attempt->firstEventAt.value_or(this->lastEventAt);
+        this->recordLatencySample();
         if (this->lastEventAt - *this->attempt->firstEventAt >= answeringTime) {
             this->recordAnswering();
         }
@@ -309,6 +311,9 @@
     }
     this->attempt->connection.reset();
     this->state.closeIdleIfUnusable(this->attempt->target.id);
+    if (this->attempt->head.status < 400) {
+        this->recordLatencySample(); // A refused request tells nothing of the time of others.
+    }
     if (this->attempt->head.status < 500) {
         this->state.recordSuccess(this->attempt->target.id);
     }
@@ -346,6 +351,9 @@
     this->state.recordFailure(this->attempt->target.id);
     this->excludedTargets.insert(this->attempt->target.id);
     const bool neverReceived = failure == TargetFailure::NotConnected;
+    if (!neverReceived) {
+        this->recordFailureSample();
+    }
     this->attempt->mayHaveRun = !neverReceived;
     this->recordBrokenOff(failure);
     if (this->retryAtOtherTarget(cause)) {
--- /dev/null
+++ b/src/libforward/requestversions.cpp
@@ -0,0 +1,147 @@
+/// \file requestversions.cpp
+/// The version that a request is sent to during a rollout, and what its answers tell about it.
+#include "requestflow.h"
+
+#include <algorithm>
+
+namespace wigeonsill {
+
+namespace {
+
+/// Latency of a reference target, to which answers of requests of all sizes are compared: prompt
+/// tokens that an engine processes in a millisecond, and the time that it takes at least.
+constexpr double referenceTokensPerMs = 60;
+constexpr Duration engineOverhead = milliseconds(10);
+constexpr Duration plainReferenceLatency = milliseconds(20);
+
+Duration promptTime(std::uint32_t tokens, double tokensPerMs)
+{
+    const std::chrono::duration<double, std::milli> time(tokens / tokensPerMs);
+    return std::chrono::duration_cast<Duration>(time) + engineOverhead;
+}
+
+} // namespace
+
+bool RequestFlow::areVersionsRestricted() const
+{
+    return this->state.rollouts && this->state.rollouts->isRestricting();
+}
+
+bool RequestFlow::isAdmitted(const Target &target) const
+{
+    return !this->areVersionsRestricted()
+        || this->state.rollouts->admits(target, this->side.value_or(VersionSide::Any));
+}
+
+bool RequestFlow::maySendTo(const Target &target) const
+{
+    return this->isAdmitted(target)
+        && (!this->areVersionsRestricted()
+            || this->state.rollouts->sideOf(target) != VersionSide::Target
+            || this->state.rollouts->mayExpose(target.service));
+}
+
+bool RequestFlow::hasTargetOn(VersionSide versionSide) const
+{
+    const auto targets = this->state.targets.usable(this->service->name);
+    return std::any_of(
+        targets.begin(), targets.end(), [this, versionSide](const Target *candidate) {
+            return !this->excludedTargets.contains(candidate->id)
+                && this->state.rollouts->admits(*candidate, versionSide);
+        });
+}
+
+void RequestFlow::settleSide()
+{
+    if (!this->areVersionsRestricted()) {
+        return;
+    }
+    const std::string &name = this->service->name;
+    if (!this->side) {
+        // What was sent before the order went to an old target, and stays on that side.
+        this->side
+            = this->attempts > 0 ? VersionSide::Old : this->state.rollouts->choose(name);
+    }
+    const bool mayExpose = this->state.rollouts->mayExpose(name);
+    if (this->attempts == 0 && mayExpose && this->state.rollouts->isMoving(name)) {
+        // One that still waits must not reach an old target that is about to stop.
+        this->side = VersionSide::Target;
+    }
+    if (this->side == VersionSide::Target) {
+        // Others may have used the share since it was chosen.
+        if ((!mayExpose || !this->hasTargetOn(VersionSide::Target))
+            && this->hasTargetOn(VersionSide::Old)) {
+            this->side = VersionSide::Old;
+        }
+    } else if (mayExpose && !this->hasTargetOn(VersionSide::Old)
+        && this->hasTargetOn(VersionSide::Target)) {
+        this->side = VersionSide::Target;
+    }
+}
+
+void RequestFlow::leaveSide(const std::string &targetId)
+{
+    const auto granted = std::find_if(this->reservations.begin(), this->reservations.end(),
+        [&targetId](const Reservation &record) { return record.target.id == targetId; });
+    if (granted != this->reservations.end()) {
+        --this->state.requestsAt(targetId);
+        this->reservations.erase(granted); // The grant is given back by the caller.
+    }
+    if (this->phase == Phase::Reserving) {
+        this->withdrawReservations();
+        this->place();
+    } else {
+        this->reserveAtNext(1);
+    }
+}
+
+void RequestFlow::recordSample(bool failed)
+{
+    if (!this->areVersionsRestricted() || !this->attempt) {
+        return;
+    }
+    const Target &target = this->attempt->target;
+    bool &recorded = failed ? this->attempt->failureRecorded : this->attempt->latencyRecorded;
+    AnswerSample sample;
+    sample.side = this->state.rollouts->sideOf(target);
+    if (recorded || sample.side == VersionSide::Any) {
+        return;
+    }
+    recorded = true;
+    sample.service = this->service->name;
+    sample.route = this->route->name;
+    sample.targetId = target.id;
+    sample.failed = failed;
+    sample.latency = currentTime() - this->attempt->sentAt;
+    sample.referenceLatency = plainReferenceLatency;
+    if (this->service->isEngine) {
+        sample.referenceLatency = promptTime(this->request.promptTokens, referenceTokensPerMs);
+        const AgentView agent = this->state.grantClient.view(target, currentTime());
+        if (agent.load && agent.load->prefillTokensPerMs > 0) {
+            sample.expectedLatency
+                = promptTime(this->request.promptTokens, agent.load->prefillTokensPerMs);
+        }
+    }
+    this->state.rollouts->recordAnswer(sample);
+}
+
+void RequestFlow::recordLatencySample()
+{
+    this->recordSample(false);
+}
+
+void RequestFlow::recordFailureSample()
+{
+    this->recordSample(true);
+}
+
+void RequestFlow::recordTimeLimitSample()
+{
+    const bool isSilent = this->attempt && !this->isTargetWaitingForCaller()
+        && this->continuation.silence(currentTime()) > this->route->latencyObjective;
+    if (isSilent) {
+        this->recordFailureSample();
+    }
+}
+
+} // namespace wigeonsill
--- a/src/libforward/targetattempt.h
+++ b/src/libforward/targetattempt.h
@@ -14,6 +14,9 @@
 {
     Target target;
     std::uint64_t reservationId = 0; ///< Under which the target was reserved; 0 without one.
+    TimePoint sentAt;
+    bool latencyRecorded = false; ///< As a sample of a rollout.
+    bool failureRecorded = false; ///< As a sample of a rollout.
     bool granted = false; ///< By the target's agent; reset at the first event.
     bool mayHaveRun = false; ///< The target may have received the request.
     std::string resumesAfter; ///< Id of the last event that the caller had; empty for a new run.
