Rollout: judgement of failures and latencies by a sequential test

The first judgement compared failures of single routes with a fixed bound that grows unsafe with the number of calls. The judge now compares failures, slow answers and both together, over all routes and on each, with a mixture sequential test that may be asked after each answer. Latencies are taken against the median of their side, so that a learned speed that is wrong does not matter; versions that are slow as a whole are found by size when enough targets took part. Bad needs three contributing targets, none with more than 0.6 of the excess, and evidence that remains without the worst of them.

--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -169,6 +169,9 @@
 /// Answers of one target of the new version.
 struct TargetEvidence
 {
+    /// Of the expected latency, from which on an answer is slow.
+    static constexpr double slowRatio = 2.5;
+
     std::uint64_t answers = 0;
     std::uint64_t failures = 0;
     std::uint64_t slowAnswers = 0; ///< More than 2.5 times the expected latency.
@@ -219,8 +222,28 @@
     std::string reason; ///< For the log and the record: the route, the counts and the test.
 };
 
-/// Judges a version from the evidence of both sides on the same routes over the same time.
+/// What a judgement needs to know beside the evidence.
+struct JudgementBasis
+{
+    std::size_t oldTargets = 0; ///< Usable targets of the old versions; 0 when unknown.
+    /// Judgements that are made of one rollout, apart from repeated ones of growing evidence. They
+    /// share the allowed false alarms. \pre Greater than 0.
+    std::size_t comparisons = 1;
+};
+
+/// Judges a version from the evidence of both sides on the same routes over the same time. May be
+/// called after each answer: the test is a sequential one (see versionjudge.cpp). Bad needs a
+/// significant difference in failures or latency, over all routes or on one, to which at least
+/// three targets contribute. Good says that there were answers enough to see a difference.
 Judgement judgeVersion(const RolloutEvidence &evidence);
+Judgement judgeVersion(const RolloutEvidence &evidence, const JudgementBasis &basis);
+
+/// Adds the counts of a part to a sum.
+void add(RouteEvidence &sum, const RouteEvidence &part);
+void add(RolloutEvidence &sum, const RolloutEvidence &part);
+/// The counts that were added since an earlier state of the same evidence. Counts that have not
+/// grown are 0; routes and targets without any new answer are left out.
+RolloutEvidence evidenceSince(const RolloutEvidence &now, const RolloutEvidence &earlier);
 
 // ---------------------------------------------------------------------------------------------
 // Each entry's part
--- a/src/librollout/evidence.cpp
+++ b/src/librollout/evidence.cpp
@@ -19,6 +19,39 @@
     return std::exp2((static_cast<double>(bucket) - middleBucket) / bucketsPerOctave);
 }
 
+template <typename Count>
+Count grown(Count now, Count earlier)
+{
+    return now > earlier ? now - earlier : 0;
+}
+
+LatencyHistogram histogramSince(const LatencyHistogram &now, const LatencyHistogram &earlier)
+{
+    LatencyHistogram result;
+    for (std::size_t i = 0; i < LatencyHistogram::bucketCount; ++i) {
+        result.counts[i] = grown(now.counts[i], earlier.counts[i]);
+    }
+    return result;
+}
+
+using Routes = std::map<std::string, RouteEvidence, std::less<>>;
+
+Routes routesSince(const Routes &now, const Routes &earlier)
+{
+    Routes result;
+    for (const auto &[name, route] : now) {
+        const auto found = earlier.find(name);
+        const RouteEvidence before = found == earlier.end() ? RouteEvidence() : found->second;
+        if (route.answers > before.answers) {
+            result[name]
+                = { grown(route.answers, before.answers), grown(route.failures, before.failures),
+                      histogramSince(route.byTarget, before.byTarget),
+                      histogramSince(route.bySize, before.bySize) };
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 void LatencyHistogram::record(double ratio)
@@ -75,4 +108,50 @@
     return above / total;
 }
 
+void add(RouteEvidence &sum, const RouteEvidence &part)
+{
+    sum.answers += part.answers;
+    sum.failures += part.failures;
+    sum.byTarget.merge(part.byTarget);
+    sum.bySize.merge(part.bySize);
+}
+
+void add(RolloutEvidence &sum, const RolloutEvidence &part)
+{
+    for (const auto &[name, route] : part.oldByRoute) {
+        add(sum.oldByRoute[name], route);
+    }
+    for (const auto &[name, route] : part.targetByRoute) {
+        add(sum.targetByRoute[name], route);
+    }
+    for (const auto &[id, target] : part.byTarget) {
+        TargetEvidence &total = sum.byTarget[id];
+        total.answers += target.answers;
+        total.failures += target.failures;
+        total.slowAnswers += target.slowAnswers;
+    }
+    sum.sentToOld += part.sentToOld;
+    sum.sentToTarget += part.sentToTarget;
+}
+
+RolloutEvidence evidenceSince(const RolloutEvidence &now, const RolloutEvidence &earlier)
+{
+    RolloutEvidence result;
+    result.oldByRoute = routesSince(now.oldByRoute, earlier.oldByRoute);
+    result.targetByRoute = routesSince(now.targetByRoute, earlier.targetByRoute);
+    for (const auto &[id, target] : now.byTarget) {
+        const auto found = earlier.byTarget.find(id);
+        const TargetEvidence before
+            = found == earlier.byTarget.end() ? TargetEvidence() : found->second;
+        if (target.answers > before.answers) {
+            result.byTarget[id]
+                = { grown(target.answers, before.answers), grown(target.failures, before.failures),
+                      grown(target.slowAnswers, before.slowAnswers) };
+        }
+    }
+    result.sentToOld = grown(now.sentToOld, earlier.sentToOld);
+    result.sentToTarget = grown(now.sentToTarget, earlier.sentToTarget);
+    return result;
+}
+
 } // namespace wigeonsill
--- a/src/librollout/rolloutgate.cpp
+++ b/src/librollout/rolloutgate.cpp
@@ -23,8 +23,6 @@
 /// starts again has its allowance anew.
 constexpr double slackPart = 0.5;
 
-constexpr double slowAnswerRatio = 2.5;
-
 double ratioOf(Duration latency, Duration reference)
 {
     const double measured = std::max<double>(static_cast<double>(latency.count()), 1);
@@ -282,7 +280,7 @@
     ++target.answers;
     target.failures += sample.failed ? 1 : 0;
     const bool isSlow = !sample.failed && isExpectationKnown
-        && ratioOf(sample.latency, sample.expectedLatency) > slowAnswerRatio;
+        && ratioOf(sample.latency, sample.expectedLatency) > TargetEvidence::slowRatio;
     target.slowAnswers += isSlow ? 1 : 0;
     service.stoppedByOwnEvidence
         = service.stoppedByOwnEvidence || judgeVersion(evidence).verdict == Verdict::Bad;
--- a/src/librollout/rolloutowner.cpp
+++ b/src/librollout/rolloutowner.cpp
@@ -25,18 +25,6 @@
 /// A store that came back from an older copy may lack an order for so long.
 constexpr Duration removedOrderGrace = seconds(3);
 
-void add(std::map<std::string, RouteEvidence, std::less<>> &sum,
-    const std::map<std::string, RouteEvidence, std::less<>> &routes)
-{
-    for (const auto &[name, evidence] : routes) {
-        RouteEvidence &route = sum[name];
-        route.answers += evidence.answers;
-        route.failures += evidence.failures;
-        route.byTarget.merge(evidence.byTarget);
-        route.bySize.merge(evidence.bySize);
-    }
-}
-
 std::uint64_t answersOf(const std::map<std::string, RouteEvidence, std::less<>> &routes)
 {
     std::uint64_t result = 0;
@@ -143,17 +131,7 @@
 {
     RolloutEvidence sum;
     for (const auto &[entry, record] : rollout.reports) {
-        const RolloutEvidence &evidence = record.report.evidence;
-        add(sum.oldByRoute, evidence.oldByRoute);
-        add(sum.targetByRoute, evidence.targetByRoute);
-        for (const auto &[id, target] : evidence.byTarget) {
-            TargetEvidence &total = sum.byTarget[id];
-            total.answers += target.answers;
-            total.failures += target.failures;
-            total.slowAnswers += target.slowAnswers;
-        }
-        sum.sentToOld += evidence.sentToOld;
-        sum.sentToTarget += evidence.sentToTarget;
+        add(sum, record.report.evidence);
     }
     return sum;
 }
--- a/src/librollout/versionjudge.cpp
+++ b/src/librollout/versionjudge.cpp
@@ -1,5 +1,5 @@
 /// \file versionjudge.cpp
-/// Judgement of a version by its answers against those of the version before it.
+/// Judgement of a version by its answers against those of the versions before it.
 #include "wigeonsill/rollout.h"
 
 #include <algorithm>
@@ -9,42 +9,318 @@
 
 namespace {
 
-/// Difference of two shares in standard errors from which it counts as significant. About one in
-/// 30,000 comparisons of equal shares exceeds it, and a rollout makes some hundred comparisons.
-constexpr double significantDeviation = 4;
+/// Share of good versions that may be judged bad, over all comparisons of a rollout: a fifth of
+/// what the requirements allow, since answers are less independent than the test takes them to be.
+constexpr double falseAlarmShare = 0.002;
+/// Difference of two shares for which the test is most sensitive. Bad versions differ by 0.2 to
+/// 0.5 on the routes that are concerned.
+constexpr double expectedDifference = 0.2;
 /// Least difference of two shares that matters to callers.
 constexpr double minimumDifference = 0.05;
-constexpr std::uint64_t minimumBadAnswers = 5;
+constexpr double minimumBadAnswers = 5;
+/// An answer is slow from this multiple of the median of its side on. Of the 15 % of answers that
+/// are 2.5 times slower in a good version, half are slow; of those that are 4 times slower, nearly
+/// all.
+constexpr double slowRatio = 2.5;
+/// Fewer answers give no median.
+constexpr std::uint64_t minimumLatencies = 30;
+/// Evidence without the target with the most bad answers must still point the same way. Half the
+/// square of a standard score: a normal variate is above 2 once in 44 times.
+constexpr double minimumRemainingScore = 2;
+constexpr double maximumTargetShare = 0.6;
+constexpr std::size_t minimumContributors = 3;
+/// A target takes part from this number of answers on.
+constexpr std::uint64_t answersOfParticipant = 2;
+/// Evidence that is needed in addition where a single target took part, which may be ill by itself.
+constexpr double singleTargetAnswers = 30;
+/// Targets that make a comparison of both versions by size possible; see isSlowBySize().
+constexpr std::size_t manyTargets = 8;
+/// Least difference of the shares of answers that are slow for their size. Of eight targets with
+/// speeds drawn from 0.55, 1 and 2.8, the slow ones seldom make up so much.
+constexpr double minimumSizeDifference = 0.25;
+constexpr double sizeQuantile = 0.97;
+/// Answers without a significant difference that make a version good.
+constexpr std::uint64_t answersOfGoodVersion = 100;
 
-bool isSignificantlyMore(double bad, double all, double badBefore, double allBefore)
+/// Bad answers among all of one side.
+struct Counts
 {
-    if (bad < static_cast<double>(minimumBadAnswers) || all <= 0) {
-        return false;
+    double bad = 0;
+    double all = 0;
+
+    double share() const { return this->all > 0 ? this->bad / this->all : 0; }
+    Counts operator+(const Counts &other) const
+    {
+        return { this->bad + other.bad, this->all + other.all };
+    }
+    Counts without(const Counts &part) const
+    {
+        const double rest = std::max(this->all - part.all, 0.0);
+        return { std::clamp(this->bad - part.bad, 0.0, rest), rest };
+    }
+};
+
+double divergence(double share, double expected)
+{
+    const auto term
+        = [](double part, double whole) { return part > 0 ? part * std::log(part / whole) : 0; };
+    return term(share, expected) + term(1 - share, 1 - expected);
+}
+
+/// Logarithm of the likelihood ratio of two different shares against one common share. Where shares
+/// are equal, about half the square of a standard normal variate (G-test of a fourfold table; Sokal
+/// and Rohlf, "Biometry", 3rd ed., 17.4). 0 when the target's share is not the higher one.
+double likelihoodRatio(const Counts &target, const Counts &before)
+{
+    if (target.share() <= before.share()) {
+        return 0;
+    }
+    const double common = (target + before).share();
+    return target.all * divergence(target.share(), common)
+        + before.all * divergence(before.share(), common);
+}
+
+/// Evidence for a higher share at the target, as the logarithm of a factor. It exceeds log(1/a) at
+/// any time with a probability of at most a where the shares are equal, however often it is asked:
+/// mixture sequential probability ratio test with a normal prior of the difference (Johari, Koomen,
+/// Pekelis, Walsh, "Always Valid Inference: Continuous Monitoring of A/B Tests", Operations
+/// Research 70(3), 2022, equation 13), with the likelihood ratio instead of the standard score,
+/// which is too high for few bad answers.
+double sequentialEvidence(const Counts &target, const Counts &before)
+{
+    const double ratio = likelihoodRatio(target, before);
+    if (ratio <= 0) {
+        return 0;
+    }
+    const double common = (target + before).share();
+    const double variance = common * (1 - common) * (1 / target.all + 1 / before.all);
+    const double prior = expectedDifference * expectedDifference;
+    return prior / (variance + prior) * ratio - std::log((variance + prior) / variance) / 2;
+}
+
+using Routes = std::map<std::string, RouteEvidence, std::less<>>;
+
+RouteEvidence sumOf(const Routes &routes)
+{
+    RouteEvidence sum;
+    for (const auto &[name, route] : routes) {
+        add(sum, route);
     }
-    // Two-proportion z-test with a pooled share; one bad answer is added to the control, so that a
-    // control without any has a variance.
-    const double pooled = (bad + badBefore + 1) / (all + allBefore + 1);
-    const double shareBefore = (badBefore + 1) / (allBefore + 1);
-    const double error = std::sqrt(pooled * (1 - pooled) * (1 / all + 1 / (allBefore + 1)));
-    const double difference = bad / all - std::min(shareBefore, 1.0);
-    return difference > minimumDifference && difference > significantDeviation * error;
+    return sum;
+}
+
+std::string describe(const Counts &target, const Counts &before)
+{
+    const auto text = [](const Counts &counts) {
+        return std::to_string(std::llround(counts.bad)) + " of "
+            + std::to_string(std::llround(counts.all));
+    };
+    return text(target) + " against " + text(before);
+}
+
+/// What counts as a bad answer in a comparison.
+struct Measure
+{
+    std::string_view name;
+    bool countsFailures;
+    bool countsSlow;
+};
+constexpr std::array measures = {
+    Measure{ "failures", true, false },
+    Measure{ "slow answers", false, true },
+    Measure{ "failures and slow answers", true, true },
+};
+
+/// Compares both versions on one route, or on all.
+class Comparison
+{
+public:
+    /// \param comparisons How many are made of this kind; they share the allowed false alarms.
+    Comparison(const RolloutEvidence &rolloutEvidence, std::size_t comparisons)
+        : evidence(rolloutEvidence)
+        , target(sumOf(rolloutEvidence.targetByRoute))
+        , before(sumOf(rolloutEvidence.oldByRoute))
+        , threshold(-std::log(falseAlarmShare / static_cast<double>(comparisons)))
+    {
+        this->targetMedian = this->target.byTarget.quantile(0.5);
+        this->beforeMedian = this->before.byTarget.quantile(0.5);
+    }
+
+    const RouteEvidence &allTarget() const { return this->target; }
+    const RouteEvidence &allBefore() const { return this->before; }
+
+    /// \param share Part of the allowed false alarms for this comparison, in (0, 1].
+    std::optional<std::string> findDifference(std::string_view route,
+        const RouteEvidence &routeTarget, const RouteEvidence &routeBefore, double share) const
+    {
+        for (const Measure &measure : measures) {
+            if (measure.countsSlow && !this->hasMedians()) {
+                continue;
+            }
+            const Counts bad = count(measure, routeTarget, this->targetMedian);
+            const Counts control = withPrior(count(measure, routeBefore, this->beforeMedian));
+            const bool isDifferent = bad.bad >= minimumBadAnswers
+                && bad.share() - control.share() > minimumDifference
+                && sequentialEvidence(bad, control) > this->threshold - std::log(share);
+            if (isDifferent && this->isSpread(measure, bad, control)) {
+                return std::string(measure.name) + " on " + std::string(route) + ": "
+                    + describe(bad, control);
+            }
+        }
+        return std::nullopt;
+    }
+
+    /// Whether several targets contribute and none has most of the bad answers. Each target's bad
+    /// answers are taken without those that the old versions would have given, too.
+    bool isSpread(const Measure &measure, const Counts &bad, const Counts &control) const
+    {
+        const double usual = this->usualShare(measure);
+        double excess = 0;
+        double highest = 0;
+        Counts worst;
+        std::size_t participants = 0;
+        std::size_t contributors = 0;
+        for (const auto &[id, record] : this->evidence.byTarget) {
+            const Counts own = countOf(measure, record);
+            participants += record.answers >= answersOfParticipant ? 1 : 0;
+            const double more = own.bad - usual * own.all;
+            if (more <= 0) {
+                continue;
+            }
+            ++contributors;
+            excess += more;
+            if (more > highest) {
+                highest = more;
+                worst = { more, own.all };
+            }
+        }
+        if (participants <= 1) {
+            return bad.all >= singleTargetAnswers && contributors == 1;
+        }
+        if (contributors < std::min(minimumContributors, participants)
+            || highest > maximumTargetShare * excess) {
+            return false;
+        }
+        const double part = bad.all / std::max(static_cast<double>(this->target.answers), bad.all);
+        const Counts rest = bad.without({ std::min(worst.bad, bad.bad), worst.all * part });
+        return likelihoodRatio(rest, control) >= minimumRemainingScore;
+    }
+
+private:
+    static Counts count(const Measure &measure, const RouteEvidence &route, double median)
+    {
+        Counts result;
+        if (measure.countsFailures) {
+            result = { static_cast<double>(route.failures), static_cast<double>(route.answers) };
+        }
+        if (measure.countsSlow) {
+            const auto latencies = static_cast<double>(route.byTarget.count());
+            result.bad += latencies * route.byTarget.shareAbove(slowRatio * median);
+            result.all = latencies + (measure.countsFailures ? double(route.failures) : 0.0);
+        }
+        return result;
+    }
+    static Counts countOf(const Measure &measure, const TargetEvidence &record)
+    {
+        return { (measure.countsFailures ? double(record.failures) : 0.0)
+                + (measure.countsSlow ? double(record.slowAnswers) : 0.0),
+            static_cast<double>(record.answers) };
+    }
+    /// One answer, half of it bad, is added, so that a control without any bad answer has a
+    /// variance.
+    static Counts withPrior(const Counts &counts) { return { counts.bad + 0.5, counts.all + 1 }; }
+
+    bool hasMedians() const
+    {
+        return this->target.byTarget.count() >= minimumLatencies
+            && this->before.byTarget.count() >= minimumLatencies;
+    }
+    /// Of the old versions' answers, by the fixed bound of TargetEvidence.
+    double usualShare(const Measure &measure) const
+    {
+        double result = measure.countsFailures ? static_cast<double>(this->before.failures)
+                / std::max(static_cast<double>(this->before.answers), 1.0)
+                                               : 0;
+        if (measure.countsSlow) {
+            result += this->before.byTarget.shareAbove(TargetEvidence::slowRatio);
+        }
+        return result;
+    }
+
+    const RolloutEvidence &evidence;
+    RouteEvidence target;
+    RouteEvidence before;
+    double threshold;
+    double targetMedian = 0;
+    double beforeMedian = 0;
+};
+
+/// Finds versions that are slow as a whole, which the learned speeds of their targets hide. Speeds
+/// of targets differ, so that many must take part and the difference must be great.
+std::optional<std::string> findSlowBySize(
+    const RolloutEvidence &evidence, const Comparison &comparison, std::size_t oldTargets)
+{
+    const LatencyHistogram &target = comparison.allTarget().bySize;
+    const LatencyHistogram &before = comparison.allBefore().bySize;
+    const auto participants
+        = static_cast<std::size_t>(std::count_if(evidence.byTarget.begin(), evidence.byTarget.end(),
+            [](const auto &record) { return record.second.answers >= answersOfParticipant; }));
+    const bool areEnough
+        = participants >= manyTargets || (oldTargets > 0 && 2 * participants >= oldTargets);
+    if (!areEnough || target.count() < minimumLatencies || before.count() < minimumLatencies) {
+        return std::nullopt;
+    }
+    const double bound = before.quantile(sizeQuantile);
+    const auto all = static_cast<double>(target.count());
+    const auto allBefore = static_cast<double>(before.count());
+    const Counts slow{ all * target.shareAbove(bound), all };
+    const Counts control{ allBefore * before.shareAbove(bound) + 0.5, allBefore + 1 };
+    const bool isDifferent = slow.share() - control.share() > minimumSizeDifference
+        && sequentialEvidence(slow, control) > -std::log(falseAlarmShare);
+    if (!isDifferent) {
+        return std::nullopt;
+    }
+    return "answers that are slow for their size: " + describe(slow, control);
 }
 
 } // namespace
 
 Judgement judgeVersion(const RolloutEvidence &evidence)
 {
-    for (const auto &[route, target] : evidence.targetByRoute) {
-        const auto control = evidence.oldByRoute.find(route);
-        const RouteEvidence before
-            = control == evidence.oldByRoute.end() ? RouteEvidence() : control->second;
-        if (isSignificantlyMore(static_cast<double>(target.failures),
-                static_cast<double>(target.answers), static_cast<double>(before.failures),
-                static_cast<double>(before.answers))) {
-            return { Verdict::Bad, "more failures on route " + route };
+    return judgeVersion(evidence, { .oldTargets = 0, .comparisons = 1 });
+}
+
+Judgement judgeVersion(const RolloutEvidence &evidence, const JudgementBasis &basis)
+{
+    const Comparison comparison(evidence, std::max<std::size_t>(basis.comparisons, 1));
+    // All routes together take half of the allowed false alarms, the single routes the rest.
+    constexpr double partOfAllRoutes = 0.5;
+    if (auto reason = comparison.findDifference(
+            "all routes", comparison.allTarget(), comparison.allBefore(), partOfAllRoutes)) {
+        return { Verdict::Bad, std::move(*reason) };
+    }
+    const double part
+        = partOfAllRoutes / std::max<double>(1, double(evidence.targetByRoute.size()));
+    for (const auto &[name, route] : evidence.targetByRoute) {
+        const auto control = evidence.oldByRoute.find(name);
+        if (control == evidence.oldByRoute.end()) {
+            continue; // Nothing to compare with.
+        }
+        if (auto reason
+            = comparison.findDifference("route " + name, route, control->second, part)) {
+            return { Verdict::Bad, std::move(*reason) };
         }
     }
-    return {};
+    if (auto reason = findSlowBySize(evidence, comparison, basis.oldTargets)) {
+        return { Verdict::Bad, std::move(*reason) };
+    }
+    const RouteEvidence &all = comparison.allTarget();
+    const RouteEvidence &before = comparison.allBefore();
+    const std::string reason = "failures: "
+        + describe({ double(all.failures), double(all.answers) },
+            { double(before.failures), double(before.answers) });
+    const bool isGood = all.answers >= answersOfGoodVersion;
+    return { isGood ? Verdict::Good : Verdict::Undecided, reason };
 }
 
 } // namespace wigeonsill
