--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -245,6 +245,30 @@
 /// grown are 0; routes and targets without any new answer are left out.
 RolloutEvidence evidenceSince(const RolloutEvidence &now, const RolloutEvidence &earlier);
 
+/// Judges growing evidence as a whole and since several earlier moments: what a version answered
+/// before it turned bad must not hide what it answers now. The moments lie about as far back as
+/// 1 s, 2 s, 4 s and so on, so that few are kept.
+class VersionJudge
+{
+public:
+    /// Keeps the state of the evidence as a moment to compare with, at most once a second.
+    void keep(const RolloutEvidence &evidence, TimePoint now);
+    /// \param basis Its comparisons are multiplied by the moments.
+    Judgement judge(const RolloutEvidence &evidence, const JudgementBasis &basis) const;
+
+private:
+    struct Moment
+    {
+        TimePoint at;
+        RolloutEvidence evidence;
+    };
+    std::vector<Moment> moments; ///< Oldest first.
+};
+
+/// How often an entry reports, by the number of entries, so that the owner's load stays bounded.
+/// \pre entries > 0.
+Duration reportInterval(std::size_t entries);
+
 // ---------------------------------------------------------------------------------------------
 // Each entry's part
 
@@ -264,8 +288,9 @@
 
     /// Applies what the store holds. Must be called before the targets of the same read are used.
     void apply(const RolloutSnapshot &snapshot, TimePoint now);
-    /// Applies what the owner says, which may be newer than the store's record.
-    void applyDirective(const RolloutDirective &directive, TimePoint now);
+    /// Applies what the owner says, which may be newer than the store's record. \returns Whether it
+    /// is about the order that is known, and not dropped.
+    bool applyDirective(const RolloutDirective &directive, TimePoint now);
     /// Sets how many entries share the additional exposed requests. \pre entries > 0.
     void setSharingEntries(int entries);
     /// Sets the targets of a service that take requests. \param versions By target id.
@@ -273,6 +298,10 @@
 
     /// The side for a new request. Does not count it.
     VersionSide choose(std::string_view service, double uniformRandom, TimePoint now) const;
+    /// Whether one more request may be sent to a side. To be asked right before each send, also of
+    /// a request that is sent again or had no usable target on the side that was chosen for it:
+    /// other requests may have used the share since choose().
+    bool maySend(std::string_view service, VersionSide side, TimePoint now) const;
     /// Whether a request of this side may be sent to a target. \param targetId Used for the few
     /// targets of the Canary stage, which all entries choose alike.
     bool admits(std::string_view service, std::string_view version, std::string_view targetId,
@@ -289,6 +318,8 @@
 
     /// Reports on all rollouts that are not final, or became final in the last seconds.
     std::vector<RolloutReport> reports(TimePoint now);
+    /// Services with an order whose end is not in the store yet. While there are any, the rollouts
+    /// need an owner.
     std::vector<std::string> activeServices() const;
     /// The stage that this entry acts on; empty when no order is known for the service.
     std::optional<RolloutStage> stage(std::string_view service) const;
@@ -300,27 +331,43 @@
     {
         std::map<std::string, std::string> versions; ///< Of the usable targets, by id.
         std::map<std::string, std::uint64_t, std::less<>> inProgress; ///< By version.
-        std::optional<RolloutOrder> order;
+        std::optional<RolloutOrder> order; ///< The last one that can be carried out.
         std::optional<RolloutRecord> record;
         RolloutStage stage = RolloutStage::Canary;
-        /// Targets of another version than the order's were seen since the order. Otherwise all
-        /// targets have the version already, and there is nothing to choose.
+        /// The store shows an order that has no final record yet.
+        bool needsOwner = false;
+        /// The order was missing in a snapshot.
+        bool wasRemoved = false;
+        /// Targets of another version that may get requests were seen since the order. Otherwise
+        /// all targets have the version already, and there is nothing to choose.
         bool hadOldTargets = false;
+        /// Versions that get no requests until an order names them: rejected ones, those that a
+        /// completed rollout replaced, and those whose order was replaced before its end.
+        std::set<std::string, std::less<>> barredVersions;
         TimePoint orderSeenAt; ///< Earliest time at which the order may have been given.
         std::optional<TimePoint> finalSince;
         RolloutEvidence evidence;
         std::uint32_t sequence = 0;
         bool stoppedByOwnEvidence = false;
+        VersionJudge judge;
+        std::uint64_t badAnswers = 0; ///< Of the new version.
+        std::uint64_t judgedBadAnswers = 0; ///< The same at the last judgement.
         std::set<std::string> canaryTargets;
     };
 
     void applyOrder(Service &service, const RolloutOrder &order, TimePoint givenAfter);
+    void applyRecord(Service &service, const RolloutRecord &record, TimePoint now);
+    void applyMissingOrder(Service &service, bool recordIsThere);
     void setStage(Service &service, RolloutStage stage, TimePoint now);
+    /// The stage whose rules hold for the service's requests now.
+    RolloutStage actingStage(const Service &service, TimePoint now) const;
     /// Whether one more request may go to the new version under a share of all requests.
     bool isWithinShare(const Service &service, double share) const;
     bool isActive(const Service &service) const;
+    void judgeOwnEvidence(Service &service) const;
     const Service *find(std::string_view service) const;
     Service &findOrAdd(std::string_view service);
+    static void updateBarred(Service &service);
     static void updateTargets(Service &service);
 
     std::map<std::string, Service, std::less<>> services;
@@ -354,7 +401,8 @@
     void setTargets(const std::string &service, const VersionTargets &targets, TimePoint now);
     /// \param entry Random id of the reporting entry's incarnation; the owner's own reports are
     /// merged too.
-    void merge(std::uint64_t entry, const RolloutReport &report, TimePoint now);
+    /// \returns Whether the report is newer than the last one and about the order in progress.
+    bool merge(std::uint64_t entry, const RolloutReport &report, TimePoint now);
     RolloutDirective directive(const std::string &service, TimePoint now) const;
     /// Records to be written, each under the condition that the owner's key, the record and the
     /// status still have the revisions of the last snapshot. The same change is returned until a
@@ -376,25 +424,40 @@
     struct Rollout
     {
         std::optional<RolloutOrder> order;
-        std::optional<RolloutRecord>
-            record; ///< As the store holds it, of this or an earlier order.
+        /// As the store holds it, of this or an earlier order.
+        std::optional<RolloutRecord> record;
+        /// The furthest record of this order that was ever seen. The store may come back from an
+        /// older copy, but no stage is taken back.
+        std::optional<RolloutRecord> furthest;
         TimePoint givenAt; ///< Earliest time at which the order may have been given.
         TimePoint stageSince; ///< When this process saw the record's stage first.
         std::optional<TimePoint> removedAt; ///< When the order was found to be gone.
         std::map<std::uint64_t, Report> reports; ///< Newest one of each entry's incarnation.
+        RolloutEvidence evidence; ///< Sum of all reports.
+        VersionJudge judge;
+        Judgement judgement; ///< The last one; Bad stays.
+        std::optional<TimePoint> judgedAt;
         VersionTargets targets;
         bool targetsKnown = false;
+        bool hadTargets = false; ///< Targets of the new version were usable since the order.
+        /// A final stage that entries act on by a directive of a former owner.
+        std::optional<RolloutStage> reportedEnd;
     };
 
+    void applyOrder(
+        Rollout &rollout, const RolloutOrder &order, TimePoint givenAfter, TimePoint now);
     void applyRecord(Rollout &rollout, const RolloutRecord &record, TimePoint now);
+    void judge(Rollout &rollout, TimePoint now);
     /// The record if it belongs to the order in progress.
-    const RolloutRecord *currentRecord(const Rollout &rollout) const;
-    RolloutEvidence evidenceOf(const Rollout &rollout) const;
+    static const RolloutRecord *currentRecord(const Rollout &rollout);
     /// The stage that follows the current one now, with the reason; empty when none does.
     std::optional<std::pair<RolloutStage, std::string>> nextStage(
-        const Rollout &rollout, const Judgement &judgement, TimePoint now) const;
-    bool hasRoomForAll(const Rollout &rollout) const;
-    bool isOldVersionIdle(const Rollout &rollout, TimePoint now) const;
+        const Rollout &rollout, TimePoint now) const;
+    std::optional<RolloutRecord> nextRecord(const Rollout &rollout, TimePoint now) const;
+    static bool hasRoomForAll(const Rollout &rollout);
+    /// Whether targets of another version that gets requests are or were there.
+    static bool hasOldVersions(const Rollout &rollout, const RolloutRecord &record);
+    static bool isOldVersionIdle(const Rollout &rollout, TimePoint now);
     RolloutRecord firstRecord(const Rollout &rollout, TimePoint now) const;
 
     std::map<std::string, Rollout, std::less<>> rollouts; ///< By service.
--- a/src/librollout/rolloutgate.cpp
+++ b/src/librollout/rolloutgate.cpp
@@ -23,6 +23,16 @@
 /// starts again has its allowance anew.
 constexpr double slackPart = 0.5;
 
+/// Own evidence is judged again when the bad answers have grown by a part of this size, so that the
+/// effort of a bad version's entries stays small.
+constexpr std::uint64_t badAnswersPerJudgement = 16;
+
+bool belongsTo(const RolloutRecord &record, const RolloutOrder &order)
+{
+    return record.targetVersion == order.targetVersion
+        && record.order.revision == order.id.revision;
+}
+
 double ratioOf(Duration latency, Duration reference)
 {
     const double measured = std::max<double>(static_cast<double>(latency.count()), 1);
@@ -74,19 +84,27 @@
 {
     const TimePoint givenAfter = this->previousReadAt.value_or(snapshot.readAt);
     for (const auto &[name, order] : snapshot.orders) {
-        if (!order.problem.empty()) {
-            continue;
-        }
         this->applyOrder(this->findOrAdd(name), order, givenAfter);
     }
     for (const auto &[name, record] : snapshot.records) {
-        Service &service = this->findOrAdd(name);
-        service.record = record;
-        const bool isOfOrder = service.order && record.targetVersion == service.order->targetVersion
-            && record.order.revision == service.order->id.revision;
-        if (isOfOrder) {
-            this->setStage(service, laterStage(service.stage, record.stage), now);
+        this->applyRecord(this->findOrAdd(name), record, now);
+    }
+    for (auto &[name, service] : this->services) {
+        const auto order = snapshot.orders.find(name);
+        const auto record = snapshot.records.find(name);
+        const bool hasRecord = record != snapshot.records.end();
+        // A status can only be written for an order that names a target; another ends the one
+        // before it.
+        if (order == snapshot.orders.end() || order->second.targetVersion.empty()) {
+            applyMissingOrder(service, hasRecord);
+        } else {
+            const RolloutOrder &given = order->second;
+            const bool isEnded
+                = hasRecord && isFinal(record->second.stage) && belongsTo(record->second, given);
+            service.needsOwner = !isEnded;
         }
+        updateBarred(service);
+        updateTargets(service);
     }
     this->previousReadAt = snapshot.readAt;
     this->lastContactAt = now;
@@ -94,32 +112,99 @@
 
 void RolloutGate::applyOrder(Service &service, const RolloutOrder &order, TimePoint givenAfter)
 {
-    if (service.order && isSameOrder(*service.order, order)) {
+    if (!order.problem.empty()) {
+        // It replaces the order in progress, but cannot be carried out itself.
+        if (service.order && service.order->id != order.id && !isFinal(service.stage)) {
+            service.stage = RolloutStage::RolledBack;
+        }
+        return;
+    }
+    const bool isGivenAgain = service.wasRemoved && isFinal(service.stage);
+    if (service.order && isSameOrder(*service.order, order) && !isGivenAgain) {
         service.order->id = order.id;
+        service.wasRemoved = false;
         return;
     }
+    if (service.order && service.stage != RolloutStage::Completed && service.hadOldTargets) {
+        service.barredVersions.insert(service.order->targetVersion);
+    }
+    service.barredVersions.erase(order.targetVersion);
     service.order = order;
+    service.wasRemoved = false;
     service.stage = RolloutStage::Canary;
     service.orderSeenAt = givenAfter;
     service.finalSince.reset();
     service.evidence = {};
     service.sequence = 0;
     service.stoppedByOwnEvidence = false;
+    service.judge = {};
+    service.badAnswers = 0;
+    service.judgedBadAnswers = 0;
     service.hadOldTargets = false;
-    updateTargets(service);
 }
 
-void RolloutGate::applyDirective(const RolloutDirective &directive, TimePoint now)
+void RolloutGate::applyRecord(Service &service, const RolloutRecord &record, TimePoint now)
+{
+    service.record = record;
+    if (!service.order || !belongsTo(record, *service.order)) {
+        return;
+    }
+    // An end in the store is the end: the other targets stop then, whatever a directive said.
+    const bool isEnd = isFinal(record.stage) && service.stage != record.stage
+        && !(service.stage == RolloutStage::Completed);
+    this->setStage(service, isEnd ? record.stage : laterStage(service.stage, record.stage), now);
+}
+
+void RolloutGate::applyMissingOrder(Service &service, bool recordIsThere)
+{
+    service.wasRemoved = true;
+    const bool isEnded = !recordIsThere || !service.record || isFinal(service.record->stage);
+    const bool isOpen = service.order && !isFinal(service.stage);
+    service.needsOwner = isOpen || !isEnded;
+}
+
+void RolloutGate::updateBarred(Service &service)
+{
+    if (service.record) {
+        const RolloutRecord &record = *service.record;
+        service.barredVersions.insert(
+            record.rejectedVersions.begin(), record.rejectedVersions.end());
+        if (record.stage == RolloutStage::Completed) {
+            service.barredVersions.insert(record.oldVersions.begin(), record.oldVersions.end());
+        }
+        const bool isOfOrder = service.order && belongsTo(record, *service.order);
+        if (!isFinal(record.stage) && !isOfOrder && !record.oldVersions.empty()) {
+            service.barredVersions.insert(record.targetVersion); // Its order was replaced.
+        }
+    }
+    if (service.order && service.stage != RolloutStage::RolledBack) {
+        service.barredVersions.erase(service.order->targetVersion);
+    }
+}
+
+bool RolloutGate::applyDirective(const RolloutDirective &directive, TimePoint now)
 {
     const auto found = this->services.find(directive.service);
     if (found == this->services.end() || !found->second.order
-        || found->second.order->id != directive.order) {
-        return;
+        || found->second.order->id != directive.order || directive.orderAge < Duration::zero()) {
+        return false;
     }
     Service &service = found->second;
     this->lastContactAt = now;
     service.orderSeenAt = std::min(service.orderSeenAt, now - directive.orderAge);
+    if (isFinal(service.stage)) {
+        return true;
+    }
     this->setStage(service, laterStage(service.stage, directive.stage), now);
+    if (service.stage == RolloutStage::Completed) {
+        // The record, which names the old versions, has not been read yet.
+        for (const auto &[id, version] : service.versions) {
+            if (version != service.order->targetVersion) {
+                service.barredVersions.insert(version);
+            }
+        }
+    }
+    return true;
 }
 
 void RolloutGate::setStage(Service &service, RolloutStage stage, TimePoint now)
@@ -149,11 +234,16 @@
     if (!service.order) {
         return;
     }
+    const RolloutOrder &order = *service.order;
+    if (service.record && belongsTo(*service.record, order)) {
+        service.hadOldTargets = service.hadOldTargets || !service.record->oldVersions.empty();
+    }
     std::vector<std::pair<std::uint64_t, std::string>> byHash;
     for (const auto &[id, version] : service.versions) {
-        service.hadOldTargets = service.hadOldTargets || version != service.order->targetVersion;
-        if (version == service.order->targetVersion) {
-            byHash.emplace_back(stableHash(id, service.order->id.revision), id);
+        if (version == order.targetVersion) {
+            byHash.emplace_back(stableHash(id, order.id.revision), id);
+        } else if (!service.barredVersions.contains(version)) {
+            service.hadOldTargets = true;
         }
     }
     std::sort(byHash.begin(), byHash.end());
@@ -162,6 +252,12 @@
     }
 }
 
+RolloutStage RolloutGate::actingStage(const Service &service, TimePoint now) const
+{
+    const bool isInContact = this->lastContactAt && now - *this->lastContactAt < contactTimeout;
+    return isInContact || isFinal(service.stage) ? service.stage : RolloutStage::Canary;
+}
+
 bool RolloutGate::isWithinShare(const Service &service, double share) const
 {
     const auto toTarget = static_cast<double>(service.evidence.sentToTarget);
@@ -177,24 +273,27 @@
     if (record == nullptr || !this->isActive(*record)) {
         return VersionSide::Any;
     }
-    if (record->stoppedByOwnEvidence) {
-        return VersionSide::Old;
-    }
-    const bool isInContact = this->lastContactAt && now - *this->lastContactAt < contactTimeout;
-    const RolloutStage stage = isInContact ? record->stage : RolloutStage::Canary;
-    if (stage == RolloutStage::Moving) {
-        return VersionSide::Target;
-    }
-    if (stage == RolloutStage::Trial) {
-        return this->isWithinShare(*record, trialPart * this->limits.exposedShare)
-            ? VersionSide::Target
-            : VersionSide::Old;
-    }
     // Twice the share is drawn, so that the requests that go to the new version are spread over
     // time and routes.
-    const double share = canaryPart * this->limits.exposedShare;
-    const bool isDrawn = uniformRandom < 2 * share;
-    return isDrawn && this->isWithinShare(*record, share) ? VersionSide::Target : VersionSide::Old;
+    const bool isDrawn = this->actingStage(*record, now) != RolloutStage::Canary
+        || uniformRandom < 2 * canaryPart * this->limits.exposedShare;
+    return isDrawn && this->maySend(service, VersionSide::Target, now) ? VersionSide::Target
+                                                                       : VersionSide::Old;
+}
+
+bool RolloutGate::maySend(std::string_view service, VersionSide side, TimePoint now) const
+{
+    const Service *record = this->find(service);
+    if (record == nullptr || !this->isActive(*record) || side != VersionSide::Target) {
+        return true;
+    }
+    if (record->stoppedByOwnEvidence) {
+        return false;
+    }
+    const RolloutStage stage = this->actingStage(*record, now);
+    const double part = stage == RolloutStage::Trial ? trialPart : canaryPart;
+    return stage == RolloutStage::Moving
+        || this->isWithinShare(*record, part * this->limits.exposedShare);
 }
 
 bool RolloutGate::admits(std::string_view service, std::string_view version,
@@ -204,25 +303,20 @@
     if (record == nullptr) {
         return true;
     }
+    if (record->barredVersions.contains(version)) {
+        return false;
+    }
     const bool isTarget = record->order && version == record->order->targetVersion;
-    if (record->record && !isTarget
-        && record->record->rejectedVersions.contains(std::string(version))) {
+    if (isTarget && record->stage == RolloutStage::RolledBack) {
         return false;
     }
-    if (!record->order || !record->hadOldTargets) {
+    if (!this->isActive(*record)) {
         return true;
     }
-    if (record->stage == RolloutStage::RolledBack) {
-        return !isTarget;
-    }
-    if (record->stage == RolloutStage::Completed) {
-        return !record->record || !record->record->oldVersions.contains(std::string(version));
-    }
     if (side != VersionSide::Target) {
         return !isTarget;
     }
-    const bool isInContact = this->lastContactAt && now - *this->lastContactAt < contactTimeout;
-    const bool isCanary = record->stage == RolloutStage::Canary || !isInContact;
+    const bool isCanary = this->actingStage(*record, now) == RolloutStage::Canary;
     return isTarget && (!isCanary || record->canaryTargets.contains(std::string(targetId)));
 }
 
@@ -261,8 +355,13 @@
         return;
     }
     Service &service = found->second;
-    RolloutEvidence &evidence = service.evidence;
     const bool isTarget = sample.side == VersionSide::Target;
+    const auto version = service.versions.find(sample.targetId);
+    if (version != service.versions.end()
+        && (version->second == service.order->targetVersion) != isTarget) {
+        return; // Of a request that was sent under an earlier order.
+    }
+    RolloutEvidence &evidence = service.evidence;
     RouteEvidence &route = (isTarget ? evidence.targetByRoute : evidence.oldByRoute)[sample.route];
     ++route.answers;
     route.failures += sample.failed ? 1 : 0;
@@ -282,23 +381,45 @@
     const bool isSlow = !sample.failed && isExpectationKnown
         && ratioOf(sample.latency, sample.expectedLatency) > TargetEvidence::slowRatio;
     target.slowAnswers += isSlow ? 1 : 0;
-    service.stoppedByOwnEvidence
-        = service.stoppedByOwnEvidence || judgeVersion(evidence).verdict == Verdict::Bad;
+    service.badAnswers += sample.failed || isSlow ? 1 : 0;
+    const std::uint64_t added = service.badAnswers - service.judgedBadAnswers;
+    if (added > 0 && added * badAnswersPerJudgement >= service.badAnswers) {
+        this->judgeOwnEvidence(service);
+    }
+}
+
+void RolloutGate::judgeOwnEvidence(Service &service) const
+{
+    service.judgedBadAnswers = service.badAnswers;
+    JudgementBasis basis;
+    basis.comparisons = static_cast<std::size_t>(this->sharingEntries);
+    basis.oldTargets
+        = static_cast<std::size_t>(std::count_if(service.versions.begin(), service.versions.end(),
+            [&](const auto &target) { return target.second != service.order->targetVersion; }));
+    service.stoppedByOwnEvidence = service.stoppedByOwnEvidence
+        || service.judge.judge(service.evidence, basis).verdict == Verdict::Bad;
 }
 
 std::vector<RolloutReport> RolloutGate::reports(TimePoint now)
 {
     std::vector<RolloutReport> result;
     for (auto &[name, service] : this->services) {
-        const bool isReported
-            = service.order && (!service.finalSince || now - *service.finalSince < finalReportTime);
+        const bool isReported = service.order
+            && (service.needsOwner || !service.finalSince
+                || now - *service.finalSince < finalReportTime);
         if (!isReported) {
             continue;
         }
+        if (this->isActive(service)) {
+            service.judge.keep(service.evidence, now);
+        }
         RolloutReport report;
         report.service = name;
         report.order = service.order->id;
-        report.stage = service.stage;
+        // An entry that still sends to old targets does not act on a later stage.
+        report.stage = service.stoppedByOwnEvidence && !isFinal(service.stage)
+            ? RolloutStage::Canary
+            : this->actingStage(service, now);
         report.orderAge = now - service.orderSeenAt;
         for (const auto &[version, count] : service.inProgress) {
             report.inProgressAtOld += version != service.order->targetVersion ? count : 0;
@@ -314,7 +435,7 @@
 {
     std::vector<std::string> result;
     for (const auto &[name, service] : this->services) {
-        if (this->isActive(service)) {
+        if (service.needsOwner) {
             result.push_back(name);
         }
     }
--- a/src/librollout/rolloutowner.cpp
+++ b/src/librollout/rolloutowner.cpp
@@ -18,8 +18,14 @@
 constexpr Duration minimumMovingTime = seconds(1);
 /// The same where the rollout is late.
 constexpr Duration shortMovingTime = milliseconds(400);
-/// An entry whose last report is older has ended or is cut off.
-constexpr Duration reportTimeout = seconds(2);
+/// An entry whose last report is older, and older than so many intervals, has ended or is cut off.
+constexpr Duration minimumReportTimeout = seconds(2);
+constexpr int reportTimeoutIntervals = 3;
+/// Between two reports of an entry; longer with many entries, see reportInterval().
+constexpr Duration minimumReportInterval = milliseconds(250);
+constexpr Duration reportIntervalPerEntry = milliseconds(8);
+/// Between two judgements, which take some hundred microseconds each.
+constexpr Duration judgementInterval = milliseconds(100);
 /// Least slots of the new version, against those of the old ones, that can take all requests.
 constexpr double minimumRoomShare = 0.8;
 /// A store that came back from an older copy may lack an order for so long.
@@ -40,8 +46,20 @@
         && record.targetVersion == order.targetVersion;
 }
 
+Duration reportTimeout(std::size_t entries)
+{
+    return std::max(minimumReportTimeout,
+        reportTimeoutIntervals * reportInterval(std::max<std::size_t>(entries, 1)));
+}
+
 } // namespace
 
+Duration reportInterval(std::size_t entries)
+{
+    return std::max(
+        minimumReportInterval, reportIntervalPerEntry * static_cast<Duration::rep>(entries));
+}
+
 RolloutOwner::RolloutOwner(const RolloutLimits &bounds)
     : limits(bounds)
 {
@@ -53,30 +71,31 @@
     this->unixMsAtRead = unixMs;
     this->readAt = now;
     for (const auto &[name, order] : snapshot.orders) {
-        Rollout &rollout = this->rollouts[name];
-        rollout.removedAt.reset();
-        if (rollout.order && isSameOrder(*rollout.order, order)) {
-            rollout.order->id = order.id;
-            continue;
+        if (!order.targetVersion.empty()) {
+            this->applyOrder(this->rollouts[name], order, givenAfter, now);
         }
-        rollout.order = order;
-        rollout.givenAt = givenAfter;
-        rollout.stageSince = now;
-        rollout.reports.clear();
     }
     for (const auto &[name, record] : snapshot.records) {
         Rollout &rollout = this->rollouts[name];
         this->applyRecord(rollout, record, now);
         const bool isFirstRead = !this->previousReadAt;
-        if (isFirstRead && rollout.order && belongsTo(record, *rollout.order)
-            && record.orderedUnixMs > 0) {
+        if (isFirstRead && currentRecord(rollout) != nullptr && record.orderedUnixMs > 0) {
             const auto age = std::clamp<Duration>(milliseconds(unixMs - record.orderedUnixMs),
-                Duration::zero(), rollout.order->duration);
+                Duration::zero(), std::max(rollout.order->duration, Duration::zero()));
             rollout.givenAt = std::min(rollout.givenAt, now - age);
         }
     }
     for (auto &[name, rollout] : this->rollouts) {
-        if (!snapshot.orders.contains(name) && !rollout.removedAt) {
+        // An order that cannot be read ends the one before it.
+        const auto order = snapshot.orders.find(name);
+        const bool isGone = order == snapshot.orders.end() || order->second.targetVersion.empty();
+        if (isGone && !rollout.order && rollout.record) {
+            const RolloutRecord &record = *rollout.record; // Removed before this process started.
+            rollout.order = RolloutOrder{ record.order, name, record.targetVersion, {}, {} };
+            rollout.givenAt = now;
+            this->applyRecord(rollout, record, now);
+        }
+        if (isGone && !rollout.removedAt) {
             rollout.removedAt = now;
         }
         if (!snapshot.records.contains(name)) {
@@ -86,12 +105,42 @@
     this->previousReadAt = snapshot.readAt;
 }
 
+void RolloutOwner::applyOrder(
+    Rollout &rollout, const RolloutOrder &order, TimePoint givenAfter, TimePoint now)
+{
+    const bool isEnded = rollout.furthest && isFinal(rollout.furthest->stage);
+    const bool isGivenAgain = rollout.removedAt && isEnded;
+    rollout.removedAt.reset();
+    if (rollout.order && isSameOrder(*rollout.order, order) && !isGivenAgain) {
+        rollout.order->id = order.id;
+        return;
+    }
+    rollout.order = order;
+    rollout.furthest.reset();
+    rollout.reportedEnd.reset();
+    rollout.givenAt = givenAfter;
+    rollout.stageSince = now;
+    rollout.reports.clear();
+    rollout.evidence = {};
+    rollout.judge = {};
+    rollout.judgement = {};
+    rollout.judgedAt.reset();
+    rollout.hadTargets = rollout.targets.usableTargets.contains(order.targetVersion);
+}
+
 void RolloutOwner::applyRecord(Rollout &rollout, const RolloutRecord &record, TimePoint now)
 {
-    const bool stageChanged = !rollout.record || rollout.record->stage != record.stage
-        || rollout.record->order != record.order;
-    if (stageChanged) {
-        rollout.stageSince = now;
+    const bool isOfOrder = rollout.order && belongsTo(record, *rollout.order);
+    const bool isEarlier = rollout.furthest && isOfOrder
+        && laterStage(record.stage, rollout.furthest->stage) != record.stage;
+    if (isOfOrder && !isEarlier) {
+        if (!rollout.furthest || rollout.furthest->stage != record.stage) {
+            rollout.stageSince = now;
+        }
+        rollout.furthest = record;
+        if (isFinal(record.stage)) {
+            rollout.reports.clear(); // The sum stays for the state page.
+        }
     }
     rollout.record = record;
 }
@@ -102,49 +151,68 @@
     Rollout &rollout = this->rollouts[service];
     rollout.targets = targets;
     rollout.targetsKnown = true;
+    rollout.hadTargets = rollout.hadTargets
+        || (rollout.order && targets.usableTargets.contains(rollout.order->targetVersion));
 }
 
-void RolloutOwner::merge(std::uint64_t entry, const RolloutReport &report, TimePoint now)
+bool RolloutOwner::merge(std::uint64_t entry, const RolloutReport &report, TimePoint now)
 {
     const auto found = this->rollouts.find(report.service);
     if (found == this->rollouts.end() || !found->second.order
-        || found->second.order->id != report.order) {
-        return;
+        || found->second.order->id != report.order || report.orderAge < Duration::zero()) {
+        return false;
     }
     Rollout &rollout = found->second;
-    const auto known = rollout.reports.find(entry);
-    if (known != rollout.reports.end() && known->second.report.sequence >= report.sequence) {
-        return;
+    if (rollout.furthest && isFinal(rollout.furthest->stage)) {
+        return true;
     }
-    rollout.reports[entry] = { report, now };
+    Report &known = rollout.reports[entry];
+    if (known.report.sequence >= report.sequence) {
+        return false;
+    }
+    if (isFinal(report.stage)) {
+        rollout.reportedEnd = report.stage;
+    }
+    add(rollout.evidence, evidenceSince(report.evidence, known.report.evidence));
+    known = { report, now };
     rollout.givenAt = std::min(rollout.givenAt, now - report.orderAge);
+    this->judge(rollout, now);
+    return true;
 }
 
-const RolloutRecord *RolloutOwner::currentRecord(const Rollout &rollout) const
+void RolloutOwner::judge(Rollout &rollout, TimePoint now)
 {
-    const bool isCurrent
-        = rollout.record && rollout.order && belongsTo(*rollout.record, *rollout.order);
-    return isCurrent ? &*rollout.record : nullptr;
+    const bool isDue = !rollout.judgedAt || now - *rollout.judgedAt >= judgementInterval;
+    if (!isDue || rollout.judgement.verdict == Verdict::Bad) {
+        return;
+    }
+    rollout.judgedAt = now;
+    JudgementBasis basis;
+    for (const auto &[version, count] : rollout.targets.usableTargets) {
+        basis.oldTargets
+            += version == rollout.order->targetVersion ? 0 : static_cast<std::size_t>(count);
+    }
+    rollout.judgement = rollout.judge.judge(rollout.evidence, basis);
+    rollout.judge.keep(rollout.evidence, now);
 }
 
-RolloutEvidence RolloutOwner::evidenceOf(const Rollout &rollout) const
+const RolloutRecord *RolloutOwner::currentRecord(const Rollout &rollout)
 {
-    RolloutEvidence sum;
-    for (const auto &[entry, record] : rollout.reports) {
-        add(sum, record.report.evidence);
-    }
-    return sum;
+    const bool isCurrent
+        = rollout.record && rollout.order && belongsTo(*rollout.record, *rollout.order);
+    return isCurrent ? &*rollout.record : nullptr;
 }
 
 RolloutEvidence RolloutOwner::evidence(const std::string &service) const
 {
     const auto found = this->rollouts.find(service);
-    return found == this->rollouts.end() ? RolloutEvidence() : this->evidenceOf(found->second);
+    return found == this->rollouts.end() ? RolloutEvidence() : found->second.evidence;
 }
 
 Judgement RolloutOwner::judgement(const std::string &service) const
 {
-    return judgeVersion(this->evidence(service));
+    const auto found = this->rollouts.find(service);
+    return found == this->rollouts.end() ? Judgement() : found->second.judgement;
 }
 
 std::size_t RolloutOwner::reportingEntries(const std::string &service, TimePoint now) const
@@ -153,9 +221,10 @@
     if (found == this->rollouts.end()) {
         return 0;
     }
-    return static_cast<std::size_t>(
-        std::count_if(found->second.reports.begin(), found->second.reports.end(),
-            [now](const auto &record) { return now - record.second.at < reportTimeout; }));
+    const auto &reports = found->second.reports;
+    const Duration timeout = reportTimeout(reports.size());
+    return static_cast<std::size_t>(std::count_if(reports.begin(), reports.end(),
+        [&](const auto &record) { return now - record.second.at < timeout; }));
 }
 
 RolloutDirective RolloutOwner::directive(const std::string &service, TimePoint now) const
@@ -169,29 +238,45 @@
     const Rollout &rollout = found->second;
     result.order = rollout.order->id;
     result.orderAge = now - rollout.givenAt;
-    const RolloutRecord *record = this->currentRecord(rollout);
-    result.stage = record != nullptr ? record->stage : RolloutStage::Canary;
-    if (!isFinal(result.stage) && this->judgement(service).verdict == Verdict::Bad) {
+    result.stage = rollout.furthest ? rollout.furthest->stage : RolloutStage::Canary;
+    if (!isFinal(result.stage) && rollout.judgement.verdict == Verdict::Bad) {
         result.stage = RolloutStage::RolledBack; // Entries stop before the store has the record.
     }
     return result;
 }
 
-bool RolloutOwner::hasRoomForAll(const Rollout &rollout) const
+bool RolloutOwner::hasRoomForAll(const Rollout &rollout)
 {
+    const RolloutRecord *record = currentRecord(rollout);
     int oldSlots = 0;
     int targetSlots = 0;
     for (const auto &[version, slots] : rollout.targets.usableSlots) {
-        (version == rollout.order->targetVersion ? targetSlots : oldSlots) += slots;
+        const bool isRejected = record != nullptr && record->rejectedVersions.contains(version);
+        if (version == rollout.order->targetVersion) {
+            targetSlots += slots;
+        } else {
+            oldSlots += isRejected ? 0 : slots;
+        }
     }
     return targetSlots > 0 && targetSlots >= minimumRoomShare * oldSlots;
 }
 
-bool RolloutOwner::isOldVersionIdle(const Rollout &rollout, TimePoint now) const
+bool RolloutOwner::hasOldVersions(const Rollout &rollout, const RolloutRecord &record)
+{
+    const auto &targets = rollout.targets.usableTargets;
+    return !record.oldVersions.empty()
+        || std::any_of(targets.begin(), targets.end(), [&](const auto &entry) {
+               return entry.second > 0 && entry.first != record.targetVersion
+                   && !record.rejectedVersions.contains(entry.first);
+           });
+}
+
+bool RolloutOwner::isOldVersionIdle(const Rollout &rollout, TimePoint now)
 {
+    const Duration timeout = reportTimeout(rollout.reports.size());
     bool anyReport = false;
     for (const auto &[entry, record] : rollout.reports) {
-        if (now - record.at >= reportTimeout) {
+        if (now - record.at >= timeout) {
             continue;
         }
         anyReport = true;
@@ -204,13 +289,18 @@
 }
 
 std::optional<std::pair<RolloutStage, std::string>> RolloutOwner::nextStage(
-    const Rollout &rollout, const Judgement &judgement, TimePoint now) const
+    const Rollout &rollout, TimePoint now) const
 {
     using Next = std::pair<RolloutStage, std::string>;
-    if (judgement.verdict == Verdict::Bad) {
-        return Next{ RolloutStage::RolledBack, judgement.reason };
+    const RolloutRecord &record = *currentRecord(rollout);
+    if (rollout.reportedEnd) {
+        return Next{ *rollout.reportedEnd, "entries act on it by a former owner's directive" };
+    }
+    if (rollout.judgement.verdict == Verdict::Bad) {
+        return Next{ RolloutStage::RolledBack, rollout.judgement.reason };
     }
-    if (rollout.removedAt && this->currentRecord(rollout)->oldVersions.empty()) {
+    const bool hasOld = hasOldVersions(rollout, record);
+    if (!hasOld && rollout.hadTargets && (rollout.targets.listComplete || rollout.removedAt)) {
         return Next{ RolloutStage::Completed, "all targets have the version" };
     }
     if (rollout.removedAt) {
@@ -218,33 +308,32 @@
             ? std::optional(Next{ RolloutStage::RolledBack, "the order was removed" })
             : std::nullopt;
     }
-    const RolloutStage stage = this->currentRecord(rollout)->stage;
     const RolloutSchedule schedule(rollout.order->duration);
     const Duration age = now - rollout.givenAt;
     const Duration inStage = now - rollout.stageSince;
-    const RolloutEvidence evidence = this->evidenceOf(rollout);
+    const RolloutEvidence &evidence = rollout.evidence;
     const bool isEvident = answersOf(evidence.targetByRoute) >= minimumTargetAnswers
         || evidence.sentToOld + evidence.sentToTarget < littleTraffic;
-    const bool hasRoom = this->hasRoomForAll(rollout);
+    const bool hasRoom = hasRoomForAll(rollout);
     const bool isLate = age >= schedule.endTime();
-    if (isLate && !hasRoom && rollout.targetsKnown) {
+    if (isLate && !hasRoom) {
         return Next{ RolloutStage::RolledBack, "too few targets of the new version are usable" };
     }
-    switch (stage) {
+    switch (record.stage) {
     case RolloutStage::Canary:
         if (hasRoom
             && ((age >= schedule.canaryEnd() && isEvident) || age >= schedule.latestMove())) {
-            return Next{ RolloutStage::Trial, judgement.reason };
+            return Next{ RolloutStage::Trial, rollout.judgement.reason };
         }
         return std::nullopt;
     case RolloutStage::Trial:
         if (hasRoom
             && ((inStage >= minimumTrialTime && isEvident) || age >= schedule.latestMove())) {
-            return Next{ RolloutStage::Moving, judgement.reason };
+            return Next{ RolloutStage::Moving, rollout.judgement.reason };
         }
         return std::nullopt;
     case RolloutStage::Moving:
-        if (inStage >= minimumMovingTime && this->isOldVersionIdle(rollout, now)) {
+        if (inStage >= minimumMovingTime && isOldVersionIdle(rollout, now)) {
             return Next{ RolloutStage::Completed, "no request is in progress at an old target" };
         }
         if (isLate && inStage >= shortMovingTime) {
@@ -265,69 +354,91 @@
     const auto age = std::chrono::duration_cast<milliseconds>(now - rollout.givenAt);
     const auto sinceRead = std::chrono::duration_cast<milliseconds>(now - this->readAt);
     record.orderedUnixMs = this->unixMsAtRead + sinceRead.count() - age.count();
-    for (const auto &[version, count] : rollout.targets.usableTargets) {
-        if (version != record.targetVersion && count > 0) {
-            record.oldVersions.insert(version);
-        }
-    }
     record.reason = "the order was given";
     if (rollout.record) {
-        // Of an earlier order for the service.
-        record.rejectedVersions = rollout.record->rejectedVersions;
+        const RolloutRecord &earlier = *rollout.record;
+        record.rejectedVersions = earlier.rejectedVersions;
+        if (earlier.stage == RolloutStage::Completed) {
+            record.rejectedVersions.insert(earlier.oldVersions.begin(), earlier.oldVersions.end());
+        } else if (!isFinal(earlier.stage) && !earlier.oldVersions.empty()) {
+            record.rejectedVersions.insert(earlier.targetVersion); // Replaced before its end.
+        }
+        record.recordRevision = earlier.recordRevision;
+        record.statusRevision = earlier.statusRevision;
+    }
+    if (rollout.order->problem.empty()) {
         record.rejectedVersions.erase(record.targetVersion);
-        record.recordRevision = rollout.record->recordRevision;
-        record.statusRevision = rollout.record->statusRevision;
     }
     return record;
 }
 
-std::vector<RolloutRecord> RolloutOwner::changes(TimePoint now)
+std::optional<RolloutRecord> RolloutOwner::nextRecord(const Rollout &rollout, TimePoint now) const
 {
-    std::vector<RolloutRecord> result;
-    for (auto &[name, rollout] : this->rollouts) {
-        if (!rollout.order || !rollout.targetsKnown) {
-            continue;
-        }
-        const RolloutRecord *current = this->currentRecord(rollout);
-        if (current == nullptr) {
-            if (rollout.removedAt) {
-                continue;
-            }
-            RolloutRecord record = this->firstRecord(rollout, now);
-            if (!rollout.order->problem.empty()) {
-                record.stage = RolloutStage::RolledBack;
-                record.reason = rollout.order->problem;
-                result.push_back(std::move(record));
-                continue;
-            }
-            const bool isThere = rollout.targets.usableTargets.contains(record.targetVersion);
-            if (record.oldVersions.empty() && isThere && rollout.targets.listComplete) {
-                record.stage = RolloutStage::Completed;
-                record.reason = "all targets have the version";
-            }
-            result.push_back(std::move(record));
-            continue;
+    const RolloutOrder &order = *rollout.order;
+    const RolloutRecord *current = currentRecord(rollout);
+    if (!order.problem.empty()) {
+        if (current != nullptr || rollout.removedAt || order.targetVersion.empty()) {
+            return std::nullopt; // Answered, gone, or there is nothing that a status could name.
         }
-        if (isFinal(current->stage)) {
-            continue;
-        }
-        const auto next = this->nextStage(rollout, this->judgement(name), now);
+        RolloutRecord record = this->firstRecord(rollout, now);
+        record.stage = RolloutStage::RolledBack;
+        record.reason = order.problem;
+        return record;
+    }
+    if (rollout.furthest && (current == nullptr || current->stage != rollout.furthest->stage)) {
+        // The store came back from an older copy: it gets again what entries act on.
+        RolloutRecord record = *rollout.furthest;
+        record.order = order.id;
+        record.recordRevision = rollout.record ? rollout.record->recordRevision : 0;
+        record.statusRevision = rollout.record ? rollout.record->statusRevision : 0;
+        return record;
+    }
+    if (!rollout.targetsKnown || (current != nullptr && isFinal(current->stage))) {
+        return std::nullopt;
+    }
+    RolloutRecord record = current != nullptr ? *current : this->firstRecord(rollout, now);
+    if (current != nullptr) {
+        const auto next = this->nextStage(rollout, now);
         if (!next) {
-            continue;
+            return std::nullopt;
         }
-        RolloutRecord record = *current;
-        record.order = rollout.order->id;
+        record.order = order.id;
         record.stage = next->first;
         record.reason = next->second;
-        for (const auto &[version, count] : rollout.targets.usableTargets) {
-            if (version != record.targetVersion && count > 0) {
-                record.oldVersions.insert(version);
-            }
+    } else if (rollout.removedAt) {
+        if (now - *rollout.removedAt < removedOrderGrace) {
+            return std::nullopt;
+        }
+        record.stage = RolloutStage::RolledBack;
+        record.reason = "the order was removed";
+    } else if (!hasOldVersions(rollout, record) && rollout.hadTargets
+        && rollout.targets.listComplete) {
+        record.stage = RolloutStage::Completed;
+        record.reason = "all targets have the version";
+    }
+    for (const auto &[version, count] : rollout.targets.usableTargets) {
+        if (version != record.targetVersion && count > 0
+            && !record.rejectedVersions.contains(version)) {
+            record.oldVersions.insert(version);
+        }
+    }
+    if (record.stage == RolloutStage::RolledBack) {
+        record.rejectedVersions.insert(record.targetVersion);
+    }
+    return record;
+}
+
+std::vector<RolloutRecord> RolloutOwner::changes(TimePoint now)
+{
+    std::vector<RolloutRecord> result;
+    for (auto &[name, rollout] : this->rollouts) {
+        if (!rollout.order) {
+            continue;
         }
-        if (record.stage == RolloutStage::RolledBack) {
-            record.rejectedVersions.insert(record.targetVersion);
+        this->judge(rollout, now);
+        if (auto record = this->nextRecord(rollout, now)) {
+            result.push_back(std::move(*record));
         }
-        result.push_back(std::move(record));
     }
     return result;
 }
--- a/src/librollout/rolloutownership.cpp
+++ b/src/librollout/rolloutownership.cpp
@@ -22,8 +22,9 @@
     bool ownerIsSilent, double uniformRandom, TimePoint now)
 {
     if (this->isOwner(now)) {
-        return now - *this->renewedAt >= renewInterval ? OwnershipStep::Renew
-                                                       : OwnershipStep::Nothing;
+        // Without a rollout the lease is left to lapse: an idle deployment makes no calls.
+        return rolloutActive && now - *this->renewedAt >= renewInterval ? OwnershipStep::Renew
+                                                                        : OwnershipStep::Nothing;
     }
     const bool isOwned = snapshot.ownerRevision != 0 && !ownerIsSilent;
     if (!rolloutActive || isOwned) {
--- a/src/librollout/versionjudge.cpp
+++ b/src/librollout/versionjudge.cpp
@@ -41,6 +41,8 @@
 constexpr double sizeQuantile = 0.97;
 /// Answers without a significant difference that make a version good.
 constexpr std::uint64_t answersOfGoodVersion = 100;
+/// Least time between two moments with which evidence is compared.
+constexpr Duration momentInterval = seconds(1);
 
 /// Bad answers among all of one side.
 struct Counts
@@ -323,4 +325,37 @@
     return { isGood ? Verdict::Good : Verdict::Undecided, reason };
 }
 
+void VersionJudge::keep(const RolloutEvidence &evidence, TimePoint now)
+{
+    if (!this->moments.empty() && now - this->moments.back().at < momentInterval) {
+        return;
+    }
+    this->moments.push_back({ now, evidence });
+    // A moment is dropped when its neighbours lie closer together than half the age of the later
+    // one.
+    for (std::size_t i = this->moments.size() - 1; i-- > 1;) {
+        const TimePoint later = this->moments[i + 1].at;
+        if (2 * (later - this->moments[i - 1].at) <= now - later) {
+            this->moments.erase(this->moments.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+    }
+}
+
+Judgement VersionJudge::judge(const RolloutEvidence &evidence, const JudgementBasis &basis) const
+{
+    JudgementBasis shared = basis;
+    shared.comparisons *= 1 + this->moments.size();
+    Judgement result = judgeVersion(evidence, shared);
+    for (const Moment &moment : this->moments) {
+        if (result.verdict == Verdict::Bad) {
+            break;
+        }
+        Judgement since = judgeVersion(evidenceSince(evidence, moment.evidence), shared);
+        if (since.verdict == Verdict::Bad) {
+            result = std::move(since);
+        }
+    }
+    return result;
+}
+
 } // namespace wigeonsill
