Rollout: open judgements get time, and a fast canary target hides none

Versions with failures or slow answers were found up to 48 s late where one fast target had more than 0.6 of the canaries' answers; what a target has above that part is now left out instead of the whole judgement.

--- a/src/librollout/rolloutowner.cpp
+++ b/src/librollout/rolloutowner.cpp
@@ -314,6 +314,9 @@
     const RolloutEvidence &evidence = rollout.evidence;
     const bool isEvident = answersOf(evidence.targetByRoute) >= minimumTargetAnswers
         || evidence.sentToOld + evidence.sentToTarget < littleTraffic;
+    const bool isSettled = isEvident
+        && (rollout.judgement.verdict == Verdict::Good
+            || evidence.sentToOld + evidence.sentToTarget < littleTraffic);
     const bool hasRoom = hasRoomForAll(rollout);
     const bool isLate = age >= schedule.endTime();
     if (isLate && !hasRoom) {
@@ -327,13 +330,15 @@
         }
         return std::nullopt;
     case RolloutStage::Trial:
+        // A judgement that is still open gets time for more answers.
         if (hasRoom
-            && ((inStage >= minimumTrialTime && isEvident) || age >= schedule.latestMove())) {
+            && ((inStage >= minimumTrialTime && isEvident && isSettled)
+                || age >= schedule.latestMove())) {
             return Next{ RolloutStage::Moving, rollout.judgement.reason };
         }
         return std::nullopt;
     case RolloutStage::Moving:
-        if (inStage >= minimumMovingTime && isOldVersionIdle(rollout, now)) {
+        if (inStage >= minimumMovingTime && isSettled && isOldVersionIdle(rollout, now)) {
             return Next{ RolloutStage::Completed, "no request is in progress at an old target" };
         }
         if (isLate && inStage >= shortMovingTime) {
--- a/src/librollout/versionjudge.cpp
+++ b/src/librollout/versionjudge.cpp
@@ -9,21 +9,22 @@
 
 namespace {
 
-/// Share of good versions that may be judged bad, over all comparisons of a rollout: a fifth of
-/// what the requirements allow, since answers are less independent than the test takes them to be.
-constexpr double falseAlarmShare = 0.002;
+/// Share of good versions that may be judged bad, over all comparisons of a rollout: half of what
+/// the requirements allow, since answers are less independent than the test takes them to be.
+constexpr double falseAlarmShare = 0.005;
 /// Difference of two shares for which the test is most sensitive. Bad versions differ by 0.2 to
 /// 0.5 on the routes that are concerned.
 constexpr double expectedDifference = 0.2;
-/// Least difference of two shares that matters to callers.
-constexpr double minimumDifference = 0.05;
+/// Least differences of two shares that matter to callers. Sound versions differ more in latency.
+constexpr double minimumFailureDifference = 0.03;
+constexpr double minimumSlowDifference = 0.05;
 constexpr double minimumBadAnswers = 5;
 /// An answer is slow from this multiple of the median of its side on. Of the 15 % of answers that
 /// are 2.5 times slower in a good version, half are slow; of those that are 4 times slower, nearly
 /// all.
 constexpr double slowRatio = 2.5;
 /// Fewer answers give no median.
-constexpr std::uint64_t minimumLatencies = 30;
+constexpr std::uint64_t minimumLatencies = 20;
 /// Evidence without the target with the most bad answers must still point the same way. Half the
 /// square of a standard score: a normal variate is above 2 once in 44 times.
 constexpr double minimumRemainingScore = 2;
@@ -39,8 +40,15 @@
 /// speeds drawn from 0.55, 1 and 2.8, the slow ones seldom make up so much.
 constexpr double minimumSizeDifference = 0.25;
 constexpr double sizeQuantile = 0.97;
-/// Answers without a significant difference that make a version good.
-constexpr std::uint64_t answersOfGoodVersion = 100;
+/// A good version shows no difference as high as that: the score of a normal variate of 2.
+constexpr double suspiciousScore = 2;
+/// Logarithm of the odds against a version with the given difference that a good one shows: in 50
+/// rollouts of bad versions, one is taken for good before the latest moment.
+constexpr double goodOdds = 4;
+constexpr double badFailureDifference = 0.15;
+constexpr double badSlowDifference = 0.25;
+/// Routes with fewer of the old versions' answers do not delay a rollout.
+constexpr double minimumRouteShare = 0.02;
 /// Least time between two moments with which evidence is compared.
 constexpr Duration momentInterval = seconds(1);
 
@@ -126,11 +134,13 @@
     std::string_view name;
     bool countsFailures;
     bool countsSlow;
+    double minimumDifference;
+    double badDifference;
 };
 constexpr std::array measures = {
-    Measure{ "failures", true, false },
-    Measure{ "slow answers", false, true },
-    Measure{ "failures and slow answers", true, true },
+    Measure{ "failures", true, false, minimumFailureDifference, badFailureDifference },
+    Measure{ "slow answers", false, true, minimumSlowDifference, badSlowDifference },
+    Measure{ "failures and slow answers", true, true, minimumSlowDifference, badSlowDifference },
 };
 
 /// Compares both versions on one route, or on all.
@@ -161,10 +171,8 @@
             }
             const Counts bad = count(measure, routeTarget, this->targetMedian);
             const Counts control = withPrior(count(measure, routeBefore, this->beforeMedian));
-            const bool isDifferent = bad.bad >= minimumBadAnswers
-                && bad.share() - control.share() > minimumDifference
-                && sequentialEvidence(bad, control) > this->threshold - std::log(share);
-            if (isDifferent && this->isSpread(measure, bad, control)) {
+            if (this->isDifferent(measure, bad, control, share)
+                && this->isSpread(measure, bad, control, share)) {
                 return std::string(measure.name) + " on " + std::string(route) + ": "
                     + describe(bad, control);
             }
@@ -172,13 +180,41 @@
         return std::nullopt;
     }
 
-    /// Whether several targets contribute and none has most of the bad answers. Each target's bad
-    /// answers are taken without those that the old versions would have given, too.
-    bool isSpread(const Measure &measure, const Counts &bad, const Counts &control) const
+    /// Whether there are answers enough to see that the version is not bad, and nothing points to
+    /// it.
+    bool isSound(const RouteEvidence &routeTarget, const RouteEvidence &routeBefore) const
+    {
+        return std::all_of(measures.begin(), measures.end(), [&](const Measure &measure) {
+            if (measure.countsSlow && !this->hasMedians()) {
+                return this->target.byTarget.count() == 0 || this->before.byTarget.count() == 0;
+            }
+            const Counts bad = count(measure, routeTarget, this->targetMedian);
+            const Counts control = withPrior(count(measure, routeBefore, this->beforeMedian));
+            const double usual = control.share();
+            const double expected = std::min(usual + measure.badDifference, 0.99);
+            const double odds = bad.bad * std::log(expected / usual)
+                + (bad.all - bad.bad) * std::log((1 - expected) / (1 - usual));
+            return odds < -goodOdds && likelihoodRatio(bad, control) < suspiciousScore;
+        });
+    }
+
+private:
+    bool isDifferent(
+        const Measure &measure, const Counts &bad, const Counts &control, double share) const
+    {
+        return bad.bad >= minimumBadAnswers
+            && bad.share() - control.share() > measure.minimumDifference
+            && sequentialEvidence(bad, control) > this->threshold - std::log(share);
+    }
+
+    /// Whether several targets contribute, and enough remains when the target with most of the bad
+    /// answers is left out or counts for no more than its highest part. Each target's bad answers
+    /// are taken without those that the old versions would have given, too.
+    bool isSpread(
+        const Measure &measure, const Counts &bad, const Counts &control, double share) const
     {
         const double usual = this->usualShare(measure);
         double excess = 0;
-        double highest = 0;
         Counts worst;
         std::size_t participants = 0;
         std::size_t contributors = 0;
@@ -191,24 +227,28 @@
             }
             ++contributors;
             excess += more;
-            if (more > highest) {
-                highest = more;
+            if (more > worst.bad) {
                 worst = { more, own.all };
             }
         }
         if (participants <= 1) {
             return bad.all >= singleTargetAnswers && contributors == 1;
         }
-        if (contributors < std::min(minimumContributors, participants)
-            || highest > maximumTargetShare * excess) {
+        if (contributors < std::min(minimumContributors, participants)) {
             return false;
         }
+        // A fast target gets most requests of a few, and so most bad answers of a bad version. What
+        // it has above the highest part is not counted.
+        const double others = excess - worst.bad;
+        const double counted
+            = std::min(1.0, others / worst.bad * maximumTargetShare / (1 - maximumTargetShare));
         const double part = bad.all / std::max(static_cast<double>(this->target.answers), bad.all);
-        const Counts rest = bad.without({ std::min(worst.bad, bad.bad), worst.all * part });
-        return likelihoodRatio(rest, control) >= minimumRemainingScore;
+        const Counts onRoute{ std::min(worst.bad, bad.bad * worst.bad / excess), worst.all * part };
+        const Counts left{ onRoute.bad * (1 - counted), onRoute.all * (1 - counted) };
+        return this->isDifferent(measure, bad.without(left), control, share)
+            && likelihoodRatio(bad.without(onRoute), control) >= minimumRemainingScore;
     }
 
-private:
     static Counts count(const Measure &measure, const RouteEvidence &route, double median)
     {
         Counts result;
@@ -321,8 +361,16 @@
     const std::string reason = "failures: "
         + describe({ double(all.failures), double(all.answers) },
             { double(before.failures), double(before.answers) });
-    const bool isGood = all.answers >= answersOfGoodVersion;
-    return { isGood ? Verdict::Good : Verdict::Undecided, reason };
+    bool isSound = comparison.isSound(all, before);
+    for (const auto &[name, control] : evidence.oldByRoute) {
+        const auto route = evidence.targetByRoute.find(name);
+        const RouteEvidence &target
+            = route == evidence.targetByRoute.end() ? RouteEvidence() : route->second;
+        const bool isRare = static_cast<double>(control.answers)
+            < minimumRouteShare * static_cast<double>(before.answers);
+        isSound = isSound && (isRare || comparison.isSound(target, control));
+    }
+    return { isSound ? Verdict::Good : Verdict::Undecided, reason };
 }
 
 void VersionJudge::keep(const RolloutEvidence &evidence, TimePoint now)
@@ -343,9 +391,11 @@
 
 Judgement VersionJudge::judge(const RolloutEvidence &evidence, const JudgementBasis &basis) const
 {
+    // The whole evidence takes half of the allowed false alarms, the later parts share the rest.
     JudgementBasis shared = basis;
-    shared.comparisons *= 1 + this->moments.size();
+    shared.comparisons *= 2;
     Judgement result = judgeVersion(evidence, shared);
+    shared.comparisons *= std::max<std::size_t>(this->moments.size(), 1);
     for (const Moment &moment : this->moments) {
         if (result.verdict == Verdict::Bad) {
             break;
