--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -229,6 +229,8 @@
     /// Judgements that are made of one rollout, apart from repeated ones of growing evidence. They
     /// share the allowed false alarms. \pre Greater than 0.
     std::size_t comparisons = 1;
+    /// The evidence is not judged again, so that no repeated test has to be allowed for.
+    bool isLast = false;
 };
 
 /// Judges a version from the evidence of both sides on the same routes over the same time. May be
@@ -431,6 +433,7 @@
         std::optional<RolloutRecord> furthest;
         TimePoint givenAt; ///< Earliest time at which the order may have been given.
         TimePoint stageSince; ///< When this process saw the record's stage first.
+        RolloutEvidence stageEvidence; ///< As it was then.
         std::optional<TimePoint> removedAt; ///< When the order was found to be gone.
         std::map<std::uint64_t, Report> reports; ///< Newest one of each entry's incarnation.
         RolloutEvidence evidence; ///< Sum of all reports.
@@ -448,6 +451,9 @@
         Rollout &rollout, const RolloutOrder &order, TimePoint givenAfter, TimePoint now);
     void applyRecord(Rollout &rollout, const RolloutRecord &record, TimePoint now);
     void judge(Rollout &rollout, TimePoint now);
+    /// Whether the answers since the stage began show that the version is not bad.
+    static bool isSettled(const Rollout &rollout);
+    static JudgementBasis basisOf(const Rollout &rollout);
     /// The record if it belongs to the order in progress.
     static const RolloutRecord *currentRecord(const Rollout &rollout);
     /// The stage that follows the current one now, with the reason; empty when none does.
--- a/src/librollout/rolloutowner.cpp
+++ b/src/librollout/rolloutowner.cpp
@@ -14,8 +14,10 @@
 constexpr std::uint64_t littleTraffic = 300;
 /// Time under full load, in which answers of the new version show what it does there.
 constexpr Duration minimumTrialTime = milliseconds(1'500);
-/// Time for all entries to act on Moving and to report requests in progress since then.
-constexpr Duration minimumMovingTime = seconds(1);
+/// Time for all entries to act on Moving and to report requests in progress since then, and for
+/// the load to show: a version that is slow under load reaches its full load only after some
+/// answers. With 1 s, 6 of 30 versions that are bad under load were completed.
+constexpr Duration minimumMovingTime = seconds(3);
 /// The same where the rollout is late.
 constexpr Duration shortMovingTime = milliseconds(400);
 /// An entry whose last report is older, and older than so many intervals, has ended or is cut off.
@@ -122,6 +124,7 @@
     rollout.stageSince = now;
     rollout.reports.clear();
     rollout.evidence = {};
+    rollout.stageEvidence = {};
     rollout.judge = {};
     rollout.judgement = {};
     rollout.judgedAt.reset();
@@ -136,6 +139,7 @@
     if (isOfOrder && !isEarlier) {
         if (!rollout.furthest || rollout.furthest->stage != record.stage) {
             rollout.stageSince = now;
+            rollout.stageEvidence = rollout.evidence;
         }
         rollout.furthest = record;
         if (isFinal(record.stage)) {
@@ -187,13 +191,30 @@
         return;
     }
     rollout.judgedAt = now;
+    rollout.judgement = rollout.judge.judge(rollout.evidence, basisOf(rollout));
+    rollout.judge.keep(rollout.evidence, now);
+}
+
+JudgementBasis RolloutOwner::basisOf(const Rollout &rollout)
+{
     JudgementBasis basis;
     for (const auto &[version, count] : rollout.targets.usableTargets) {
         basis.oldTargets
             += version == rollout.order->targetVersion ? 0 : static_cast<std::size_t>(count);
     }
-    rollout.judgement = rollout.judge.judge(rollout.evidence, basis);
-    rollout.judge.keep(rollout.evidence, now);
+    return basis;
+}
+
+bool RolloutOwner::isSettled(const Rollout &rollout)
+{
+    if (rollout.evidence.sentToOld + rollout.evidence.sentToTarget < littleTraffic) {
+        return true;
+    }
+    RolloutEvidence later = evidenceSince(rollout.evidence, rollout.stageEvidence);
+    later.oldByRoute = rollout.evidence.oldByRoute;
+    return rollout.judgement.verdict == Verdict::Good
+        && (rollout.furthest->stage < RolloutStage::Moving
+            || judgeVersion(later, basisOf(rollout)).verdict == Verdict::Good);
 }
 
 const RolloutRecord *RolloutOwner::currentRecord(const Rollout &rollout)
@@ -314,9 +335,6 @@
     const RolloutEvidence &evidence = rollout.evidence;
     const bool isEvident = answersOf(evidence.targetByRoute) >= minimumTargetAnswers
         || evidence.sentToOld + evidence.sentToTarget < littleTraffic;
-    const bool isSettled = isEvident
-        && (rollout.judgement.verdict == Verdict::Good
-            || evidence.sentToOld + evidence.sentToTarget < littleTraffic);
     const bool hasRoom = hasRoomForAll(rollout);
     const bool isLate = age >= schedule.endTime();
     if (isLate && !hasRoom) {
@@ -332,16 +350,22 @@
     case RolloutStage::Trial:
         // A judgement that is still open gets time for more answers.
         if (hasRoom
-            && ((inStage >= minimumTrialTime && isEvident && isSettled)
+            && ((inStage >= minimumTrialTime && isEvident && isSettled(rollout))
                 || age >= schedule.latestMove())) {
             return Next{ RolloutStage::Moving, rollout.judgement.reason };
         }
         return std::nullopt;
     case RolloutStage::Moving:
-        if (inStage >= minimumMovingTime && isSettled && isOldVersionIdle(rollout, now)) {
+        if (inStage >= minimumMovingTime && isOldVersionIdle(rollout, now) && isSettled(rollout)) {
             return Next{ RolloutStage::Completed, "no request is in progress at an old target" };
         }
         if (isLate && inStage >= shortMovingTime) {
+            JudgementBasis basis = basisOf(rollout);
+            basis.isLast = true;
+            Judgement last = judgeVersion(evidence, basis);
+            if (last.verdict == Verdict::Bad) {
+                return Next{ RolloutStage::RolledBack, std::move(last.reason) };
+            }
             return Next{ RolloutStage::Completed, "the deadline is near" };
         }
         return std::nullopt;
--- a/src/librollout/versionjudge.cpp
+++ b/src/librollout/versionjudge.cpp
@@ -16,8 +16,8 @@
 /// 0.5 on the routes that are concerned.
 constexpr double expectedDifference = 0.2;
 /// Least differences of two shares that matter to callers. Sound versions differ more in latency.
-constexpr double minimumFailureDifference = 0.03;
-constexpr double minimumSlowDifference = 0.05;
+constexpr double minimumFailureDifference = 0.02;
+constexpr double minimumSlowDifference = 0.04;
 constexpr double minimumBadAnswers = 5;
 /// An answer is slow from this multiple of the median of its side on. Of the 15 % of answers that
 /// are 2.5 times slower in a good version, half are slow; of those that are 4 times slower, nearly
@@ -35,7 +35,7 @@
 /// Evidence that is needed in addition where a single target took part, which may be ill by itself.
 constexpr double singleTargetAnswers = 30;
 /// Targets that make a comparison of both versions by size possible; see isSlowBySize().
-constexpr std::size_t manyTargets = 8;
+constexpr double manyTargets = 8;
 /// Least difference of the shares of answers that are slow for their size. Of eight targets with
 /// speeds drawn from 0.55, 1 and 2.8, the slow ones seldom make up so much.
 constexpr double minimumSizeDifference = 0.25;
@@ -128,6 +128,11 @@
     return text(target) + " against " + text(before);
 }
 
+std::uint64_t answersOf(const Routes &routes)
+{
+    return sumOf(routes).answers;
+}
+
 /// What counts as a bad answer in a comparison.
 struct Measure
 {
@@ -148,11 +153,13 @@
 {
 public:
     /// \param comparisons How many are made of this kind; they share the allowed false alarms.
-    Comparison(const RolloutEvidence &rolloutEvidence, std::size_t comparisons)
+    Comparison(const RolloutEvidence &rolloutEvidence, const JudgementBasis &basis)
         : evidence(rolloutEvidence)
         , target(sumOf(rolloutEvidence.targetByRoute))
         , before(sumOf(rolloutEvidence.oldByRoute))
-        , threshold(-std::log(falseAlarmShare / static_cast<double>(comparisons)))
+        , threshold(-std::log(
+              falseAlarmShare / static_cast<double>(std::max<std::size_t>(basis.comparisons, 1))))
+        , isLast(basis.isLast)
     {
         this->targetMedian = this->target.byTarget.quantile(0.5);
         this->beforeMedian = this->before.byTarget.quantile(0.5);
@@ -204,7 +211,12 @@
     {
         return bad.bad >= minimumBadAnswers
             && bad.share() - control.share() > measure.minimumDifference
-            && sequentialEvidence(bad, control) > this->threshold - std::log(share);
+            && this->evidenceFor(bad, control) > this->threshold - std::log(share);
+    }
+
+    double evidenceFor(const Counts &bad, const Counts &control) const
+    {
+        return this->isLast ? likelihoodRatio(bad, control) : sequentialEvidence(bad, control);
     }
 
     /// Whether several targets contribute, and enough remains when the target with most of the bad
@@ -293,6 +305,7 @@
     RouteEvidence target;
     RouteEvidence before;
     double threshold;
+    bool isLast;
     double targetMedian = 0;
     double beforeMedian = 0;
 };
@@ -304,11 +317,17 @@
 {
     const LatencyHistogram &target = comparison.allTarget().bySize;
     const LatencyHistogram &before = comparison.allBefore().bySize;
-    const auto participants
-        = static_cast<std::size_t>(std::count_if(evidence.byTarget.begin(), evidence.byTarget.end(),
-            [](const auto &record) { return record.second.answers >= answersOfParticipant; }));
-    const bool areEnough
-        = participants >= manyTargets || (oldTargets > 0 && 2 * participants >= oldTargets);
+    // Kish's effective sample size (Survey Sampling, 1965, 11.7): few targets with most of the
+    // answers count for few.
+    double answers = 0;
+    double squares = 0;
+    for (const auto &[id, record] : evidence.byTarget) {
+        answers += static_cast<double>(record.answers);
+        squares += std::pow(static_cast<double>(record.answers), 2);
+    }
+    const double participants = squares > 0 ? answers * answers / squares : 0;
+    const bool areEnough = participants >= manyTargets
+        || (oldTargets > 0 && 2 * participants >= static_cast<double>(oldTargets));
     if (!areEnough || target.count() < minimumLatencies || before.count() < minimumLatencies) {
         return std::nullopt;
     }
@@ -329,12 +348,12 @@
 
 Judgement judgeVersion(const RolloutEvidence &evidence)
 {
-    return judgeVersion(evidence, { .oldTargets = 0, .comparisons = 1 });
+    return judgeVersion(evidence, JudgementBasis());
 }
 
 Judgement judgeVersion(const RolloutEvidence &evidence, const JudgementBasis &basis)
 {
-    const Comparison comparison(evidence, std::max<std::size_t>(basis.comparisons, 1));
+    const Comparison comparison(evidence, basis);
     // All routes together take half of the allowed false alarms, the single routes the rest.
     constexpr double partOfAllRoutes = 0.5;
     if (auto reason = comparison.findDifference(
@@ -400,7 +419,13 @@
         if (result.verdict == Verdict::Bad) {
             break;
         }
-        Judgement since = judgeVersion(evidenceSince(evidence, moment.evidence), shared);
+        RolloutEvidence later = evidenceSince(evidence, moment.evidence);
+        // Old targets that get few requests mostly give the slow answers to earlier ones, so that
+        // all of their answers are the better control.
+        if (answersOf(later.oldByRoute) < answersOf(later.targetByRoute)) {
+            later.oldByRoute = evidence.oldByRoute;
+        }
+        Judgement since = judgeVersion(later, shared);
         if (since.verdict == Verdict::Bad) {
             result = std::move(since);
         }
