Forward: POST and DELETE calls with a JSON body

The owner of rollouts changes keys of the store. CallClient gets post() and remove() with the time-out and the errors of get(); no call is repeated.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -140,7 +140,8 @@
 // ---------------------------------------------------------------------------------------------
 // HTTP calls
 
-/// Client for small GET calls to one server over persistent connections, each with a timeout.
+/// Client for small calls to one server over persistent connections, each with a timeout. No call
+/// is repeated.
 class CallClient
 {
 public:
@@ -156,8 +157,17 @@
     /// ConnectionClosed (also on timeout). \pre the handler's captures outlive the client's pending
     /// calls.
     void get(const std::string &target, Duration timeout, Handler handler);
+    /// As get(), with a JSON body. After ConnectionClosed the call may have been or may still be
+    /// executed.
+    void post(
+        const std::string &target, const std::string &body, Duration timeout, Handler handler);
+    /// As post(), with the method DELETE.
+    void remove(
+        const std::string &target, const std::string &body, Duration timeout, Handler handler);
 
 private:
+    void call(std::string head, std::string_view body, Duration timeout, Handler handler);
+
     struct Private;
     std::unique_ptr<Private> d;
 };
--- a/src/libforward/callclient.cpp
+++ b/src/libforward/callclient.cpp
@@ -1,5 +1,5 @@
 /// \file callclient.cpp
-/// GET calls on persistent connections.
+/// Small calls on persistent connections.
 #include "targetpool.h"
 
 namespace wigeonsill {
@@ -112,8 +112,31 @@
 
 void CallClient::get(const std::string &target, Duration timeout, Handler handler)
 {
+    this->call("GET " + target, {}, timeout, std::move(handler));
+}
+
+void CallClient::post(
+    const std::string &target, const std::string &body, Duration timeout, Handler handler)
+{
+    this->call("POST " + target, body, timeout, std::move(handler));
+}
+
+void CallClient::remove(
+    const std::string &target, const std::string &body, Duration timeout, Handler handler)
+{
+    this->call("DELETE " + target, body, timeout, std::move(handler));
+}
+
+void CallClient::call(std::string head, std::string_view body, Duration timeout, Handler handler)
+{
+    head += " HTTP/1.1\r\nHost: " + this->d->server.address + "\r\n";
+    if (!body.empty()) {
+        head += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n";
+    }
     OutgoingRequest request;
-    request.bytes = "GET " + target + " HTTP/1.1\r\nHost: " + this->d->server.address + "\r\n\r\n";
+    request.bytes = std::move(head) + "\r\n";
+    request.bytes += body;
     std::make_shared<Call>(this->d->io, std::move(handler))
         ->start(this->d->pool, this->d->server, std::move(request), timeout);
 }
