--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -14,7 +14,7 @@
 
 /// Interval between requests for the target's report. A request on the same machine causes no
 /// charged traffic and costs about 50 us of CPU time.
-constexpr Duration reportInterval = milliseconds(400);
+constexpr Duration targetReportInterval = milliseconds(400);
 /// Interval between checks for requests whose maximum wait is over.
 constexpr Duration expiryInterval = milliseconds(50);
 /// Queries that wait for one report; there is one for each entry and incarnation.
@@ -364,7 +364,7 @@
 
 void GrantAgent::Private::scheduleReport()
 {
-    this->reportTimer.expires_after(reportInterval);
+    this->reportTimer.expires_after(targetReportInterval);
     this->reportTimer.async_wait([this](const error_code &error) {
         if (error) {
             return;
@@ -379,7 +379,7 @@
 
 void GrantAgent::Private::requestReport()
 {
-    this->reportClient.get(this->settings.reportPath, reportInterval,
+    this->reportClient.get(this->settings.reportPath, targetReportInterval,
         [this](const Result<HttpResponse> &response) { this->onReport(response); });
 }
 
--- a/src/libforward/rolloutcoordinator.cpp
+++ b/src/libforward/rolloutcoordinator.cpp
@@ -14,9 +14,6 @@
 
 /// Interval at which ownership and stages are checked while a rollout is in progress.
 constexpr Duration checkInterval = milliseconds(100);
-constexpr Duration leastReportInterval = milliseconds(250);
-/// Interval of reports for each entry, so that the owner gets at most 125 reports a second.
-constexpr Duration reportIntervalPerEntry = milliseconds(8);
 /// An owner that leaves reports unanswered for so long is taken for lost.
 constexpr Duration ownerTimeout = milliseconds(700);
 
@@ -165,8 +162,7 @@
 
 bool RolloutCoordinator::mayExpose(std::string_view service) const
 {
-    // With 0 the request is always one of those that are drawn for the new version.
-    return this->gate.choose(service, 0, currentTime()) == VersionSide::Target;
+    return this->gate.maySend(service, VersionSide::Target, currentTime());
 }
 
 bool RolloutCoordinator::admits(const Target &target, VersionSide side) const
@@ -223,7 +219,7 @@
 
 void RolloutCoordinator::startTimer()
 {
-    const bool isNeeded = hasOpenRollout(this->snapshot) || !this->orders.empty();
+    const bool isNeeded = this->isOpen() || !this->orders.empty();
     if (this->timerRuns || !isNeeded) {
         return;
     }
@@ -243,17 +239,17 @@
         this->sendReports();
     }
     const double drawn = std::uniform_real_distribution<double>(0, 1)(this->random);
-    this->writer.updateOwnership(this->isOwnerSilent(), drawn);
+    this->writer.updateOwnership(this->isOpen(), this->isOwnerSilent(), drawn);
     this->actAsOwner();
     this->updateStages();
-    if (hasOpenRollout(this->snapshot) || !this->lastReports.empty()) {
+    if (this->isOpen() || !this->lastReports.empty()) {
         this->startTimer();
     }
 }
 
 Duration RolloutCoordinator::reportInterval() const
 {
-    return std::max(leastReportInterval, reportIntervalPerEntry * this->reportingEntries);
+    return wigeonsill::reportInterval(static_cast<std::size_t>(this->reportingEntries));
 }
 
 bool RolloutCoordinator::isOwnerSilent() const
@@ -300,22 +296,13 @@
         this->reportedAt.reset(); // The new owner's own evidence is merged at once.
     }
     if (!isOwnerNow) {
-        this->directives.clear();
         this->verdicts.clear();
-        this->decidedAt.reset();
         return;
     }
     const TimePoint now = currentTime();
-    // With many entries the sum of their evidence takes long, and changes no sooner than this.
-    if (this->decidedAt && now - *this->decidedAt < this->reportInterval() / 4) {
-        return;
-    }
-    this->decidedAt = now;
-    this->directives.clear();
+    this->writer.writeChanges();
     for (const auto &[service, order] : this->orders) {
-        const RolloutDirective directive = this->owner.directive(service, now);
-        this->directives[service] = directive;
-        this->gate.applyDirective(directive, now);
+        this->gate.applyDirective(this->owner.directive(service, now), now);
         const Judgement judgement = this->owner.judgement(service);
         Verdict &known = this->verdicts[service];
         if (judgement.verdict != known) {
@@ -328,19 +315,6 @@
             this->log.stateChange(line);
         }
     }
-    this->writer.writeChanges();
-}
-
-RolloutDirective RolloutCoordinator::currentDirective(const std::string &service) const
-{
-    const TimePoint now = currentTime();
-    const auto found = this->directives.find(service);
-    if (found == this->directives.end() || !this->decidedAt) {
-        return this->owner.directive(service, now);
-    }
-    RolloutDirective result = found->second;
-    result.orderAge += now - *this->decidedAt;
-    return result;
 }
 
 void RolloutCoordinator::updateStages()
@@ -417,16 +391,14 @@
         return;
     }
     const RolloutReportPart &part = *message.rolloutReport;
-    const auto order = this->orders.find(part.report.service);
-    if (order == this->orders.end() || order->second.id != part.report.order) {
-        this->dropMessage("unknown-order");
-    } else if (const auto whole = this->assembly.add(message.sender, part)) {
-        this->owner.merge(message.sender, *whole, currentTime());
+    const auto whole = this->assembly.add(message.sender, part);
+    if (whole && !this->owner.merge(message.sender, *whole, currentTime())) {
+        this->dropMessage("report-unknown-or-older");
     }
     // Also answered where the order is not the one that is known: the owner is alive.
     GrantMessage answer;
     answer.kind = GrantKind::RolloutDirective;
-    answer.rolloutDirective = this->currentDirective(part.report.service);
+    answer.rolloutDirective = this->owner.directive(part.report.service, currentTime());
     this->grants.sendRollout(from, std::move(answer));
 }
 
@@ -438,13 +410,11 @@
         return;
     }
     this->unansweredSince.reset();
-    const auto order = this->orders.find(directive.service);
-    if (order == this->orders.end() || order->second.id != directive.order) {
-        this->dropMessage("unknown-order");
-        return;
+    if (this->gate.applyDirective(directive, currentTime())) {
+        this->updateStages();
+    } else {
+        this->dropMessage("directive-unknown-order");
     }
-    this->gate.applyDirective(directive, currentTime());
-    this->updateStages();
 }
 
 boost::json::array RolloutCoordinator::dumpState() const
--- a/src/libforward/rolloutcoordinator.h
+++ b/src/libforward/rolloutcoordinator.h
@@ -62,6 +62,8 @@
         bool stopped = false;
     };
 
+    /// Whether the end of a rollout is still to be written, for which there has to be an owner.
+    bool isOpen() const { return !this->gate.activeServices().empty(); }
     void startTimer();
     void onTimer();
     void sendReports();
@@ -77,8 +79,6 @@
     void onDirective(
         const RolloutDirective &directive, const boost::asio::ip::udp::endpoint &from);
     void dropMessage(std::string_view why);
-    /// The directive as of the last decision, with the order's present age.
-    RolloutDirective currentDirective(const std::string &service) const;
 
     Metrics &metrics;
     DecisionLog &log;
@@ -101,8 +101,6 @@
     std::optional<TimePoint> reportedAt;
     /// When the first report was sent that the owner has not answered.
     std::optional<TimePoint> unansweredSince;
-    std::optional<TimePoint> decidedAt;
-    std::map<std::string, RolloutDirective, std::less<>> directives; ///< As of decidedAt.
     std::map<std::string, Verdict, std::less<>> verdicts; ///< As logged by the owner.
     std::map<std::string, KnownStage, std::less<>> knownStages;
     std::set<std::string, std::less<>> listedServices; ///< With targets, as listed last.
--- a/src/libforward/rolloutwriter.cpp
+++ b/src/libforward/rolloutwriter.cpp
@@ -2,8 +2,6 @@
 /// Calls of the rollouts' owner to the store.
 #include "rolloutwriter.h"
 
-#include <algorithm>
-
 namespace wigeonsill {
 
 namespace {
@@ -21,23 +19,6 @@
 
 } // namespace
 
-bool hasOpenRollout(const RolloutSnapshot &snapshot)
-{
-    const bool anyOrder
-        = std::any_of(snapshot.orders.begin(), snapshot.orders.end(), [&](const auto &order) {
-              const auto found = snapshot.records.find(order.first);
-              if (found == snapshot.records.end()) {
-                  return true;
-              }
-              const RolloutRecord &record = found->second;
-              return !isFinal(record.stage) || record.order.revision != order.second.id.revision
-                  || record.targetVersion != order.second.targetVersion;
-          });
-    return anyOrder
-        || std::any_of(snapshot.records.begin(), snapshot.records.end(),
-            [](const auto &record) { return !isFinal(record.second.stage); });
-}
-
 RolloutWriter::RolloutWriter(
     Metrics &counters, DecisionLog &decisionLog, RolloutOwner &owner, std::string address)
     : metrics(counters)
@@ -104,13 +85,9 @@
     this->store->refresh();
 }
 
-void RolloutWriter::updateOwnership(bool ownerIsSilent, double uniformRandom)
+void RolloutWriter::updateOwnership(bool isOpen, bool ownerIsSilent, double uniformRandom)
 {
-    if (this->store == nullptr) {
-        return;
-    }
-    const bool isOpen = hasOpenRollout(this->snapshot);
-    if (!isOpen) {
+    if (this->store == nullptr || !isOpen) {
         return; // The lease lapses, so that an idle deployment makes no calls.
     }
     const bool isUnowned = this->snapshot.ownerRevision == 0 || ownerIsSilent;
--- a/src/libforward/rolloutwriter.h
+++ b/src/libforward/rolloutwriter.h
@@ -7,9 +7,6 @@
 
 namespace wigeonsill {
 
-/// Whether a rollout of a snapshot still needs an owner that writes its record.
-bool hasOpenRollout(const RolloutSnapshot &snapshot);
-
 /// Makes the calls to the store. At most one acquisition, one renewal, and one write for each
 /// service are in progress at a time. Not thread-safe.
 class RolloutWriter
@@ -22,9 +19,10 @@
     /// \pre rolloutStore outlives this object.
     void setStore(RolloutStore &rolloutStore) { this->store = &rolloutStore; }
     void onSnapshot(const RolloutSnapshot &read);
-    /// Acquires or renews the ownership. \param ownerIsSilent Reports to the owner stay unanswered.
+    /// Acquires or renews the ownership. \param isOpen Whether a rollout needs an owner.
+    /// \param ownerIsSilent Reports to the owner stay unanswered.
     /// \param uniformRandom Uniformly distributed in [0, 1).
-    void updateOwnership(bool ownerIsSilent, double uniformRandom);
+    void updateOwnership(bool isOpen, bool ownerIsSilent, double uniformRandom);
     /// Writes the changes that are due. \pre isOwner().
     void writeChanges();
     /// Asks the store for its changes, unless that was done within the last 500 ms.
