--- a/testsuite/rollouts/run.py
+++ b/testsuite/rollouts/run.py
@@ -7,6 +7,7 @@
 import http.client
 import pathlib
 import random
+import sys
 import tempfile
 import threading
 import time
@@ -29,14 +30,11 @@
     """A plain service of a version. A part of its answers are errors."""
 
     def __init__(self, instance, version, failing=0.0):
-        self.version = version
         self.failing = failing
         self.random = random.Random(instance)
         self.received = []  # (when, whether it was answered with an error)
         super().__init__(instance, slots=20)
-
-    def instance_record(self, service, domain="a", state="ready"):
-        return dict(super().instance_record(service, domain, state), version=self.version)
+        self.version = version
 
     def respond(self, connection, behaviour, headers, common_headers):
         at = time.monotonic()
@@ -97,6 +95,8 @@
 
     def __exit__(self, *failure):
         if failure[0]:
+            print(self.store.value("rollout/record/plain"), flush=True)
+            time.sleep(0.5)  # for the last log lines
             for entry in self.entries:
                 print("".join(line for line in entry.lines if "rollout" in line)[-4000:], flush=True)
         self.load.stop()
@@ -205,8 +205,8 @@
 
 
 def main():
-    for case in (
-            good_version_is_completed, bad_version_is_rolled_back, owner_is_killed, store_is_away_during_bad_version):
+    cases = (good_version_is_completed, bad_version_is_rolled_back, owner_is_killed, store_is_away_during_bad_version)
+    for case in [case for case in cases if case.__name__ in sys.argv[1:] or not sys.argv[1:]]:
         with tempfile.TemporaryDirectory() as folder:
             print(case.__name__, flush=True)
             case(folder)
