--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -237,8 +237,7 @@
 /// called after each answer: the test is a sequential one (see versionjudge.cpp). Bad needs a
 /// significant difference in failures or latency, over all routes or on one, to which at least
 /// three targets contribute. Good says that there were answers enough to see a difference.
-Judgement judgeVersion(const RolloutEvidence &evidence);
-Judgement judgeVersion(const RolloutEvidence &evidence, const JudgementBasis &basis);
+Judgement judgeVersion(const RolloutEvidence &evidence, const JudgementBasis &basis = {});
 
 /// Adds the counts of a part to a sum.
 void add(RouteEvidence &sum, const RouteEvidence &part);
@@ -259,12 +258,7 @@
     Judgement judge(const RolloutEvidence &evidence, const JudgementBasis &basis) const;
 
 private:
-    struct Moment
-    {
-        TimePoint at;
-        RolloutEvidence evidence;
-    };
-    std::vector<Moment> moments; ///< Oldest first.
+    std::vector<std::pair<TimePoint, RolloutEvidence>> moments; ///< Oldest first.
 };
 
 /// How often an entry reports, by the number of entries, so that the owner's load stays bounded.
@@ -346,12 +340,16 @@
         /// Versions that get no requests until an order names them: rejected ones, those that a
         /// completed rollout replaced, and those whose order was replaced before its end.
         std::set<std::string, std::less<>> barredVersions;
+        /// Versions that were seen when no order in progress named them. An order for one of them
+        /// that is replaced does not bar it.
+        std::set<std::string, std::less<>> usedVersions;
         TimePoint orderSeenAt; ///< Earliest time at which the order may have been given.
         std::optional<TimePoint> finalSince;
         RolloutEvidence evidence;
         std::uint32_t sequence = 0;
         bool stoppedByOwnEvidence = false;
         VersionJudge judge;
+        RolloutEvidence judgedBefore; ///< Evidence that the owner has overruled.
         std::uint64_t badAnswers = 0; ///< Of the new version.
         std::uint64_t judgedBadAnswers = 0; ///< The same at the last judgement.
         std::set<std::string> canaryTargets;
@@ -442,6 +440,8 @@
         std::optional<TimePoint> judgedAt;
         VersionTargets targets;
         bool targetsKnown = false;
+        std::set<std::string> usedVersions; ///< See RolloutGate::Service.
+        std::set<std::string> barredVersions; ///< See RolloutGate::Service.
         bool hadTargets = false; ///< Targets of the new version were usable since the order.
         /// A final stage that entries act on by a directive of a former owner.
         std::optional<RolloutStage> reportedEnd;
--- a/src/librollout/evidence.cpp
+++ b/src/librollout/evidence.cpp
@@ -13,6 +13,10 @@
 constexpr double bucketsPerOctave = 2;
 constexpr int middleBucket = static_cast<int>(LatencyHistogram::bucketCount) / 2;
 
+/// Between two reports of an entry; longer with many entries, see reportInterval().
+constexpr Duration minimumReportInterval = milliseconds(250);
+constexpr Duration reportIntervalPerEntry = milliseconds(8);
+
 /// Lower bound of a bucket.
 double bucketStart(std::size_t bucket)
 {
@@ -154,4 +158,10 @@
     return result;
 }
 
+Duration reportInterval(std::size_t entries)
+{
+    return std::max(
+        minimumReportInterval, reportIntervalPerEntry * static_cast<Duration::rep>(entries));
+}
+
 } // namespace wigeonsill
--- a/src/librollout/rolloutgate.cpp
+++ b/src/librollout/rolloutgate.cpp
@@ -1,6 +1,6 @@
 /// \file rolloutgate.cpp
 /// Each entry's part in a rollout: which version a request goes to, and what is counted.
-#include "wigeonsill/rollout.h"
+#include "rolloutrules.h"
 
 #include <algorithm>
 
@@ -27,12 +27,6 @@
 /// effort of a bad version's entries stays small.
 constexpr std::uint64_t badAnswersPerJudgement = 16;
 
-bool belongsTo(const RolloutRecord &record, const RolloutOrder &order)
-{
-    return record.targetVersion == order.targetVersion
-        && record.order.revision == order.id.revision;
-}
-
 double ratioOf(Duration latency, Duration reference)
 {
     const double measured = std::max<double>(static_cast<double>(latency.count()), 1);
@@ -83,6 +77,10 @@
 void RolloutGate::apply(const RolloutSnapshot &snapshot, TimePoint now)
 {
     const TimePoint givenAfter = this->previousReadAt.value_or(snapshot.readAt);
+    // The order that is known may have ended before another one replaced it.
+    for (const auto &[name, record] : snapshot.records) {
+        this->applyRecord(this->findOrAdd(name), record, now);
+    }
     for (const auto &[name, order] : snapshot.orders) {
         this->applyOrder(this->findOrAdd(name), order, givenAfter);
     }
@@ -125,7 +123,8 @@
         service.wasRemoved = false;
         return;
     }
-    if (service.order && service.stage != RolloutStage::Completed && service.hadOldTargets) {
+    if (service.order && service.stage != RolloutStage::Completed
+        && !service.usedVersions.contains(service.order->targetVersion)) {
         service.barredVersions.insert(service.order->targetVersion);
     }
     service.barredVersions.erase(order.targetVersion);
@@ -138,6 +137,7 @@
     service.sequence = 0;
     service.stoppedByOwnEvidence = false;
     service.judge = {};
+    service.judgedBefore = {};
     service.badAnswers = 0;
     service.judgedBadAnswers = 0;
     service.hadOldTargets = false;
@@ -173,13 +173,22 @@
             service.barredVersions.insert(record.oldVersions.begin(), record.oldVersions.end());
         }
         const bool isOfOrder = service.order && belongsTo(record, *service.order);
-        if (!isFinal(record.stage) && !isOfOrder && !record.oldVersions.empty()) {
+        if (isOfOrder && !isFinal(record.stage)) {
+            for (const std::string &version : record.oldVersions) {
+                service.barredVersions.erase(version); // What all entries go by.
+            }
+        }
+        if (!isFinal(record.stage) && !isOfOrder && !record.oldVersions.empty()
+            && !service.usedVersions.contains(record.targetVersion)) {
             service.barredVersions.insert(record.targetVersion); // Its order was replaced.
         }
     }
-    if (service.order && service.stage != RolloutStage::RolledBack) {
+    if (service.order && service.stage != RolloutStage::RolledBack && !service.wasRemoved) {
         service.barredVersions.erase(service.order->targetVersion);
     }
+    for (const std::string &version : service.barredVersions) {
+        service.usedVersions.erase(version);
+    }
 }
 
 bool RolloutGate::applyDirective(const RolloutDirective &directive, TimePoint now)
@@ -212,6 +221,12 @@
     if (isFinal(stage) && !service.finalSince) {
         service.finalSince = now;
     }
+    if (stage == RolloutStage::Moving && service.stage != stage && service.stoppedByOwnEvidence) {
+        // The owner has judged all entries' evidence; this entry's was chance.
+        service.stoppedByOwnEvidence = false;
+        service.judgedBefore = service.evidence;
+        service.judge = {};
+    }
     service.stage = stage;
 }
 
@@ -231,6 +246,13 @@
 void RolloutGate::updateTargets(Service &service)
 {
     service.canaryTargets.clear();
+    for (const auto &[id, version] : service.versions) {
+        const bool isOrdered = service.order && version == service.order->targetVersion
+            && service.stage != RolloutStage::Completed;
+        if (!isOrdered && !service.barredVersions.contains(version)) {
+            service.usedVersions.insert(version);
+        }
+    }
     if (!service.order) {
         return;
     }
@@ -287,7 +309,7 @@
     if (record == nullptr || !this->isActive(*record) || side != VersionSide::Target) {
         return true;
     }
-    if (record->stoppedByOwnEvidence) {
+    if (record->stoppedByOwnEvidence || record->wasRemoved) {
         return false;
     }
     const RolloutStage stage = this->actingStage(*record, now);
@@ -397,7 +419,8 @@
         = static_cast<std::size_t>(std::count_if(service.versions.begin(), service.versions.end(),
             [&](const auto &target) { return target.second != service.order->targetVersion; }));
     service.stoppedByOwnEvidence = service.stoppedByOwnEvidence
-        || service.judge.judge(service.evidence, basis).verdict == Verdict::Bad;
+        || service.judge.judge(evidenceSince(service.evidence, service.judgedBefore), basis).verdict
+            == Verdict::Bad;
 }
 
 std::vector<RolloutReport> RolloutGate::reports(TimePoint now)
@@ -411,15 +434,15 @@
             continue;
         }
         if (this->isActive(service)) {
-            service.judge.keep(service.evidence, now);
+            service.judge.keep(evidenceSince(service.evidence, service.judgedBefore), now);
         }
         RolloutReport report;
         report.service = name;
         report.order = service.order->id;
         // An entry that still sends to old targets does not act on a later stage.
-        report.stage = service.stoppedByOwnEvidence && !isFinal(service.stage)
-            ? RolloutStage::Canary
-            : this->actingStage(service, now);
+        const bool isStopped = service.stoppedByOwnEvidence || service.wasRemoved;
+        report.stage = isStopped && !isFinal(service.stage) ? RolloutStage::Canary
+                                                            : this->actingStage(service, now);
         report.orderAge = now - service.orderSeenAt;
         for (const auto &[version, count] : service.inProgress) {
             report.inProgressAtOld += version != service.order->targetVersion ? count : 0;
--- a/src/librollout/rolloutowner.cpp
+++ b/src/librollout/rolloutowner.cpp
@@ -1,6 +1,6 @@
 /// \file rolloutowner.cpp
 /// The owner's part in a rollout: when a stage ends, and which records the store gets.
-#include "wigeonsill/rollout.h"
+#include "rolloutrules.h"
 
 #include <algorithm>
 
@@ -23,15 +23,10 @@
 /// An entry whose last report is older, and older than so many intervals, has ended or is cut off.
 constexpr Duration minimumReportTimeout = seconds(2);
 constexpr int reportTimeoutIntervals = 3;
-/// Between two reports of an entry; longer with many entries, see reportInterval().
-constexpr Duration minimumReportInterval = milliseconds(250);
-constexpr Duration reportIntervalPerEntry = milliseconds(8);
 /// Between two judgements, which take some hundred microseconds each.
 constexpr Duration judgementInterval = milliseconds(100);
 /// Least slots of the new version, against those of the old ones, that can take all requests.
 constexpr double minimumRoomShare = 0.8;
-/// A store that came back from an older copy may lack an order for so long.
-constexpr Duration removedOrderGrace = seconds(3);
 
 std::uint64_t answersOf(const std::map<std::string, RouteEvidence, std::less<>> &routes)
 {
@@ -42,12 +37,6 @@
     return result;
 }
 
-bool belongsTo(const RolloutRecord &record, const RolloutOrder &order)
-{
-    return record.order.revision == order.id.revision
-        && record.targetVersion == order.targetVersion;
-}
-
 Duration reportTimeout(std::size_t entries)
 {
     return std::max(minimumReportTimeout,
@@ -56,12 +45,6 @@
 
 } // namespace
 
-Duration reportInterval(std::size_t entries)
-{
-    return std::max(
-        minimumReportInterval, reportIntervalPerEntry * static_cast<Duration::rep>(entries));
-}
-
 RolloutOwner::RolloutOwner(const RolloutLimits &bounds)
     : limits(bounds)
 {
@@ -72,6 +55,10 @@
     const TimePoint givenAfter = this->previousReadAt.value_or(snapshot.readAt);
     this->unixMsAtRead = unixMs;
     this->readAt = now;
+    // The order that is known may have ended before another one replaced it.
+    for (const auto &[name, record] : snapshot.records) {
+        this->applyRecord(this->rollouts[name], record, now);
+    }
     for (const auto &[name, order] : snapshot.orders) {
         if (!order.targetVersion.empty()) {
             this->applyOrder(this->rollouts[name], order, givenAfter, now);
@@ -117,6 +104,13 @@
         rollout.order->id = order.id;
         return;
     }
+    if (rollout.order && rollout.order->problem.empty() && !isEnded
+        && !rollout.usedVersions.contains(rollout.order->targetVersion)) {
+        rollout.barredVersions.insert(rollout.order->targetVersion);
+    }
+    if (order.problem.empty()) {
+        rollout.barredVersions.erase(order.targetVersion);
+    }
     rollout.order = order;
     rollout.furthest.reset();
     rollout.reportedEnd.reset();
@@ -146,6 +140,17 @@
             rollout.reports.clear(); // The sum stays for the state page.
         }
     }
+    rollout.barredVersions.insert(record.rejectedVersions.begin(), record.rejectedVersions.end());
+    if (record.stage == RolloutStage::Completed) {
+        rollout.barredVersions.insert(record.oldVersions.begin(), record.oldVersions.end());
+    }
+    if (rollout.order && rollout.order->problem.empty() && !rollout.removedAt
+        && !(rollout.furthest && rollout.furthest->stage == RolloutStage::RolledBack)) {
+        rollout.barredVersions.erase(rollout.order->targetVersion);
+    }
+    for (const std::string &version : rollout.barredVersions) {
+        rollout.usedVersions.erase(version);
+    }
     rollout.record = record;
 }
 
@@ -155,6 +160,13 @@
     Rollout &rollout = this->rollouts[service];
     rollout.targets = targets;
     rollout.targetsKnown = true;
+    for (const auto &[version, count] : targets.usableTargets) {
+        const bool isOrdered = rollout.order && version == rollout.order->targetVersion
+            && !(rollout.furthest && rollout.furthest->stage == RolloutStage::Completed);
+        if (!isOrdered && !rollout.barredVersions.contains(version) && count > 0) {
+            rollout.usedVersions.insert(version);
+        }
+    }
     rollout.hadTargets = rollout.hadTargets
         || (rollout.order && targets.usableTargets.contains(rollout.order->targetVersion));
 }
@@ -325,7 +337,7 @@
         return Next{ RolloutStage::Completed, "all targets have the version" };
     }
     if (rollout.removedAt) {
-        return now - *rollout.removedAt >= removedOrderGrace
+        return now - *rollout.removedAt >= removedOrderTime
             ? std::optional(Next{ RolloutStage::RolledBack, "the order was removed" })
             : std::nullopt;
     }
@@ -374,89 +386,6 @@
     }
 }
 
-RolloutRecord RolloutOwner::firstRecord(const Rollout &rollout, TimePoint now) const
-{
-    RolloutRecord record;
-    record.service = rollout.order->service;
-    record.order = rollout.order->id;
-    record.targetVersion = rollout.order->targetVersion;
-    const auto age = std::chrono::duration_cast<milliseconds>(now - rollout.givenAt);
-    const auto sinceRead = std::chrono::duration_cast<milliseconds>(now - this->readAt);
-    record.orderedUnixMs = this->unixMsAtRead + sinceRead.count() - age.count();
-    record.reason = "the order was given";
-    if (rollout.record) {
-        const RolloutRecord &earlier = *rollout.record;
-        record.rejectedVersions = earlier.rejectedVersions;
-        if (earlier.stage == RolloutStage::Completed) {
-            record.rejectedVersions.insert(earlier.oldVersions.begin(), earlier.oldVersions.end());
-        } else if (!isFinal(earlier.stage) && !earlier.oldVersions.empty()) {
-            record.rejectedVersions.insert(earlier.targetVersion); // Replaced before its end.
-        }
-        record.recordRevision = earlier.recordRevision;
-        record.statusRevision = earlier.statusRevision;
-    }
-    if (rollout.order->problem.empty()) {
-        record.rejectedVersions.erase(record.targetVersion);
-    }
-    return record;
-}
-
-std::optional<RolloutRecord> RolloutOwner::nextRecord(const Rollout &rollout, TimePoint now) const
-{
-    const RolloutOrder &order = *rollout.order;
-    const RolloutRecord *current = currentRecord(rollout);
-    if (!order.problem.empty()) {
-        if (current != nullptr || rollout.removedAt || order.targetVersion.empty()) {
-            return std::nullopt; // Answered, gone, or there is nothing that a status could name.
-        }
-        RolloutRecord record = this->firstRecord(rollout, now);
-        record.stage = RolloutStage::RolledBack;
-        record.reason = order.problem;
-        return record;
-    }
-    if (rollout.furthest && (current == nullptr || current->stage != rollout.furthest->stage)) {
-        // The store came back from an older copy: it gets again what entries act on.
-        RolloutRecord record = *rollout.furthest;
-        record.order = order.id;
-        record.recordRevision = rollout.record ? rollout.record->recordRevision : 0;
-        record.statusRevision = rollout.record ? rollout.record->statusRevision : 0;
-        return record;
-    }
-    if (!rollout.targetsKnown || (current != nullptr && isFinal(current->stage))) {
-        return std::nullopt;
-    }
-    RolloutRecord record = current != nullptr ? *current : this->firstRecord(rollout, now);
-    if (current != nullptr) {
-        const auto next = this->nextStage(rollout, now);
-        if (!next) {
-            return std::nullopt;
-        }
-        record.order = order.id;
-        record.stage = next->first;
-        record.reason = next->second;
-    } else if (rollout.removedAt) {
-        if (now - *rollout.removedAt < removedOrderGrace) {
-            return std::nullopt;
-        }
-        record.stage = RolloutStage::RolledBack;
-        record.reason = "the order was removed";
-    } else if (!hasOldVersions(rollout, record) && rollout.hadTargets
-        && rollout.targets.listComplete) {
-        record.stage = RolloutStage::Completed;
-        record.reason = "all targets have the version";
-    }
-    for (const auto &[version, count] : rollout.targets.usableTargets) {
-        if (version != record.targetVersion && count > 0
-            && !record.rejectedVersions.contains(version)) {
-            record.oldVersions.insert(version);
-        }
-    }
-    if (record.stage == RolloutStage::RolledBack) {
-        record.rejectedVersions.insert(record.targetVersion);
-    }
-    return record;
-}
-
 std::vector<RolloutRecord> RolloutOwner::changes(TimePoint now)
 {
     std::vector<RolloutRecord> result;
