--- a/src/librollout/rollouts_fuzz_test.cpp
+++ b/src/librollout/rollouts_fuzz_test.cpp
@@ -8,7 +8,6 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
-#include <iostream>
 #include <random>
 
 namespace wigeonsill {
@@ -182,29 +181,6 @@
         entry.gate.setTargets(service, std::move(versions));
         entry.owner.setTargets(service, list, this->now);
         entry.snapshot = snapshot;
-            std::cout << "DBG " << this->now.time_since_epoch().count() / 1000 << " entry "
-                      << (&entry - this->entries.data()) << " reads order "
-                      << (this->store.order ? this->store.order->targetVersion + "@"
-                                     + std::to_string(this->store.order->id.history) + "."
-                                     + std::to_string(this->store.order->id.revision)
-                                     + this->store.order->problem
-                                            : std::string("-"))
-                      << " record "
-                      << (this->store.record ? this->store.record->targetVersion + "."
-                                     + std::to_string(this->store.record->order.revision) + " "
-                                     + std::string(
-                                         enumName(rolloutStageNames, this->store.record->stage))
-                                     + " old "
-                                     + std::to_string(this->store.record->oldVersions.size()) + " "
-                                     + this->store.record->reason
-                                             : "-")
-                      << " gate "
-                      << (entry.gate.stage(service)
-                                 ? enumName(rolloutStageNames, *entry.gate.stage(service))
-                                 : "none")
-                      << " active " << entry.gate.activeServices().size() << " owner "
-                      << this->store.ownerEntry << std::endl;
-        }
         entry.readAt = this->now;
     }
 
