Rollout: a new owner waits for all entries' reports before it completes

Reports must now have come without a gap for 3 s and an interval. The oracle now follows orders that continue in a later history.

--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -332,7 +332,7 @@
         RolloutStage stage = RolloutStage::Canary;
         /// The store shows an order that has no final record yet.
         bool needsOwner = false;
-        /// The order was missing in a snapshot.
+        /// The order was missing in a snapshot, or replaced by one with a problem.
         bool wasRemoved = false;
         /// Targets of another version that may get requests were seen since the order. Otherwise
         /// all targets have the version already, and there is nothing to choose.
@@ -434,6 +434,8 @@
         RolloutEvidence stageEvidence; ///< As it was then.
         std::optional<TimePoint> removedAt; ///< When the order was found to be gone.
         std::map<std::uint64_t, Report> reports; ///< Newest one of each entry's incarnation.
+        TimePoint collectingSince; ///< Reports have come without a gap since then.
+        TimePoint lastReportAt;
         RolloutEvidence evidence; ///< Sum of all reports.
         VersionJudge judge;
         Judgement judgement; ///< The last one; Bad stays.
--- a/src/librollout/rolloutgate.cpp
+++ b/src/librollout/rolloutgate.cpp
@@ -115,6 +115,7 @@
         if (service.order && service.order->id != order.id && !isFinal(service.stage)) {
             service.stage = RolloutStage::RolledBack;
         }
+        service.wasRemoved = true;
         return;
     }
     const bool isGivenAgain = service.wasRemoved && isFinal(service.stage);
--- a/src/librollout/rolloutowner.cpp
+++ b/src/librollout/rolloutowner.cpp
@@ -23,6 +23,11 @@
 /// An entry whose last report is older, and older than so many intervals, has ended or is cut off.
 constexpr Duration minimumReportTimeout = seconds(2);
 constexpr int reportTimeoutIntervals = 3;
+/// Entries learn of a new owner with their next read of the store, each 1.8 s. Until they have
+/// reported, it cannot tell whether old targets are idle.
+constexpr Duration newOwnerTime = seconds(3);
+/// Without any report for so long, this process was not the owner.
+constexpr Duration reportGap = seconds(1);
 /// Between two judgements, which take some hundred microseconds each.
 constexpr Duration judgementInterval = milliseconds(100);
 /// Least slots of the new version, against those of the old ones, that can take all requests.
@@ -39,8 +44,7 @@
 
 Duration reportTimeout(std::size_t entries)
 {
-    return std::max(minimumReportTimeout,
-        reportTimeoutIntervals * reportInterval(std::max<std::size_t>(entries, 1)));
+    return std::max(minimumReportTimeout, reportTimeoutIntervals * reportInterval(entries));
 }
 
 } // namespace
@@ -191,6 +195,10 @@
     }
     add(rollout.evidence, evidenceSince(report.evidence, known.report.evidence));
     known = { report, now };
+    if (now - rollout.lastReportAt >= reportGap + reportInterval(rollout.reports.size())) {
+        rollout.collectingSince = now;
+    }
+    rollout.lastReportAt = now;
     rollout.givenAt = std::min(rollout.givenAt, now - report.orderAge);
     this->judge(rollout, now);
     return true;
@@ -308,6 +316,9 @@
 {
     const Duration timeout = reportTimeout(rollout.reports.size());
     bool anyReport = false;
+    if (now - rollout.collectingSince < newOwnerTime + reportInterval(rollout.reports.size())) {
+        return false;
+    }
     for (const auto &[entry, record] : rollout.reports) {
         if (now - record.at >= timeout) {
             continue;
--- a/src/librollout/rollouts_fuzz_test.cpp
+++ b/src/librollout/rollouts_fuzz_test.cpp
@@ -37,6 +37,7 @@
     std::uint64_t incarnation = 0;
     std::optional<RolloutSnapshot> snapshot; ///< The last one that was read.
     std::map<std::string, int> inProgress; ///< By version.
+    std::optional<RolloutOrder> order; ///< The last one that was read.
     double sent = 0; ///< Since this entry saw the present order.
     double sentToTarget = 0;
     TimePoint readAt;
@@ -163,9 +164,11 @@
         }
         snapshot.ownerRevision = this->store.ownerRevision;
         snapshot.ownerAddress = std::to_string(this->store.ownerEntry);
-        const bool hadOrder = entry.snapshot && entry.snapshot->orders.contains(service);
-        if (!hadOrder || !this->store.order
-            || !isSameOrder(entry.snapshot->orders.at(service), *this->store.order)) {
+        const bool isNewOrder = this->store.order
+            && (!entry.order || !isSameOrder(*entry.order, *this->store.order)
+                || isFinal(entry.gate.stage(service).value_or(RolloutStage::Canary)));
+        entry.order = this->store.order ? this->store.order : entry.order;
+        if (isNewOrder) {
             entry.sent = entry.sentToTarget = 0;
         }
         entry.gate.apply(snapshot, this->now);
