--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -30,6 +30,8 @@
     std::string service;
     std::string targetVersion;
     Duration duration = {}; ///< From the store's acknowledgement of the order to its deadline.
+    /// Why the order cannot be carried out; it is then answered as rolled back. Empty otherwise.
+    std::string problem;
 };
 
 /// Whether an order is the one that is known. After the store came back from an older copy, an
@@ -167,6 +169,9 @@
 /// Answers of one target of the new version.
 struct TargetEvidence
 {
+    /// Of the expected latency, from which on an answer is slow.
+    static constexpr double slowRatio = 2.5;
+
     std::uint64_t answers = 0;
     std::uint64_t failures = 0;
     std::uint64_t slowAnswers = 0; ///< More than 2.5 times the expected latency.
@@ -217,8 +222,48 @@
     std::string reason; ///< For the log and the record: the route, the counts and the test.
 };
 
-/// Judges a version from the evidence of both sides on the same routes over the same time.
-Judgement judgeVersion(const RolloutEvidence &evidence);
+/// What a judgement needs to know beside the evidence.
+struct JudgementBasis
+{
+    std::size_t oldTargets = 0; ///< Usable targets of the old versions; 0 when unknown.
+    /// Judgements that are made of one rollout, apart from repeated ones of growing evidence. They
+    /// share the allowed false alarms. \pre Greater than 0.
+    std::size_t comparisons = 1;
+    /// The evidence is not judged again, so that no repeated test has to be allowed for.
+    bool isLast = false;
+};
+
+/// Judges a version from the evidence of both sides on the same routes over the same time. May be
+/// called after each answer: the test is a sequential one (see versionjudge.cpp). Bad needs a
+/// significant difference in failures or latency, over all routes or on one, to which at least
+/// three targets contribute. Good says that there were answers enough to see a difference.
+Judgement judgeVersion(const RolloutEvidence &evidence, const JudgementBasis &basis = {});
+
+/// Adds the counts of a part to a sum.
+void add(RouteEvidence &sum, const RouteEvidence &part);
+void add(RolloutEvidence &sum, const RolloutEvidence &part);
+/// The counts that were added since an earlier state of the same evidence. Counts that have not
+/// grown are 0; routes and targets without any new answer are left out.
+RolloutEvidence evidenceSince(const RolloutEvidence &now, const RolloutEvidence &earlier);
+
+/// Judges growing evidence as a whole and since several earlier moments: what a version answered
+/// before it turned bad must not hide what it answers now. The moments lie about as far back as
+/// 1 s, 2 s, 4 s and so on, so that few are kept.
+class VersionJudge
+{
+public:
+    /// Keeps the state of the evidence as a moment to compare with, at most once a second.
+    void keep(const RolloutEvidence &evidence, TimePoint now);
+    /// \param basis Its comparisons are multiplied by the moments.
+    Judgement judge(const RolloutEvidence &evidence, const JudgementBasis &basis) const;
+
+private:
+    std::vector<std::pair<TimePoint, RolloutEvidence>> moments; ///< Oldest first.
+};
+
+/// How often an entry reports, by the number of entries, so that the owner's load stays bounded.
+/// \pre entries > 0.
+Duration reportInterval(std::size_t entries);
 
 // ---------------------------------------------------------------------------------------------
 // Each entry's part
@@ -239,8 +284,9 @@
 
     /// Applies what the store holds. Must be called before the targets of the same read are used.
     void apply(const RolloutSnapshot &snapshot, TimePoint now);
-    /// Applies what the owner says, which may be newer than the store's record.
-    void applyDirective(const RolloutDirective &directive, TimePoint now);
+    /// Applies what the owner says, which may be newer than the store's record. \returns Whether it
+    /// is about the order that is known, and not dropped.
+    bool applyDirective(const RolloutDirective &directive, TimePoint now);
     /// Sets how many entries share the additional exposed requests. \pre entries > 0.
     void setSharingEntries(int entries);
     /// Sets the targets of a service that take requests. \param versions By target id.
@@ -248,6 +294,10 @@
 
     /// The side for a new request. Does not count it.
     VersionSide choose(std::string_view service, double uniformRandom, TimePoint now) const;
+    /// Whether one more request may be sent to a side. To be asked right before each send, also of
+    /// a request that is sent again or had no usable target on the side that was chosen for it:
+    /// other requests may have used the share since choose().
+    bool maySend(std::string_view service, VersionSide side, TimePoint now) const;
     /// Whether a request of this side may be sent to a target. \param targetId Used for the few
     /// targets of the Canary stage, which all entries choose alike.
     bool admits(std::string_view service, std::string_view version, std::string_view targetId,
@@ -264,6 +314,8 @@
 
     /// Reports on all rollouts that are not final, or became final in the last seconds.
     std::vector<RolloutReport> reports(TimePoint now);
+    /// Services with an order whose end is not in the store yet. While there are any, the rollouts
+    /// need an owner.
     std::vector<std::string> activeServices() const;
     /// The stage that this entry acts on; empty when no order is known for the service.
     std::optional<RolloutStage> stage(std::string_view service) const;
@@ -275,25 +327,48 @@
     {
         std::map<std::string, std::string> versions; ///< Of the usable targets, by id.
         std::map<std::string, std::uint64_t, std::less<>> inProgress; ///< By version.
-        std::optional<RolloutOrder> order;
+        std::optional<RolloutOrder> order; ///< The last one that can be carried out.
         std::optional<RolloutRecord> record;
         RolloutStage stage = RolloutStage::Canary;
+        /// The store shows an order that has no final record yet.
+        bool needsOwner = false;
+        /// The order was missing in a snapshot, or replaced by one with a problem.
+        bool wasRemoved = false;
+        /// Targets of another version that may get requests were seen since the order. Otherwise
+        /// all targets have the version already, and there is nothing to choose.
+        bool hadOldTargets = false;
+        /// Versions that get no requests until an order names them: rejected ones, those that a
+        /// completed rollout replaced, and those whose order was replaced before its end.
+        std::set<std::string, std::less<>> barredVersions;
+        /// Versions that were seen when no order in progress named them. An order for one of them
+        /// that is replaced does not bar it.
+        std::set<std::string, std::less<>> usedVersions;
         TimePoint orderSeenAt; ///< Earliest time at which the order may have been given.
         std::optional<TimePoint> finalSince;
         RolloutEvidence evidence;
         std::uint32_t sequence = 0;
         bool stoppedByOwnEvidence = false;
+        VersionJudge judge;
+        RolloutEvidence judgedBefore; ///< Evidence that the owner has overruled.
+        std::uint64_t badAnswers = 0; ///< Of the new version.
+        std::uint64_t judgedBadAnswers = 0; ///< The same at the last judgement.
         std::set<std::string> canaryTargets;
     };
 
     void applyOrder(Service &service, const RolloutOrder &order, TimePoint givenAfter);
+    void applyRecord(Service &service, const RolloutRecord &record, TimePoint now);
+    void applyMissingOrder(Service &service, bool recordIsThere);
     void setStage(Service &service, RolloutStage stage, TimePoint now);
+    /// The stage whose rules hold for the service's requests now.
+    RolloutStage actingStage(const Service &service, TimePoint now) const;
     /// Whether one more request may go to the new version under a share of all requests.
     bool isWithinShare(const Service &service, double share) const;
     bool isActive(const Service &service) const;
+    void judgeOwnEvidence(Service &service) const;
     const Service *find(std::string_view service) const;
     Service &findOrAdd(std::string_view service);
-    static void updateCanaryTargets(Service &service);
+    static void updateBarred(Service &service);
+    static void updateTargets(Service &service);
 
     std::map<std::string, Service, std::less<>> services;
     RolloutLimits limits;
@@ -326,7 +401,8 @@
     void setTargets(const std::string &service, const VersionTargets &targets, TimePoint now);
     /// \param entry Random id of the reporting entry's incarnation; the owner's own reports are
     /// merged too.
-    void merge(std::uint64_t entry, const RolloutReport &report, TimePoint now);
+    /// \returns Whether the report is newer than the last one and about the order in progress.
+    bool merge(std::uint64_t entry, const RolloutReport &report, TimePoint now);
     RolloutDirective directive(const std::string &service, TimePoint now) const;
     /// Records to be written, each under the condition that the owner's key, the record and the
     /// status still have the revisions of the last snapshot. The same change is returned until a
@@ -348,25 +424,48 @@
     struct Rollout
     {
         std::optional<RolloutOrder> order;
-        std::optional<RolloutRecord>
-            record; ///< As the store holds it, of this or an earlier order.
+        /// As the store holds it, of this or an earlier order.
+        std::optional<RolloutRecord> record;
+        /// The furthest record of this order that was ever seen. The store may come back from an
+        /// older copy, but no stage is taken back.
+        std::optional<RolloutRecord> furthest;
         TimePoint givenAt; ///< Earliest time at which the order may have been given.
         TimePoint stageSince; ///< When this process saw the record's stage first.
+        RolloutEvidence stageEvidence; ///< As it was then.
         std::optional<TimePoint> removedAt; ///< When the order was found to be gone.
         std::map<std::uint64_t, Report> reports; ///< Newest one of each entry's incarnation.
+        TimePoint collectingSince; ///< Reports have come without a gap since then.
+        TimePoint lastReportAt;
+        RolloutEvidence evidence; ///< Sum of all reports.
+        VersionJudge judge;
+        Judgement judgement; ///< The last one; Bad stays.
+        std::optional<TimePoint> judgedAt;
         VersionTargets targets;
         bool targetsKnown = false;
+        std::set<std::string> usedVersions; ///< See RolloutGate::Service.
+        std::set<std::string> barredVersions; ///< See RolloutGate::Service.
+        bool hadTargets = false; ///< Targets of the new version were usable since the order.
+        /// A final stage that entries act on by a directive of a former owner.
+        std::optional<RolloutStage> reportedEnd;
     };
 
+    void applyOrder(
+        Rollout &rollout, const RolloutOrder &order, TimePoint givenAfter, TimePoint now);
     void applyRecord(Rollout &rollout, const RolloutRecord &record, TimePoint now);
+    void judge(Rollout &rollout, TimePoint now);
+    /// Whether the answers since the stage began show that the version is not bad.
+    static bool isSettled(const Rollout &rollout);
+    static JudgementBasis basisOf(const Rollout &rollout);
     /// The record if it belongs to the order in progress.
-    const RolloutRecord *currentRecord(const Rollout &rollout) const;
-    RolloutEvidence evidenceOf(const Rollout &rollout) const;
+    static const RolloutRecord *currentRecord(const Rollout &rollout);
     /// The stage that follows the current one now, with the reason; empty when none does.
     std::optional<std::pair<RolloutStage, std::string>> nextStage(
-        const Rollout &rollout, const Judgement &judgement, TimePoint now) const;
-    bool hasRoomForAll(const Rollout &rollout) const;
-    bool isOldVersionIdle(const Rollout &rollout, TimePoint now) const;
+        const Rollout &rollout, TimePoint now) const;
+    std::optional<RolloutRecord> nextRecord(const Rollout &rollout, TimePoint now) const;
+    static bool hasRoomForAll(const Rollout &rollout);
+    /// Whether targets of another version that gets requests are or were there.
+    static bool hasOldVersions(const Rollout &rollout, const RolloutRecord &record);
+    static bool isOldVersionIdle(const Rollout &rollout, TimePoint now);
     RolloutRecord firstRecord(const Rollout &rollout, TimePoint now) const;
 
     std::map<std::string, Rollout, std::less<>> rollouts; ///< By service.
