--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -455,6 +455,9 @@
     void judge(Rollout &rollout, TimePoint now);
     /// Whether the answers since the stage began show that the version is not bad.
     static bool isSettled(const Rollout &rollout);
+    /// A stage that follows by time, or RolledBack when a single look at the evidence says Bad.
+    static std::pair<RolloutStage, std::string> unlessBad(
+        const Rollout &rollout, std::pair<RolloutStage, std::string> next);
     static JudgementBasis basisOf(const Rollout &rollout);
     /// The record if it belongs to the order in progress.
     static const RolloutRecord *currentRecord(const Rollout &rollout);
--- a/src/librollout/rolloutowner.cpp
+++ b/src/librollout/rolloutowner.cpp
@@ -225,6 +225,18 @@
     return basis;
 }
 
+std::pair<RolloutStage, std::string> RolloutOwner::unlessBad(
+    const Rollout &rollout, std::pair<RolloutStage, std::string> next)
+{
+    JudgementBasis basis = basisOf(rollout);
+    basis.isLast = true;
+    basis.comparisons = 2;
+    Judgement last = judgeVersion(rollout.evidence, basis);
+    return last.verdict == Verdict::Bad
+        ? std::pair(RolloutStage::RolledBack, std::move(last.reason))
+        : std::move(next);
+}
+
 bool RolloutOwner::isSettled(const Rollout &rollout)
 {
     if (rollout.evidence.sentToOld + rollout.evidence.sentToTarget < littleTraffic) {
@@ -372,24 +384,19 @@
         return std::nullopt;
     case RolloutStage::Trial:
         // A judgement that is still open gets time for more answers.
-        if (hasRoom
-            && ((inStage >= minimumTrialTime && isEvident && isSettled(rollout))
-                || age >= schedule.latestMove())) {
+        if (hasRoom && inStage >= minimumTrialTime && isEvident && isSettled(rollout)) {
             return Next{ RolloutStage::Moving, rollout.judgement.reason };
         }
+        if (hasRoom && age >= schedule.latestMove()) {
+            return unlessBad(rollout, Next{ RolloutStage::Moving, rollout.judgement.reason });
+        }
         return std::nullopt;
     case RolloutStage::Moving:
         if (inStage >= minimumMovingTime && isOldVersionIdle(rollout, now) && isSettled(rollout)) {
             return Next{ RolloutStage::Completed, "no request is in progress at an old target" };
         }
         if (isLate && inStage >= shortMovingTime) {
-            JudgementBasis basis = basisOf(rollout);
-            basis.isLast = true;
-            Judgement last = judgeVersion(evidence, basis);
-            if (last.verdict == Verdict::Bad) {
-                return Next{ RolloutStage::RolledBack, std::move(last.reason) };
-            }
-            return Next{ RolloutStage::Completed, "the deadline is near" };
+            return unlessBad(rollout, Next{ RolloutStage::Completed, "the deadline is near" });
         }
         return std::nullopt;
     default:
--- a/src/librollout/versionjudge.cpp
+++ b/src/librollout/versionjudge.cpp
@@ -25,10 +25,14 @@
 constexpr double slowRatio = 2.5;
 /// Fewer answers give no median.
 constexpr std::uint64_t minimumLatencies = 20;
-/// Evidence without the target with the most bad answers must still point the same way. Half the
-/// square of a standard score: a normal variate is above 2 once in 44 times.
-constexpr double minimumRemainingScore = 2;
-constexpr double maximumTargetShare = 0.6;
+/// Evidence without the target with the most bad answers is tested like all of it, but with so much
+/// more false alarms: ill targets are rare. With a lower bound, one ill target and the few failures
+/// that others have by chance made 10 of 40 good versions bad in rollouts of 120 s.
+constexpr double falseAlarmFactorOfRest = 5;
+/// Bad answers of a target that contributes; one is chance.
+constexpr double badAnswersOfContributor = 2;
+/// Targets with a single bad answer contribute when they are so many.
+constexpr std::size_t manyContributors = 8;
 constexpr std::size_t minimumContributors = 3;
 /// A target takes part from this number of answers on.
 constexpr std::uint64_t answersOfParticipant = 2;
@@ -221,7 +225,7 @@
     }
 
     /// Whether several targets contribute, and enough remains when the target with most of the bad
-    /// answers is left out or counts for no more than its highest part. Each target's bad answers
+    /// answers is left out: then none decides, whatever its part is. Each target's bad answers
     /// are taken without those that the old versions would have given, too.
     bool isSpread(
         const Measure &measure, const Counts &bad, const Counts &control, double share) const
@@ -231,6 +235,7 @@
         Counts worst;
         std::size_t participants = 0;
         std::size_t contributors = 0;
+        std::size_t concerned = 0;
         for (const auto &[id, record] : this->evidence.byTarget) {
             const Counts own = countOf(measure, record);
             participants += record.answers >= answersOfParticipant ? 1 : 0;
@@ -238,7 +243,8 @@
             if (more <= 0) {
                 continue;
             }
-            ++contributors;
+            ++concerned;
+            contributors += own.bad >= badAnswersOfContributor ? 1 : 0;
             excess += more;
             if (more > worst.bad) {
                 worst = { more, own.all };
@@ -247,19 +253,16 @@
         if (participants <= 1) {
             return bad.all >= singleTargetAnswers && contributors == 1;
         }
-        if (contributors < std::min(minimumContributors, participants)) {
+        if (contributors < std::min(minimumContributors, participants)
+            && concerned < manyContributors) {
             return false;
         }
-        // A fast target gets most requests of a few, and so most bad answers of a bad version. What
-        // it has above the highest part is not counted.
-        const double others = excess - worst.bad;
-        const double counted
-            = std::min(1.0, others / worst.bad * maximumTargetShare / (1 - maximumTargetShare));
+        // A fast target gets most requests of a few, and so most bad answers of a bad version. The
+        // other targets' evidence must be enough without it.
         const double part = bad.all / std::max(static_cast<double>(this->target.answers), bad.all);
         const Counts onRoute{ std::min(worst.bad, bad.bad * worst.bad / excess), worst.all * part };
-        const Counts left{ onRoute.bad * (1 - counted), onRoute.all * (1 - counted) };
-        return this->isDifferent(measure, bad.without(left), control, share)
-            && likelihoodRatio(bad.without(onRoute), control) >= minimumRemainingScore;
+        return this->isDifferent(
+            measure, bad.without(onRoute), control, share * falseAlarmFactorOfRest);
     }
 
     static Counts count(const Measure &measure, const RouteEvidence &route, double median)
