--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -8,6 +8,7 @@
 #include "wigeonsill/util.h"
 
 #include <map>
+#include <memory>
 #include <set>
 
 namespace wigeonsill {
@@ -330,10 +331,8 @@
         std::optional<RolloutOrder> order; ///< The last one that can be carried out.
         std::optional<RolloutRecord> record;
         RolloutStage stage = RolloutStage::Canary;
-        /// The store shows an order that has no final record yet.
-        bool needsOwner = false;
-        /// The order was missing in a snapshot, or replaced by one with a problem.
-        bool wasRemoved = false;
+        bool needsOwner = false; ///< An order in the store has no final record yet.
+        bool wasRemoved = false; ///< Missing in a snapshot, or replaced by one with a problem.
         /// Targets of another version that may get requests were seen since the order. Otherwise
         /// all targets have the version already, and there is nothing to choose.
         bool hadOldTargets = false;
@@ -394,6 +393,9 @@
 {
 public:
     explicit RolloutOwner(const RolloutLimits &bounds);
+    RolloutOwner(RolloutOwner &&other) noexcept;
+    RolloutOwner &operator=(RolloutOwner &&other) noexcept;
+    ~RolloutOwner();
 
     /// \param unixMs Time of day. Only used for orders that were there before this process, whose
     /// age no entry's report tells.
@@ -416,39 +418,10 @@
     RolloutEvidence evidence(const std::string &service) const;
 
 private:
-    struct Report
-    {
-        RolloutReport report;
-        TimePoint at;
-    };
-    struct Rollout
-    {
-        std::optional<RolloutOrder> order;
-        /// As the store holds it, of this or an earlier order.
-        std::optional<RolloutRecord> record;
-        /// The furthest record of this order that was ever seen. The store may come back from an
-        /// older copy, but no stage is taken back.
-        std::optional<RolloutRecord> furthest;
-        TimePoint givenAt; ///< Earliest time at which the order may have been given.
-        TimePoint stageSince; ///< When this process saw the record's stage first.
-        RolloutEvidence stageEvidence; ///< As it was then.
-        std::optional<TimePoint> removedAt; ///< When the order was found to be gone.
-        std::map<std::uint64_t, Report> reports; ///< Newest one of each entry's incarnation.
-        TimePoint collectingSince; ///< Reports have come without a gap since then.
-        TimePoint lastReportAt;
-        RolloutEvidence evidence; ///< Sum of all reports.
-        VersionJudge judge;
-        Judgement judgement; ///< The last one; Bad stays.
-        std::optional<TimePoint> judgedAt;
-        VersionTargets targets;
-        bool targetsKnown = false;
-        std::set<std::string> usedVersions; ///< See RolloutGate::Service.
-        std::set<std::string> barredVersions; ///< See RolloutGate::Service.
-        bool hadTargets = false; ///< Targets of the new version were usable since the order.
-        /// A final stage that entries act on by a directive of a former owner.
-        std::optional<RolloutStage> reportedEnd;
-    };
+    struct Rollout; ///< In rolloutrules.h.
 
+    Rollout &findOrAdd(const std::string &service);
+    const Rollout *find(const std::string &service) const;
     void applyOrder(
         Rollout &rollout, const RolloutOrder &order, TimePoint givenAfter, TimePoint now);
     void applyRecord(Rollout &rollout, const RolloutRecord &record, TimePoint now);
@@ -471,7 +444,7 @@
     static bool isOldVersionIdle(const Rollout &rollout, TimePoint now);
     RolloutRecord firstRecord(const Rollout &rollout, TimePoint now) const;
 
-    std::map<std::string, Rollout, std::less<>> rollouts; ///< By service.
+    std::map<std::string, std::unique_ptr<Rollout>, std::less<>> rollouts; ///< By service.
     RolloutLimits limits;
     std::optional<TimePoint> previousReadAt;
     std::int64_t unixMsAtRead = 0;
--- a/src/librollout/rolloutowner.cpp
+++ b/src/librollout/rolloutowner.cpp
@@ -54,6 +54,25 @@
 {
 }
 
+RolloutOwner::RolloutOwner(RolloutOwner &&other) noexcept = default;
+RolloutOwner &RolloutOwner::operator=(RolloutOwner &&other) noexcept = default;
+RolloutOwner::~RolloutOwner() = default;
+
+RolloutOwner::Rollout &RolloutOwner::findOrAdd(const std::string &service)
+{
+    std::unique_ptr<Rollout> &rollout = this->rollouts[service];
+    if (!rollout) {
+        rollout = std::make_unique<Rollout>();
+    }
+    return *rollout;
+}
+
+const RolloutOwner::Rollout *RolloutOwner::find(const std::string &service) const
+{
+    const auto found = this->rollouts.find(service);
+    return found == this->rollouts.end() ? nullptr : found->second.get();
+}
+
 void RolloutOwner::apply(const RolloutSnapshot &snapshot, TimePoint now, std::int64_t unixMs)
 {
     const TimePoint givenAfter = this->previousReadAt.value_or(snapshot.readAt);
@@ -61,15 +80,15 @@
     this->readAt = now;
     // The order that is known may have ended before another one replaced it.
     for (const auto &[name, record] : snapshot.records) {
-        this->applyRecord(this->rollouts[name], record, now);
+        this->applyRecord(this->findOrAdd(name), record, now);
     }
     for (const auto &[name, order] : snapshot.orders) {
         if (!order.targetVersion.empty()) {
-            this->applyOrder(this->rollouts[name], order, givenAfter, now);
+            this->applyOrder(this->findOrAdd(name), order, givenAfter, now);
         }
     }
     for (const auto &[name, record] : snapshot.records) {
-        Rollout &rollout = this->rollouts[name];
+        Rollout &rollout = this->findOrAdd(name);
         this->applyRecord(rollout, record, now);
         const bool isFirstRead = !this->previousReadAt;
         if (isFirstRead && currentRecord(rollout) != nullptr && record.orderedUnixMs > 0) {
@@ -78,7 +97,8 @@
             rollout.givenAt = std::min(rollout.givenAt, now - age);
         }
     }
-    for (auto &[name, rollout] : this->rollouts) {
+    for (auto &[name, known] : this->rollouts) {
+        Rollout &rollout = *known;
         // An order that cannot be read ends the one before it.
         const auto order = snapshot.orders.find(name);
         const bool isGone = order == snapshot.orders.end() || order->second.targetVersion.empty();
@@ -161,7 +181,7 @@
 void RolloutOwner::setTargets(
     const std::string &service, const VersionTargets &targets, TimePoint /*now*/)
 {
-    Rollout &rollout = this->rollouts[service];
+    Rollout &rollout = this->findOrAdd(service);
     rollout.targets = targets;
     rollout.targetsKnown = true;
     for (const auto &[version, count] : targets.usableTargets) {
@@ -178,15 +198,15 @@
 bool RolloutOwner::merge(std::uint64_t entry, const RolloutReport &report, TimePoint now)
 {
     const auto found = this->rollouts.find(report.service);
-    if (found == this->rollouts.end() || !found->second.order
-        || found->second.order->id != report.order || report.orderAge < Duration::zero()) {
+    if (found == this->rollouts.end() || !found->second->order
+        || found->second->order->id != report.order || report.orderAge < Duration::zero()) {
         return false;
     }
-    Rollout &rollout = found->second;
+    Rollout &rollout = *found->second;
     if (rollout.furthest && isFinal(rollout.furthest->stage)) {
         return true;
     }
-    Report &known = rollout.reports[entry];
+    Rollout::Report &known = rollout.reports[entry];
     if (known.report.sequence >= report.sequence) {
         return false;
     }
@@ -258,23 +278,23 @@
 
 RolloutEvidence RolloutOwner::evidence(const std::string &service) const
 {
-    const auto found = this->rollouts.find(service);
-    return found == this->rollouts.end() ? RolloutEvidence() : found->second.evidence;
+    const Rollout *rollout = this->find(service);
+    return rollout == nullptr ? RolloutEvidence() : rollout->evidence;
 }
 
 Judgement RolloutOwner::judgement(const std::string &service) const
 {
-    const auto found = this->rollouts.find(service);
-    return found == this->rollouts.end() ? Judgement() : found->second.judgement;
+    const Rollout *rollout = this->find(service);
+    return rollout == nullptr ? Judgement() : rollout->judgement;
 }
 
 std::size_t RolloutOwner::reportingEntries(const std::string &service, TimePoint now) const
 {
-    const auto found = this->rollouts.find(service);
-    if (found == this->rollouts.end()) {
+    const Rollout *rollout = this->find(service);
+    if (rollout == nullptr) {
         return 0;
     }
-    const auto &reports = found->second.reports;
+    const auto &reports = rollout->reports;
     const Duration timeout = reportTimeout(reports.size());
     return static_cast<std::size_t>(std::count_if(reports.begin(), reports.end(),
         [&](const auto &record) { return now - record.second.at < timeout; }));
@@ -284,11 +304,11 @@
 {
     RolloutDirective result;
     result.service = service;
-    const auto found = this->rollouts.find(service);
-    if (found == this->rollouts.end() || !found->second.order) {
+    const Rollout *found = this->find(service);
+    if (found == nullptr || !found->order) {
         return result;
     }
-    const Rollout &rollout = found->second;
+    const Rollout &rollout = *found;
     result.order = rollout.order->id;
     result.orderAge = now - rollout.givenAt;
     result.stage = rollout.furthest ? rollout.furthest->stage : RolloutStage::Canary;
@@ -407,7 +427,8 @@
 std::vector<RolloutRecord> RolloutOwner::changes(TimePoint now)
 {
     std::vector<RolloutRecord> result;
-    for (auto &[name, rollout] : this->rollouts) {
+    for (auto &[name, known] : this->rollouts) {
+        Rollout &rollout = *known;
         if (!rollout.order) {
             continue;
         }
@@ -428,7 +449,7 @@
     RolloutRecord written = record;
     written.recordRevision = revision;
     written.statusRevision = revision;
-    this->applyRecord(found->second, written, now);
+    this->applyRecord(*found->second, written, now);
 }
 
 } // namespace wigeonsill
