--- a/src/librollout/rollouts_fuzz_test.cpp
+++ b/src/librollout/rollouts_fuzz_test.cpp
@@ -18,6 +18,8 @@
 constexpr int entryCount = 4;
 constexpr int targetsPerVersion = 4;
 constexpr Duration step = milliseconds(20);
+/// In a step, for each request in progress; some last for seconds.
+constexpr double requestEnds = 0.02;
 
 /// What the store holds, as one copy.
 struct StoreState
@@ -328,7 +330,7 @@
     void sendRequests(Entry &entry)
     {
         for (auto &[version, count] : entry.inProgress) {
-            while (count > 0 && this->isDrawn(0.3)) {
+            while (count > 0 && this->isDrawn(requestEnds)) {
                 --count;
                 entry.gate.recordLeft(service, version);
             }
