--- a/src/librollout/rollouts_fuzz_test.cpp
+++ b/src/librollout/rollouts_fuzz_test.cpp
@@ -333,6 +333,13 @@
             while (count > 0 && this->isDrawn(requestEnds)) {
                 --count;
                 entry.gate.recordLeft(service, version);
+                AnswerSample sample;
+                sample.service = service;
+                sample.route = "route";
+                sample.targetId = version + "-0";
+                sample.side = entry.gate.sideOf(service, version);
+                sample.latency = milliseconds(10);
+                entry.gate.recordAnswer(sample); // So that judgements become Good.
             }
         }
         const VersionSide side = entry.gate.choose(service, this->uniform(), this->now);
