--- a/src/librollout/rollouts_fuzz_test.cpp
+++ b/src/librollout/rollouts_fuzz_test.cpp
@@ -18,6 +18,8 @@
 constexpr int entryCount = 4;
 constexpr int targetsPerVersion = 4;
 constexpr Duration step = milliseconds(20);
+/// In a step, for each request in progress; some last for seconds.
+constexpr double requestEnds = 0.02;
 
 /// What the store holds, as one copy.
 struct StoreState
@@ -328,9 +330,16 @@
     void sendRequests(Entry &entry)
     {
         for (auto &[version, count] : entry.inProgress) {
-            while (count > 0 && this->isDrawn(0.3)) {
+            while (count > 0 && this->isDrawn(requestEnds)) {
                 --count;
                 entry.gate.recordLeft(service, version);
+                AnswerSample sample;
+                sample.service = service;
+                sample.route = "route";
+                sample.targetId = version + "-0";
+                sample.side = entry.gate.sideOf(service, version);
+                sample.latency = milliseconds(10);
+                entry.gate.recordAnswer(sample); // So that judgements become Good.
             }
         }
         const VersionSide side = entry.gate.choose(service, this->uniform(), this->now);
