--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -112,6 +112,7 @@
         bool resumable = false;
         std::string callerVersion = "HTTP/1.1";
         Duration gracePeriod = seconds(8);
+        std::optional<RolloutLimits> rollouts = {};
         std::string callerFields = {}; ///< Further header lines of the request, each with its end.
     };
     Reservations()
@@ -128,6 +129,7 @@
         settings.grantPort = this->port;
         settings.wait.objectiveShare = options.waitShare;
         settings.gracePeriod = options.gracePeriod;
+        settings.rollouts = options.rollouts;
         // Before any report, the entry has the smallest share of the slack; it covers five retries.
         settings.retryBudget.retrySlack = 5.0 * QuotaLimiter::largestDeploymentEntries;
         this->entry = std::make_unique<ForwardEntry>(
--- a/src/libforward/entrystate.cpp
+++ b/src/libforward/entrystate.cpp
@@ -148,7 +148,8 @@
 void EntryState::closeIdleIfUnusable(const std::string &targetId)
 {
     const Target *target = this->targets.find(targetId);
-    const bool isExcluded = this->rollouts && target != nullptr && this->rollouts->isExcluded(*target);
+    const bool isExcluded
+        = this->rollouts && target != nullptr && this->rollouts->isExcluded(*target);
     if (!this->targets.isUsable(targetId) || isExcluded) {
         this->pool.closeIdle(targetId);
     }
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -185,8 +185,7 @@
         state.quotas.applyReport(report, currentTime());
         state.retryBudget.setSharingEntries(state.quotas.sharingEntries());
         if (state.rollouts) {
-            state.rollouts->setEntries(
-                state.quotas.sharingEntries(), report.sharingEntries);
+            state.rollouts->setEntries(state.quotas.sharingEntries(), report.sharingEntries);
         }
     };
     this->d->state.grantClient.onTargetState = [this](const std::string &targetId, bool ended) {
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -3,6 +3,7 @@
 #include "grantmessage.h"
 
 #include "grant.capnp.h"
+#include "rolloutcodec.h"
 #include "wigeonsill/http.h"
 
 #include <capnp/message.h>
--- a/src/libforward/grantmessage_fuzz.cpp
+++ b/src/libforward/grantmessage_fuzz.cpp
@@ -80,8 +80,7 @@
                     && report.stage <= RolloutStage::RolledBack,
                 "a report is sent as another one");
             RolloutReportAssembly assembly;
-            fuzzRequire(
-                assembly.add(1, *message->rolloutReport).has_value()
+            fuzzRequire(assembly.add(1, *message->rolloutReport).has_value()
                     == (message->rolloutReport->parts == 1),
                 "a part is taken for the whole report");
         }
--- a/src/libforward/requestsearch.cpp
+++ b/src/libforward/requestsearch.cpp
@@ -51,4 +51,16 @@
     }
 }
 
+void RequestFlow::moveTo(const Target &chosen, bool byGrant)
+{
+    if (this->attempt) {
+        this->logMove("the target is silent and another one has room");
+        this->recordLatencySample();
+        this->releaseTarget();
+    }
+    const std::uint64_t reservation = this->reservationId;
+    this->withdrawReservations(chosen.id);
+    this->sendTo(chosen, reservation, byGrant);
+}
+
 } // namespace wigeonsill
--- a/src/libforward/requestversions.cpp
+++ b/src/libforward/requestversions.cpp
@@ -59,8 +59,7 @@
     const std::string &name = this->service->name;
     if (!this->side) {
         // What was sent before the order went to an old target, and stays on that side.
-        this->side
-            = this->attempts > 0 ? VersionSide::Old : this->state.rollouts->choose(name);
+        this->side = this->attempts > 0 ? VersionSide::Old : this->state.rollouts->choose(name);
     }
     const bool mayExpose = this->state.rollouts->mayExpose(name);
     if (this->attempts == 0 && mayExpose && this->state.rollouts->isMoving(name)) {
--- a/src/libforward/rolloutcoordinator.cpp
+++ b/src/libforward/rolloutcoordinator.cpp
@@ -20,15 +20,15 @@
 std::optional<asio::ip::udp::endpoint> parseUdpEndpoint(const std::string &address)
 {
     const auto parsed = parseEndpoint(address);
-    return parsed ? std::optional(
-               asio::ip::udp::endpoint(parsed.value().address(), parsed.value().port()))
-                  : std::nullopt;
+    return parsed
+        ? std::optional(asio::ip::udp::endpoint(parsed.value().address(), parsed.value().port()))
+        : std::nullopt;
 }
 
 std::string ownAddress(const ForwardEntrySettings &settings)
 {
-    return toString(asio::ip::tcp::endpoint(
-        asio::ip::make_address(settings.grantAddress), settings.grantPort));
+    return toString(
+        asio::ip::tcp::endpoint(asio::ip::make_address(settings.grantAddress), settings.grantPort));
 }
 
 std::int64_t unixMs()
@@ -333,8 +333,8 @@
             continue;
         }
         this->knownStages[service] = current;
-        this->metrics.gauge("wigeonsill_rollout_stage", serviceLabel(service),
-            static_cast<double>(current.stage));
+        this->metrics.gauge(
+            "wigeonsill_rollout_stage", serviceLabel(service), static_cast<double>(current.stage));
         this->logStage(order, current);
         changed = true;
     }
@@ -456,8 +456,7 @@
             const Judgement judgement = this->owner.judgement(service);
             entry["all"] = boost::json::object{ { "sentToOld", all.sentToOld },
                 { "sentToTarget", all.sentToTarget }, { "answers", answers },
-                { "failures", failures },
-                { "entries", this->owner.reportingEntries(service, now) },
+                { "failures", failures }, { "entries", this->owner.reportingEntries(service, now) },
                 { "verdict", enumName(verdictNames, judgement.verdict) },
                 { "reason", judgement.reason } };
         }
--- a/src/libforward/rolloutcoordinator.h
+++ b/src/libforward/rolloutcoordinator.h
@@ -76,8 +76,7 @@
     Duration reportInterval() const;
     void onMessage(const GrantMessage &message, const boost::asio::ip::udp::endpoint &from);
     void onReport(const GrantMessage &message, const boost::asio::ip::udp::endpoint &from);
-    void onDirective(
-        const RolloutDirective &directive, const boost::asio::ip::udp::endpoint &from);
+    void onDirective(const RolloutDirective &directive, const boost::asio::ip::udp::endpoint &from);
     void dropMessage(std::string_view why);
 
     Metrics &metrics;
--- a/src/libforward/rolloutfixture.h
+++ b/src/libforward/rolloutfixture.h
@@ -167,8 +167,8 @@
     void nameOwner()
     {
         this->snapshot.ownerRevision = 3;
-        this->snapshot.ownerAddress = "127.0.3.1:"
-            + std::to_string(this->owner.local_endpoint().port());
+        this->snapshot.ownerAddress
+            = "127.0.3.1:" + std::to_string(this->owner.local_endpoint().port());
         this->entry->setRollouts(this->read());
     }
     void runFor(Duration time)
--- a/src/libforward/rolloutmessage.h
+++ b/src/libforward/rolloutmessage.h
@@ -2,7 +2,6 @@
 /// Messages between the entries and the owner of the rollouts.
 #pragma once
 
-#include "grant.capnp.h"
 #include "wigeonsill/rollout.h"
 
 namespace wigeonsill {
@@ -45,11 +44,4 @@
     std::map<std::pair<std::uint64_t, std::string>, Pending> pending;
 };
 
-void encodeRollout(const RolloutReportPart &part, schema::Rollout::Builder target);
-void encodeRollout(const RolloutDirective &directive, schema::Rollout::Builder target);
-/// Empty when a value is out of bounds.
-std::optional<RolloutReportPart> decodeReportPart(schema::Rollout::Reader source);
-/// Empty when a value is out of bounds.
-std::optional<RolloutDirective> decodeDirective(schema::Rollout::Reader source);
-
 } // namespace wigeonsill
--- a/src/libforward/rollouts_test.cpp
+++ b/src/libforward/rollouts_test.cpp
@@ -1,5 +1,6 @@
 /// \file rollouts_test.cpp
-/// Tests of an entry during rollouts: choice of targets, reports, directives and the owner's writes.
+/// Tests of an entry during rollouts: choice of targets, reports, directives and the owner's
+/// writes.
 #include "rolloutfixture.h"
 
 namespace wigeonsill {
@@ -242,5 +243,79 @@
     EXPECT_EQ(this->send(20)["v2"], 0);
 }
 
+/// Engines of two versions, the first one old, whose agents act only when the test calls them.
+class EngineRollout : public Reservations
+{
+protected:
+    EngineRollout()
+        : Reservations({ .agentCount = 2, .rollouts = RolloutLimits() })
+    {
+        RolloutOrder order;
+        order.id = { 1, 5 };
+        order.service = "engines";
+        order.targetVersion = newVersion;
+        order.duration = seconds(30);
+        this->snapshot.orders["engines"] = order;
+        std::vector<Target> list;
+        for (const auto &agent : this->agents) {
+            Target target;
+            target.address = toString(agent->target.local_endpoint());
+            target.id = target.address;
+            target.service = "engines";
+            target.version = list.empty() ? oldVersion : newVersion;
+            list.push_back(target);
+        }
+        this->set(RolloutStage::Moving);
+        this->entry->setTargets(list, false);
+    }
+
+    void set(RolloutStage stage)
+    {
+        RolloutRecord record;
+        record.service = "engines";
+        record.order = { 1, 5 };
+        record.targetVersion = newVersion;
+        record.stage = stage;
+        record.oldVersions = { std::string(oldVersion) };
+        this->snapshot.records["engines"] = record;
+        this->snapshot.readAt = currentTime();
+        this->entry->setRollouts(this->snapshot);
+    }
+
+    RolloutSnapshot snapshot;
+};
+
+/// Guards against requests that reach a version after its end because room was reserved before it.
+TEST_F(EngineRollout, reservationsAtAVersionEndWithItsRollout)
+{
+    ManualAgent &oldAgent = *this->agents[0];
+    ManualAgent &newAgent = *this->agents[1];
+    asio::ip::tcp::socket caller(this->io);
+    this->sendRequest(caller);
+    this->runFor(milliseconds(50));
+    const auto atNew = newAgent.receive(GrantKind::Reserve);
+    ASSERT_TRUE(atNew) << "in Moving, room is reserved at the new version";
+    EXPECT_FALSE(oldAgent.receive(GrantKind::Reserve));
+    newAgent.reply(GrantKind::Queued, *atNew);
+    this->runFor(milliseconds(50));
+    EXPECT_FALSE(oldAgent.receive(GrantKind::Reserve));
+
+    this->set(RolloutStage::RolledBack);
+    newAgent.reply(GrantKind::Granted, *atNew);
+    this->runFor(milliseconds(100));
+    boost::system::error_code error;
+    newAgent.target.non_blocking(true);
+    newAgent.target.accept(error);
+    EXPECT_EQ(error, asio::error::would_block) << "the request was sent to the rejected version";
+    EXPECT_TRUE(newAgent.receive(GrantKind::Release)) << "the grant is given back";
+    const auto atOld = oldAgent.receive(GrantKind::Reserve);
+    ASSERT_TRUE(atOld) << "the request is placed anew";
+    oldAgent.reply(GrantKind::Granted, *atOld);
+    this->runFor(milliseconds(50));
+    oldAgent.target.non_blocking(true);
+    oldAgent.target.accept(error);
+    EXPECT_FALSE(error) << "it is sent to the old version";
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libforward/rolloutwriter.cpp
+++ b/src/libforward/rolloutwriter.cpp
@@ -28,7 +28,7 @@
 {
 }
 
-template<typename Value>
+template <typename Value>
 std::function<void(Result<Value>)> RolloutWriter::guarded(
     std::function<void(const Result<Value> &)> handler)
 {
@@ -133,21 +133,22 @@
     this->renewing = true;
     const TimePoint sentAt = bootTime();
     const std::string lease = this->ownership.leaseId();
-    this->store->renew(lease, this->guarded<bool>([this, sentAt, lease](const Result<bool> &result) {
-        this->renewing = false;
-        if (lease != this->ownership.leaseId()) {
-            return;
-        }
-        if (result) {
-            this->ownership.recordRenewed(sentAt);
-            return;
-        }
-        this->nextRenewalAt = currentTime() + callRetryDelay;
-        if (result.error().code == ResultCode::StoreConflict) {
-            this->lose("the lease has ended");
-            this->refresh();
-        }
-    }));
+    this->store->renew(
+        lease, this->guarded<bool>([this, sentAt, lease](const Result<bool> &result) {
+            this->renewing = false;
+            if (lease != this->ownership.leaseId()) {
+                return;
+            }
+            if (result) {
+                this->ownership.recordRenewed(sentAt);
+                return;
+            }
+            this->nextRenewalAt = currentTime() + callRetryDelay;
+            if (result.error().code == ResultCode::StoreConflict) {
+                this->lose("the lease has ended");
+                this->refresh();
+            }
+        }));
 }
 
 void RolloutWriter::writeChanges()
@@ -177,8 +178,8 @@
     const TimePoint now = currentTime();
     WriteState &state = this->writes[record.service];
     state.inProgress = false;
-    const std::string_view outcome = result ? "written"
-        : result.error().code == ResultCode::StoreConflict ? "conflict"
+    const std::string_view outcome = result                   ? "written"
+        : result.error().code == ResultCode::StoreConflict    ? "conflict"
         : result.error().code == ResultCode::StoreRateLimited ? "rate-limited"
                                                               : "unavailable";
     this->metrics.count(
@@ -212,8 +213,8 @@
     }
     line.number("answers", static_cast<double>(answers))
         .number("failures", static_cast<double>(failures))
-        .number("entries",
-            static_cast<double>(this->decisions.reportingEntries(record.service, now)))
+        .number(
+            "entries", static_cast<double>(this->decisions.reportingEntries(record.service, now)))
         .ms("age_ms", this->decisions.directive(record.service, now).orderAge);
     this->log.stateChange(line);
     this->refreshedAt.reset();
--- a/src/libforward/rolloutwriter.h
+++ b/src/libforward/rolloutwriter.h
@@ -45,7 +45,7 @@
     void lose(std::string_view why);
     void logOwner(std::string_view change, std::string_view why);
     /// Wraps a handler so that it does nothing once this object is destroyed.
-    template<typename Value>
+    template <typename Value>
     std::function<void(Result<Value>)> guarded(std::function<void(const Result<Value> &)> handler);
 
     Metrics &metrics;
