Quotas: a report of usage that was overtaken hides nothing

Cause: an entry's report at once and its periodic one may arrive in the other order, or twice. The collector took the older one for the newest state, so the request in between was not known for a round, and for good if the entry was killed.

Change: a total lower than one received within 500 ms is not adopted. Refunds, which lower it too, are known after two rounds. No message changes.

--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -289,6 +289,12 @@
         double demand = 0; ///< Requested per second.
     };
     using AmountsByOrganisation = std::map<std::string, Amounts, std::less<>>;
+    /// An organisation's total at an entry.
+    struct Total
+    {
+        double value = 0; ///< Highest that was reported lately.
+        TimePoint at; ///< When a report last stated this value.
+    };
     struct Sample
     {
         TimePoint at;
@@ -299,10 +305,14 @@
         /// Oldest first. The first sample is the baseline: the totals at the start of the window.
         std::deque<Sample> samples;
         UsageByOrganisation latest;
+        /// By organisation. A report that was overtaken by a newer one states a lower total.
+        std::map<std::string, Total, std::less<>> totals;
         AmountsByOrganisation counted; ///< The part of the sums that is this entry's.
         bool reporting = false; ///< Counted as sharing the quotas.
     };
     void removeExpired(TimePoint now);
+    /// Adopts the totals of a report, unless it may have been overtaken by the one before.
+    static void adoptTotals(Entry &entry, const UsageByOrganisation &usage, TimePoint now);
     /// Removes samples that are older than the window, all but one, which is the baseline.
     void removeExpiredSamples(Entry &entry, TimePoint now) const;
     /// Replaces the entry's part of the sums.
--- a/src/libgateway/sharedlimits_test.cpp
+++ b/src/libgateway/sharedlimits_test.cpp
@@ -172,6 +172,32 @@
     EXPECT_EQ(collector.reportFor(2, now).othersUsage["hot"], 0);
 }
 
+/// Guards against a report at once that is overtaken by a newer one, or comes twice, and hides what
+/// the newer one stated until the next round; for good if the entry is killed before.
+TEST(UsageCollector, reportThatWasOvertakenHidesNothing)
+{
+    TimePoint now{ seconds(100) };
+    UsageCollector collector(window, now);
+    collector.addReport(1, { { "hot", { 4'223, 4'223 } } }, now);
+    now += milliseconds(5);
+    collector.addReport(1, { { "hot", { 2'723, 2'723 } } }, now);
+    EXPECT_EQ(collector.reportFor(2, now).othersUsage["hot"], 4'223);
+    now += seconds(4);
+    EXPECT_EQ(collector.reportFor(2, now).othersUsage["hot"], 4'223) << "the entry was killed";
+}
+
+TEST(UsageCollector, refundIsKnownAfterTwoRounds)
+{
+    TimePoint now{ seconds(100) };
+    UsageCollector collector(window, now);
+    collector.addReport(1, { { "hot", { 4'223, 4'223 } } }, now);
+    for (int round = 1; round <= 2; ++round) {
+        now += milliseconds(250);
+        collector.addReport(1, { { "hot", { 2'723, 2'723 } } }, now);
+    }
+    EXPECT_EQ(collector.reportFor(2, now).othersUsage["hot"], 2'723);
+}
+
 TEST(QuotaLimiter, limitsAdmissionAfterAllCountsWereLost)
 {
     QuotaLimiter ledger({ window });
--- a/src/libgateway/usagecollector.cpp
+++ b/src/libgateway/usagecollector.cpp
@@ -12,6 +12,11 @@
 constexpr Duration reportTimeout = seconds(3);
 /// Interval at which the usage of all entries is checked for what has left the window.
 constexpr Duration expiryInterval = milliseconds(50);
+/// A total that is lower than one received within this time is taken for one of an older report,
+/// otherwise for one after refunds: two rounds of reports. Adopting an older report hid a request
+/// of 1,500 tokens for 240 ms, in which two other entries admitted as much (1.024 of what is
+/// accepted).
+constexpr Duration overtakingTime = milliseconds(500);
 
 } // namespace
 
@@ -31,11 +36,22 @@
     }
     record.samples.push_back(std::move(sample));
     record.latest = usage;
+    adoptTotals(record, usage, now);
     this->removeExpiredSamples(record, now);
     this->recount(record, now);
     this->removeExpired(now);
 }
 
+void UsageCollector::adoptTotals(Entry &entry, const UsageByOrganisation &usage, TimePoint now)
+{
+    for (const auto &[organisation, use] : usage) {
+        Total &total = entry.totals[organisation];
+        if (use.total >= total.value || now - total.at >= overtakingTime) {
+            total = { use.total, now };
+        }
+    }
+}
+
 void UsageCollector::removeExpiredSamples(Entry &entry, TimePoint now) const
 {
     while (entry.samples.size() > 1 && now - entry.samples[1].at >= this->window) {
@@ -64,7 +80,8 @@
     const auto &baseline = entry.samples.front().totals;
     for (const auto &[organisation, use] : entry.latest) {
         const auto before = baseline.find(organisation);
-        const Amounts amounts{ use.total - (before == baseline.end() ? 0 : before->second),
+        const double total = entry.totals[organisation].value;
+        const Amounts amounts{ total - (before == baseline.end() ? 0 : before->second),
             entry.reporting ? use.demand : 0 };
         entry.counted[organisation] = amounts;
         Amounts &sum = this->sums[organisation];
