Quotas: the highest usage that a recent report of a collector states counts

Cause: the last report of an entry that was killed may reach one of the two collectors only. The other one never knows that usage, and an entry took whichever report came last for the state.

Change: of the reports of several collectors in the last 500 ms the highest usage of an organisation counts. The collector is known by the sender of its message, so no message changes.

--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -251,6 +251,7 @@
     Duration collectorAge = {}; ///< How long the collector has been running.
     /// Amount requested per second at the other entries, by organisation.
     std::map<std::string, double> othersDemand;
+    std::uint64_t collector = 0; ///< Random id of the collector's process.
 };
 
 /// Quota usage of an organisation at one entry.
@@ -372,7 +373,8 @@
     /// Applies a report of the other entries' usage. A report of a collector that has run for less
     /// than a window is ignored while there is a recent one of a collector that has run longer.
     /// Without such a one, only the part of the quota that has accrued since the collector's start
-    /// is available.
+    /// is available. Of recent reports of several collectors, the highest usage of an organisation
+    /// counts, since a collector may have missed the last report of an entry that was killed.
     void applyReport(const UsageReport &report, TimePoint now);
     /// Number of entries that share the quotas, this one included.
     int sharingEntries() const { return this->sharingEntryCount; }
@@ -387,6 +389,8 @@
         double ownInWindow = 0; ///< Sum of the costs in admitted.
         double total = 0; ///< Admitted since the start.
         double reportedTotal = 0; ///< Of total, as of the last ownUsage().
+        /// Usage of the other entries by collector, each with the time of its report.
+        std::map<std::uint64_t, std::pair<TimePoint, double>> othersByCollector;
         double othersInWindow = 0; ///< Usage of the other entries.
         double othersDemand = 0; ///< Requested per second at the other entries.
         double requested = 0; ///< Sum of requested costs, decaying exponentially with their age.
--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -232,7 +232,9 @@
     this->askedSinceAnswer.clear();
     const bool isUsage = message.kind == GrantKind::OthersUsage;
     if (isUsage && this->onUsageReported) {
-        this->onUsageReported(message.usage);
+        UsageReport report = message.usage;
+        report.collector = message.sender;
+        this->onUsageReported(report);
     }
     if (isUsage && this->onRates) {
         this->onRates(message.rates);
--- a/src/libgateway/sharedlimits.cpp
+++ b/src/libgateway/sharedlimits.cpp
@@ -51,6 +51,8 @@
 /// Without a report for this long, an entry admits an even share of the quota. Reports arrive four
 /// times a second.
 constexpr Duration reportTimeout = seconds(2);
+/// A collector's report counts beside those of the others for this long: two rounds of reports.
+constexpr Duration reportValidity = milliseconds(500);
 /// For this long, an entry that was started waits for its first report before it admits a request
 /// that is larger than its share: two rounds of reports.
 constexpr Duration firstReportWait = milliseconds(500);
@@ -236,11 +238,19 @@
     this->lastReportAt = now;
     this->collectorAge = report.collectorAge;
     for (auto &[name, account] : this->accounts) {
-        account.othersInWindow = 0;
+        account.othersByCollector.erase(report.collector);
         account.othersDemand = 0;
     }
     for (const auto &[name, use] : report.othersUsage) {
-        this->accounts[name].othersInWindow = use;
+        this->accounts[name].othersByCollector[report.collector] = { now, use };
+    }
+    for (auto &[name, account] : this->accounts) {
+        account.othersInWindow = 0;
+        std::erase_if(account.othersByCollector,
+            [now](const auto &record) { return now - record.second.first > reportValidity; });
+        for (const auto &[collector, record] : account.othersByCollector) {
+            account.othersInWindow = std::max(account.othersInWindow, record.second);
+        }
     }
     for (const auto &[name, demand] : report.othersDemand) {
         this->accounts[name].othersDemand = demand;
--- a/src/libgateway/sharedlimits_test.cpp
+++ b/src/libgateway/sharedlimits_test.cpp
@@ -245,6 +245,29 @@
         << "by the older collector's report the quota is used up";
 }
 
+/// Guards against the last report of a killed entry that reached one of two collectors only: the
+/// other one's report must not hide it.
+TEST(QuotaLimiter, highestUsageOfSeveralCollectorsCounts)
+{
+    QuotaLimiter limiter({ window });
+    TimePoint now{ seconds(100) };
+    const OrganisationAccount account = limitedAccount();
+    const double full = account.ratePerSecond * 8 + account.burst;
+    UsageReport report;
+    report.collectorAge = seconds(60);
+    report.collector = 1;
+    report.othersUsage[account.name] = full;
+    limiter.applyReport(report, now);
+    now += milliseconds(5);
+    report.collector = 2;
+    report.othersUsage[account.name] = full / 2;
+    limiter.applyReport(report, now);
+    EXPECT_TRUE(limiter.admit(account, 10, now)) << "the quota is full";
+    now += milliseconds(600);
+    limiter.applyReport(report, now);
+    EXPECT_FALSE(limiter.admit(account, 10, now)) << "the first collector has not answered since";
+}
+
 RC_GTEST_PROP(QuotaLimiter, singleEntryNeverExceedsQuota, ())
 {
     QuotaLimiter ledger({ window });
--- a/src/libgateway/sharedquota_test.cpp
+++ b/src/libgateway/sharedquota_test.cpp
@@ -251,6 +251,7 @@
             collector.addReport(datagram.incarnation, *datagram.usage, now);
             datagram.usage.reset();
             datagram.report = collector.reportFor(datagram.incarnation, now);
+            datagram.report.collector = datagram.collector + 1;
             this->send(std::move(datagram), now);
         }
     }
