--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -252,6 +252,9 @@
     /// Amount requested per second at the other entries, by organisation.
     std::map<std::string, double> othersDemand;
     std::uint64_t collector = 0; ///< Random id of the collector's process.
+    /// Share of the entries that the collector hears of now. The others may be cut off and use up
+    /// their share of the quotas.
+    double reachedShare = 1;
 };
 
 /// Quota usage of an organisation at one entry.
@@ -279,6 +282,8 @@
 
     /// Adds a usage report. \param entry Random id of the entry's incarnation.
     void addReport(std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now);
+    /// Removes an entry whose usage another collector counts from now on.
+    void remove(std::uint64_t entry);
     /// Sums up the usage in the window of all entries but the given one.
     UsageReport reportFor(std::uint64_t entry, TimePoint now);
     std::size_t entryCount() const { return this->entries.size(); }
@@ -419,6 +424,7 @@
     std::optional<TimePoint> firstReportAt;
     TimePoint lastReportAt;
     Duration collectorAge = {}; ///< Of the last report that was applied.
+    double reachedShare = 1; ///< Of the last report that was applied.
 };
 
 // ---------------------------------------------------------------------------------------------
--- /dev/null
+++ b/src/libexchange/exchangenode.cpp
@@ -0,0 +1,212 @@
+/// \file exchangenode.cpp
+/// An agent's part in the exchange: collector of groups and holder of a region.
+#include "wigeonsill/exchange.h"
+
+#include <algorithm>
+
+namespace wigeonsill {
+
+namespace {
+
+const std::string groupPrefix = "g/";
+const std::string regionPrefix = "r/";
+const std::string outsidePrefix = "o/";
+/// A holder's sum of all sections is used for this long: a tenth of the reports' interval.
+constexpr Duration totalAge = milliseconds(25);
+/// A collector without a message for this long is not counted: four rounds.
+constexpr Duration collectorTimeout = seconds(1);
+/// A node without a message for this long is forgotten: its process has another id when it returns.
+constexpr Duration neighbourTimeout = seconds(30);
+/// Entry id that no entry has: the collector's report for it leaves nobody out.
+constexpr std::uint64_t noEntry = 0;
+
+/// Ends with a slash, so that no name is the beginning of another.
+std::string sectionName(const std::string &prefix, std::string_view name)
+{
+    return prefix + std::string(name) + "/";
+}
+
+} // namespace
+
+ExchangeNode::ExchangeNode(std::string regionName, std::uint64_t nodeId, Duration slidingWindow)
+    : region(std::move(regionName))
+    , id(nodeId)
+    , window(slidingWindow)
+    , heard(slidingWindow, true)
+    , outside(slidingWindow, false)
+    , regionSum(sectionName(regionPrefix, this->region), nodeId)
+    , toldInterval(exchangeInterval(0))
+{
+}
+
+void ExchangeNode::addReport(
+    const std::string &group, std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now)
+{
+    auto found = this->groups.find(group);
+    if (found == this->groups.end()) {
+        found = this->groups
+                    .emplace(group,
+                        Group{ UsageCollector(this->window, now),
+                            SectionPublisher(sectionName(groupPrefix, group), this->id), now })
+                    .first;
+    }
+    found->second.collector.addReport(entry, usage, now);
+}
+
+void ExchangeNode::removeEntry(const std::string &group, std::uint64_t entry)
+{
+    const auto found = this->groups.find(group);
+    if (found != this->groups.end()) {
+        found->second.collector.remove(entry);
+    }
+}
+
+UsageReport ExchangeNode::reportFor(const std::string &group, std::uint64_t entry, TimePoint now)
+{
+    Group &own = this->groups.find(group)->second;
+    UsageReport report = own.collector.reportFor(entry, now);
+    report.collector = this->id;
+    const SectionSum others = this->outside.sum(sectionName(outsidePrefix, group), now);
+    // Without a holder's statement, the other groups' usage is not known.
+    report.collectorAge = others.coverage == Duration::max() ? Duration::zero() : others.coverage;
+    for (const auto &[organisation, use] : others.amounts) {
+        report.othersUsage[organisation] += use.usage;
+        report.othersDemand[organisation] += use.demand;
+    }
+    const int reached = report.sharingEntries + others.entries;
+    report.sharingEntries = reached + others.silentEntries;
+    report.reachedShare
+        = report.sharingEntries > 0 ? static_cast<double>(reached) / report.sharingEntries : 1;
+    return report;
+}
+
+void ExchangeNode::adoptOwnGroups(TimePoint now)
+{
+    for (auto &[name, group] : this->groups) {
+        const UsageReport all = group.collector.reportFor(noEntry, now);
+        SectionUsage amounts;
+        for (const auto &[organisation, use] : all.othersUsage) {
+            amounts[organisation] = { use, all.othersDemand.at(organisation) };
+        }
+        group.publisher.set(amounts, all.sharingEntries, 0, now - group.startedAt);
+    }
+    std::erase_if(this->groups, [this, now](const auto &element) {
+        // Its entries have moved, and what they admitted has left the window.
+        return element.second.collector.entryCount() == 0
+            && now - element.second.startedAt > this->window;
+    });
+}
+
+ExchangeNode::Message ExchangeNode::messageTo(std::uint64_t recipient) const
+{
+    Message message;
+    message.sender = this->id;
+    message.region = this->region;
+    const auto found = this->neighbours.find(recipient);
+    if (found != this->neighbours.end()) {
+        message.acknowledged = found->second.adoptedOf;
+    }
+    return message;
+}
+
+void ExchangeNode::append(
+    Message &message, std::uint64_t recipient, const SectionPublisher &publisher) const
+{
+    std::uint64_t acknowledged = 0;
+    const auto found = this->neighbours.find(recipient);
+    if (found != this->neighbours.end()) {
+        const auto &adopted = found->second.adoptedHere;
+        const auto state = adopted.find(publisher.sectionName());
+        acknowledged = state == adopted.end() ? 0 : state->second;
+    }
+    message.updates.push_back(publisher.updateSince(acknowledged));
+}
+
+const SectionSum &ExchangeNode::totalHeard(TimePoint now)
+{
+    if (!this->totalAt || now - *this->totalAt >= totalAge) {
+        this->total = this->heard.sum({}, now);
+        this->totalAt = now;
+    }
+    return this->total;
+}
+
+std::size_t ExchangeNode::collectorCount(TimePoint now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->neighbours.begin(), this->neighbours.end(), [now](const auto &element) {
+            const auto &at = element.second.collectedAt;
+            return at && now - *at < collectorTimeout;
+        }));
+}
+
+ExchangeNode::Message ExchangeNode::messageToHolder(std::uint64_t holder, TimePoint now)
+{
+    this->adoptOwnGroups(now);
+    Message message = this->messageTo(holder);
+    for (const auto &[name, group] : this->groups) {
+        this->append(message, holder, group.publisher);
+    }
+    return message;
+}
+
+ExchangeNode::Message ExchangeNode::messageToCollector(std::uint64_t collector, TimePoint now)
+{
+    Message message = this->messageTo(collector);
+    message.interval = exchangeInterval(this->collectorCount(now));
+    const auto found = this->neighbours.find(collector);
+    if (found == this->neighbours.end()) {
+        return message;
+    }
+    auto &publishers = found->second.outsideOf;
+    for (const auto &[section, state] : found->second.adoptedOf) {
+        if (!section.starts_with(groupPrefix)) {
+            continue;
+        }
+        const std::string name = outsidePrefix + section.substr(groupPrefix.size());
+        SectionPublisher &publisher
+            = publishers.try_emplace(name, SectionPublisher(name, this->id)).first->second;
+        const SectionSum sum
+            = this->heard.unknownTo(section, collector, this->totalHeard(now), now);
+        publisher.set(sum.amounts, sum.entries, sum.silentEntries, sum.coverage);
+        this->append(message, collector, publisher);
+    }
+    return message;
+}
+
+ExchangeNode::Message ExchangeNode::messageToPeer(std::uint64_t peer, TimePoint now)
+{
+    Message message = this->messageTo(peer);
+    const SectionSum sum = this->heard.sum(groupPrefix, now);
+    if (sum.coverage != Duration::max()) {
+        this->regionSum.set(sum.amounts, sum.entries, sum.silentEntries, sum.coverage);
+        this->append(message, peer, this->regionSum);
+    }
+    return message;
+}
+
+void ExchangeNode::receive(const Message &message, TimePoint now)
+{
+    if (message.interval > Duration::zero()) {
+        this->toldInterval = message.interval;
+    }
+    std::erase_if(this->neighbours,
+        [now](const auto &element) { return now - element.second.heardAt > neighbourTimeout; });
+    Neighbour &neighbour = this->neighbours[message.sender];
+    neighbour.heardAt = now;
+    for (const SectionUpdate &update : message.updates) {
+        if (update.section.starts_with(groupPrefix)) {
+            neighbour.collectedAt = now;
+        }
+        SectionStore &store
+            = update.section.starts_with(outsidePrefix) ? this->outside : this->heard;
+        store.adopt(update, now);
+        neighbour.adoptedOf[update.section] = store.acknowledged(update.section, update.origin);
+    }
+    for (const auto &[section, state] : message.acknowledged) {
+        std::uint64_t &known = neighbour.adoptedHere[section];
+        known = std::max(known, state);
+    }
+}
+
+} // namespace wigeonsill
--- a/src/libgateway/sharedlimits.cpp
+++ b/src/libgateway/sharedlimits.cpp
@@ -142,6 +142,7 @@
 {
     const double windowSeconds = toSeconds(this->limits.window);
     double allowed = organisation.ratePerSecond * windowSeconds + organisation.burst;
+    allowed *= this->hasReport(now) ? this->reachedShare : 1;
     if (this->hasReport(now) && this->collectorAge < this->limits.window) {
         // All processes may have been killed recently, which lost their counts.
         const Duration accrued = this->collectorAge + restartAllowance;
@@ -237,6 +238,7 @@
         = std::max(report.sharingEntries, settled ? 1 : largestDeploymentEntries);
     this->lastReportAt = now;
     this->collectorAge = report.collectorAge;
+    this->reachedShare = report.reachedShare;
     for (auto &[name, account] : this->accounts) {
         account.othersByCollector.erase(report.collector);
         account.othersDemand = 0;
--- a/src/libgateway/usagecollector.cpp
+++ b/src/libgateway/usagecollector.cpp
@@ -90,6 +90,15 @@
     }
 }
 
+void UsageCollector::remove(std::uint64_t entry)
+{
+    const auto record = this->entries.find(entry);
+    if (record != this->entries.end()) {
+        this->discount(record->second);
+        this->entries.erase(record);
+    }
+}
+
 void UsageCollector::removeExpired(TimePoint now)
 {
     if (now - this->expiredAt < expiryInterval) {
