Exchange: urgent messages between collectors and holders

Cause: a jump to 7.5 times the load became known at the other region late, since each hop waited for its interval of 100 ms. Three reports at once within 200 ms now make a node's messages urgent, 40 ms apart.

--- a/src/include/wigeonsill/exchange.h
+++ b/src/include/wigeonsill/exchange.h
@@ -197,6 +197,7 @@
         std::uint64_t sender = 0; ///< Random id of the process.
         std::string region;
         std::vector<SectionUpdate> updates;
+        bool urgent = false; ///< Entries admit so much that the others have to know it soon.
         /// In a holder's message to a collector: interval at which it wants to be told.
         Duration interval = {};
         /// The last states that the sender has adopted from the recipient, by section.
@@ -220,13 +221,16 @@
     /// To a holder of another region: the sum of the own region.
     Message messageToPeer(std::uint64_t peer, TimePoint now);
     void receive(const Message &message, TimePoint now);
-    /// Interval of the messages to the region's holders.
-    Duration holderInterval() const { return this->toldInterval; }
+    /// Interval of the messages to the region's holders and to those of other regions. Short while
+    /// several entries report at once, as they do when they have admitted much.
+    Duration interval(TimePoint now) const;
     /// Number of processes that report to this node as a holder.
     std::size_t collectorCount(TimePoint now) const;
     bool isCollector() const { return !this->groups.empty(); }
 
 private:
+    /// Records whether an entry reported at once, since it admitted much.
+    void recordUrgency(std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now);
     struct Group
     {
         UsageCollector collector;
@@ -251,6 +255,14 @@
     SectionSum total;
     std::optional<TimePoint> totalAt;
     Duration toldInterval;
+    struct LastReport
+    {
+        TimePoint at;
+        double total = 0; ///< Of all organisations.
+    };
+    std::map<std::uint64_t, LastReport> lastReports; ///< By entry.
+    std::deque<TimePoint> urgentReports; ///< Within the urgency period.
+    TimePoint urgentUntil;
     /// A node that messages came from.
     struct Neighbour
     {
--- a/src/libexchange/exchangenode.cpp
+++ b/src/libexchange/exchangenode.cpp
@@ -17,6 +17,15 @@
 constexpr Duration collectorTimeout = seconds(1);
 /// A node without a message for this long is forgotten: its process has another id when it returns.
 constexpr Duration neighbourTimeout = seconds(30);
+/// Reports of one entry that are closer than this are at once and not periodic.
+constexpr Duration shortestPeriod = milliseconds(200);
+/// This many reports at once within the period make the messages urgent. A group of an organisation
+/// with 40 requests a second has two or three in a second, and 18 at 7.5 times that load.
+constexpr std::size_t urgentReportCount = 3;
+constexpr Duration urgencyPeriod = milliseconds(200);
+/// Interval of urgent messages. At 100 ms, a jump to 7.5 times the load admitted 1.016 of what is
+/// accepted.
+constexpr Duration urgentInterval = milliseconds(40);
 /// Entry id that no entry has: the collector's report for it leaves nobody out.
 constexpr std::uint64_t noEntry = 0;
 
@@ -51,6 +60,33 @@
                     .first;
     }
     found->second.collector.addReport(entry, usage, now);
+    this->recordUrgency(entry, usage, now);
+}
+
+void ExchangeNode::recordUrgency(
+    std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now)
+{
+    double admitted = 0;
+    for (const auto &[organisation, use] : usage) {
+        admitted += use.total;
+    }
+    LastReport &last = this->lastReports[entry];
+    // A report without a higher total may have come twice.
+    if (admitted > last.total && now - last.at < shortestPeriod) {
+        this->urgentReports.push_back(now);
+    }
+    last = { now, std::max(admitted, last.total) };
+    while (!this->urgentReports.empty() && now - this->urgentReports.front() > urgencyPeriod) {
+        this->urgentReports.pop_front();
+    }
+    if (this->urgentReports.size() >= urgentReportCount) {
+        this->urgentUntil = now + urgencyPeriod;
+    }
+}
+
+Duration ExchangeNode::interval(TimePoint now) const
+{
+    return now < this->urgentUntil ? urgentInterval : this->toldInterval;
 }
 
 void ExchangeNode::removeEntry(const std::string &group, std::uint64_t entry)
@@ -95,6 +131,8 @@
         return element.second.collector.entryCount() == 0
             && now - element.second.startedAt > this->window;
     });
+    std::erase_if(this->lastReports,
+        [this, now](const auto &element) { return now - element.second.at > this->window; });
 }
 
 ExchangeNode::Message ExchangeNode::messageTo(std::uint64_t recipient) const
@@ -144,6 +182,7 @@
 {
     this->adoptOwnGroups(now);
     Message message = this->messageTo(holder);
+    message.urgent = now < this->urgentUntil;
     for (const auto &[name, group] : this->groups) {
         this->append(message, holder, group.publisher);
     }
@@ -192,6 +231,9 @@
     }
     std::erase_if(this->neighbours,
         [now](const auto &element) { return now - element.second.heardAt > neighbourTimeout; });
+    if (message.urgent) {
+        this->urgentUntil = now + urgencyPeriod;
+    }
     Neighbour &neighbour = this->neighbours[message.sender];
     neighbour.heardAt = now;
     for (const SectionUpdate &update : message.updates) {
--- a/src/libexchange/exchangeplan.cpp
+++ b/src/libexchange/exchangeplan.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// Entries of a group, at most. With 24 there are 18 groups in six failure domains at 300 and at 380
-/// entries, so that a holder of one of two regions has 18 collectors and answers each ten times a
-/// second. With 16 there are 36, which it answers at 180 ms; a jump to 7.5 times the load then
+/// Entries of a group, at most. With 24 there are 18 groups in six failure domains at 300 and at
+/// 380 entries, so that a holder of one of two regions has 18 collectors and answers each ten times
+/// a second. With 16 there are 36, which it answers at 180 ms; a jump to 7.5 times the load then
 /// admitted 1.014 of what is accepted.
 constexpr int groupEntries = 24;
 constexpr std::size_t collectorsOfGroup = 2;
--- a/src/libexchange/treequota_test.cpp
+++ b/src/libexchange/treequota_test.cpp
@@ -41,7 +41,6 @@
 {
     double excess = 0; ///< Most admitted in a window, relative to what the operator accepts.
     double admittedShare = 0; ///< Of what is requested within the quota, in the last ten seconds.
-    double oldestCoverage = 0; ///< Of the last report, the least of all entries, in windows.
     std::size_t busiestNode = 0; ///< Datagrams that it received in the last second.
     std::size_t linkDatagrams = 0; ///< Between the regions, in the last second.
 };
@@ -108,7 +107,7 @@
         std::vector<std::string> holders; ///< As the entries' reports name them.
         std::vector<std::string> peers;
         bool isHolder = false;
-        TimePoint nextAt;
+        TimePoint sentAt;
         std::size_t received = 0; ///< In the last second.
     };
     struct Datagram
@@ -215,10 +214,10 @@
         }
         for (const std::string &address : addresses) {
             Node &node = this->nodes[address];
-            if (now < node.nextAt) {
+            if (now - node.sentAt < node.decisions->interval(now)) {
                 continue;
             }
-            node.nextAt = now + node.decisions->holderInterval();
+            node.sentAt = now;
             for (const std::string &holderAddress : node.holders) {
                 Node &holder = this->nodeAt(holderAddress);
                 holder.isHolder = true;
@@ -353,7 +352,7 @@
 /// Guards against usage that is not counted on its way through groups and holders.
 TEST_P(TreeQuota, staysWithinWhatTheOperatorAccepts)
 {
-    for (unsigned seed = 1; seed <= 3; ++seed) {
+    for (unsigned seed = 1; seed <= 10; ++seed) {
         Scenario scenario;
         GetParam().change(scenario);
         scenario.seed = seed;
