--- a/src/include/wigeonsill/exchange.h
+++ b/src/include/wigeonsill/exchange.h
@@ -111,7 +111,8 @@
     /// sections. \param total Recent sum() of all sections.
     SectionSum unknownTo(const std::string &section, std::uint64_t origin, const SectionSum &total,
         TimePoint now) const;
-    std::size_t sectionCount() const { return this->sections.size(); }
+    /// Since the first update.
+    Duration listeningTime(TimePoint now) const { return now - this->firstHeardAt.value_or(now); }
 
 private:
     struct Origin
@@ -211,8 +212,11 @@
         TimePoint now);
     /// Removes an entry that has reported to another group for a while.
     void removeEntry(const std::string &group, std::uint64_t entry);
-    /// Usage of all entries but the given one. \pre addReport() was called for the group.
-    UsageReport reportFor(const std::string &group, std::uint64_t entry, TimePoint now);
+    /// Usage of all entries but the given one. Empty while no holder has stated what is outside of
+    /// the group: entries without a report keep to an even share. \pre addReport() was called for
+    /// the group.
+    std::optional<UsageReport> reportFor(
+        const std::string &group, std::uint64_t entry, TimePoint now);
     /// To a holder of the own region: the groups that this node collects. A node that is its own
     /// holder receives its message itself.
     Message messageToHolder(std::uint64_t holder, TimePoint now);
--- a/src/libexchange/exchangenode.cpp
+++ b/src/libexchange/exchangenode.cpp
@@ -17,6 +17,11 @@
 constexpr Duration collectorTimeout = seconds(1);
 /// A node without a message for this long is forgotten: its process has another id when it returns.
 constexpr Duration neighbourTimeout = seconds(30);
+/// A holder states nothing until it has listened for this long: two rounds of its collectors'
+/// messages, and to collectors one round of its peers' more. Without it, each group took itself for
+/// the only one after all processes were killed, and nothing was left for the next seconds.
+constexpr Duration peerStatementAge = milliseconds(250);
+constexpr Duration collectorStatementAge = milliseconds(400);
 /// Reports of one entry that are closer than this are at once and not periodic.
 constexpr Duration shortestPeriod = milliseconds(200);
 /// This many reports at once within the period make the messages urgent. A group of an organisation
@@ -97,14 +102,16 @@
     }
 }
 
-UsageReport ExchangeNode::reportFor(const std::string &group, std::uint64_t entry, TimePoint now)
+std::optional<UsageReport> ExchangeNode::reportFor(
+    const std::string &group, std::uint64_t entry, TimePoint now)
 {
-    Group &own = this->groups.find(group)->second;
-    UsageReport report = own.collector.reportFor(entry, now);
-    report.collector = this->id;
     const SectionSum others = this->outside.sum(sectionName(outsidePrefix, group), now);
-    // Without a holder's statement, the other groups' usage is not known.
-    report.collectorAge = others.coverage == Duration::max() ? Duration::zero() : others.coverage;
+    if (others.coverage == Duration::max()) {
+        return std::nullopt;
+    }
+    UsageReport report = this->groups.find(group)->second.collector.reportFor(entry, now);
+    report.collector = this->id;
+    report.collectorAge = others.coverage;
     for (const auto &[organisation, use] : others.amounts) {
         report.othersUsage[organisation] += use.usage;
         report.othersDemand[organisation] += use.demand;
@@ -194,7 +201,7 @@
     Message message = this->messageTo(collector);
     message.interval = exchangeInterval(this->collectorCount(now));
     const auto found = this->neighbours.find(collector);
-    if (found == this->neighbours.end()) {
+    if (found == this->neighbours.end() || this->heard.listeningTime(now) < collectorStatementAge) {
         return message;
     }
     auto &publishers = found->second.outsideOf;
@@ -217,7 +224,7 @@
 {
     Message message = this->messageTo(peer);
     const SectionSum sum = this->heard.sum(groupPrefix, now);
-    if (sum.coverage != Duration::max()) {
+    if (sum.coverage != Duration::max() && this->heard.listeningTime(now) >= peerStatementAge) {
         this->regionSum.set(sum.amounts, sum.entries, sum.silentEntries, sum.coverage);
         this->append(message, peer, this->regionSum);
     }
--- a/src/libexchange/sections.cpp
+++ b/src/libexchange/sections.cpp
@@ -174,7 +174,7 @@
     const Duration kept = std::max(this->window + silenceTime, splitTime);
     for (auto section = this->sections.begin(); section != this->sections.end();) {
         std::erase_if(section->second.origins,
-            [this, now, kept](const auto &element) { return now - element.second.heardAt > kept; });
+            [now, kept](const auto &element) { return now - element.second.heardAt > kept; });
         section = section->second.origins.empty() ? this->sections.erase(section) : ++section;
     }
 }
