Exchange: an entry's way between the two holders and its group

Entries without a group are a section of their own, which the first two engines state to all others, so that it does not matter which form an entry takes for the right one. ExchangeMembership decides the stages. A group without entries is kept, since a new one of the same name began its states anew and was ignored.

--- a/src/include/wigeonsill/exchange.h
+++ b/src/include/wigeonsill/exchange.h
@@ -111,6 +111,11 @@
     /// sections. \param total Recent sum() of all sections.
     SectionSum unknownTo(const std::string &section, std::uint64_t origin, const SectionSum &total,
         TimePoint now) const;
+    bool hasSection(std::string_view prefix) const
+    {
+        const auto found = this->sections.lower_bound(prefix);
+        return found != this->sections.end() && found->first.starts_with(prefix);
+    }
     /// Since the first update.
     Duration listeningTime(TimePoint now) const { return now - this->firstHeardAt.value_or(now); }
 
@@ -180,6 +185,51 @@
     TimePoint wantedSince;
 };
 
+/// An entry's way from the two holders of everything to its group and back. At any time its usage
+/// is in one section at least; in two for as long as the second has to become known everywhere.
+class ExchangeMembership
+{
+public:
+    explicit ExchangeMembership(Duration slidingWindow)
+        : window(slidingWindow)
+    {
+    }
+
+    /// Where reports go now.
+    struct Destinations
+    {
+        bool holders = true; ///< The two holders of everything.
+        bool countedInGroup = false; ///< Stated to the holders, which don't count the entry then.
+        bool group = false;
+        bool leavesGroup = false; ///< Stated to the group's collectors, which then drop the entry.
+        int groups = 1; ///< For placeEntry().
+    };
+    Destinations destinations(TimePoint now);
+    /// Records an answer of one of the two holders. \param entries That share the quotas.
+    void recordHolderAnswer(int entries, TimePoint now);
+    /// Records an answer of a collector of the group.
+    void recordGroupAnswer(int entries, TimePoint now);
+
+private:
+    enum class Stage : std::uint8_t {
+        Holders, ///< Reports to the two holders.
+        Joining, ///< To both; the group's sum does not have its usage everywhere yet.
+        Joined, ///< To both; the holders' reports have the longer coverage.
+        Group, ///< To its group.
+        Returning, ///< To both, and counted by both.
+    };
+    void enter(Stage next, TimePoint now);
+
+    Duration window;
+    FormSwitch form;
+    Stage stage = Stage::Holders;
+    TimePoint enteredAt;
+    int groups = 1; ///< When it joined its group.
+    std::optional<TimePoint> firstGroupAnswerAt; ///< Since it is joining.
+    TimePoint lastGroupAnswerAt;
+    std::optional<TimePoint> leftGroupAt;
+};
+
 /// Interval of a process's periodic messages to each of its neighbours, so that it sends and
 /// receives a bounded number a second.
 Duration exchangeInterval(std::size_t neighbours);
@@ -205,16 +255,20 @@
         std::map<std::string, std::uint64_t, std::less<>> acknowledged;
     };
 
-    ExchangeNode(std::string regionName, std::uint64_t nodeId, Duration slidingWindow);
+    ExchangeNode(
+        std::string regionName, std::uint64_t nodeId, Duration slidingWindow, TimePoint now);
 
-    /// Adds an entry's report. \param entry Random id of the entry's incarnation.
+    /// Adds an entry's report. \param entry Random id of the entry's incarnation. \param group
+    /// Empty for the entries that report to the two holders of everything. They are a section of
+    /// their own, which the holders state to all others.
     void addReport(const std::string &group, std::uint64_t entry, const UsageByOrganisation &usage,
         TimePoint now);
-    /// Removes an entry that has reported to another group for a while.
+    /// Removes an entry that has reported to another group for a while. It may go on asking for
+    /// reports.
     void removeEntry(const std::string &group, std::uint64_t entry);
     /// Usage of all entries but the given one. Empty while no holder has stated what is outside of
-    /// the group: entries without a report keep to an even share. \pre addReport() was called for
-    /// the group.
+    /// the group: entries without a report keep to an even share. Where no group has been heard of,
+    /// the report to entries without a group is that of the form of two holders.
     std::optional<UsageReport> reportFor(
         const std::string &group, std::uint64_t entry, TimePoint now);
     /// To a holder of the own region: the groups that this node collects. A node that is its own
@@ -222,7 +276,7 @@
     Message messageToHolder(std::uint64_t holder, TimePoint now);
     /// To a collector of the own region: what is outside each of its groups.
     Message messageToCollector(std::uint64_t collector, TimePoint now);
-    /// To a holder of another region: the sum of the own region.
+    /// To a holder of another region: the sum of the own region, and the entries without a group.
     Message messageToPeer(std::uint64_t peer, TimePoint now);
     void receive(const Message &message, TimePoint now);
     /// Interval of the messages to the region's holders and to those of other regions. Short while
@@ -233,6 +287,8 @@
     bool isCollector() const { return !this->groups.empty(); }
 
 private:
+    struct Group;
+    Group &groupFor(const std::string &name, TimePoint now);
     /// Records whether an entry reported at once, since it admitted much.
     void recordUrgency(std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now);
     struct Group
@@ -252,6 +308,7 @@
     std::string region;
     std::uint64_t id;
     Duration window;
+    TimePoint startedAt;
     std::map<std::string, Group, std::less<>> groups; ///< Whose entries report here.
     SectionStore heard; ///< Groups of the own region and sums of the others.
     SectionStore outside; ///< What the region's holders state of all but a group.
--- a/src/libexchange/exchangenode.cpp
+++ b/src/libexchange/exchangenode.cpp
@@ -10,6 +10,8 @@
 
 const std::string groupPrefix = "g/";
 const std::string regionPrefix = "r/";
+/// Section of the entries that report to the two holders of everything.
+const std::string ungroupedSection = "u/";
 const std::string outsidePrefix = "o/";
 /// A holder's sum of all sections is used for this long: a tenth of the reports' interval.
 constexpr Duration totalAge = milliseconds(25);
@@ -40,12 +42,25 @@
     return prefix + std::string(name) + "/";
 }
 
+std::string sectionOf(const std::string &group)
+{
+    return group.empty() ? ungroupedSection : sectionName(groupPrefix, group);
+}
+
+/// Whether entries report to the section, rather than holders state it.
+bool isCollected(std::string_view section)
+{
+    return section.starts_with(groupPrefix) || section == ungroupedSection;
+}
+
 } // namespace
 
-ExchangeNode::ExchangeNode(std::string regionName, std::uint64_t nodeId, Duration slidingWindow)
+ExchangeNode::ExchangeNode(
+    std::string regionName, std::uint64_t nodeId, Duration slidingWindow, TimePoint now)
     : region(std::move(regionName))
     , id(nodeId)
     , window(slidingWindow)
+    , startedAt(now)
     , heard(slidingWindow, true)
     , outside(slidingWindow, false)
     , regionSum(sectionName(regionPrefix, this->region), nodeId)
@@ -53,18 +68,23 @@
 {
 }
 
+ExchangeNode::Group &ExchangeNode::groupFor(const std::string &name, TimePoint now)
+{
+    const auto found = this->groups.find(name);
+    if (found != this->groups.end()) {
+        return found->second;
+    }
+    return this->groups
+        .emplace(name,
+            Group{ UsageCollector(this->window, now), SectionPublisher(sectionOf(name), this->id),
+                now })
+        .first->second;
+}
+
 void ExchangeNode::addReport(
     const std::string &group, std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now)
 {
-    auto found = this->groups.find(group);
-    if (found == this->groups.end()) {
-        found = this->groups
-                    .emplace(group,
-                        Group{ UsageCollector(this->window, now),
-                            SectionPublisher(sectionName(groupPrefix, group), this->id), now })
-                    .first;
-    }
-    found->second.collector.addReport(entry, usage, now);
+    this->groupFor(group, now).collector.addReport(entry, usage, now);
     this->recordUrgency(entry, usage, now);
 }
 
@@ -105,13 +125,18 @@
 std::optional<UsageReport> ExchangeNode::reportFor(
     const std::string &group, std::uint64_t entry, TimePoint now)
 {
-    const SectionSum others = this->outside.sum(sectionName(outsidePrefix, group), now);
-    if (others.coverage == Duration::max()) {
+    const SectionSum others = this->outside.sum(outsidePrefix + sectionOf(group), now);
+    const bool unknown = others.coverage == Duration::max();
+    if (unknown && (!group.empty() || this->heard.hasSection(groupPrefix))) {
         return std::nullopt;
     }
-    UsageReport report = this->groups.find(group)->second.collector.reportFor(entry, now);
+    UsageReport report = this->groupFor(group, now).collector.reportFor(entry, now);
     report.collector = this->id;
-    report.collectorAge = others.coverage;
+    // Before the first group was heard of, all entries reported here.
+    report.collectorAge = group.empty() ? now - this->startedAt : others.coverage;
+    if (unknown) {
+        return report;
+    }
     for (const auto &[organisation, use] : others.amounts) {
         report.othersUsage[organisation] += use.usage;
         report.othersDemand[organisation] += use.demand;
@@ -133,11 +158,7 @@
         }
         group.publisher.set(amounts, all.sharingEntries, 0, now - group.startedAt);
     }
-    std::erase_if(this->groups, [this, now](const auto &element) {
-        // Its entries have moved, and what they admitted has left the window.
-        return element.second.collector.entryCount() == 0
-            && now - element.second.startedAt > this->window;
-    });
+    // A group without entries stays, so that the numbers of its states go on.
     std::erase_if(this->lastReports,
         [this, now](const auto &element) { return now - element.second.at > this->window; });
 }
@@ -206,10 +227,10 @@
     }
     auto &publishers = found->second.outsideOf;
     for (const auto &[section, state] : found->second.adoptedOf) {
-        if (!section.starts_with(groupPrefix)) {
+        if (!isCollected(section)) {
             continue;
         }
-        const std::string name = outsidePrefix + section.substr(groupPrefix.size());
+        const std::string name = outsidePrefix + section;
         SectionPublisher &publisher
             = publishers.try_emplace(name, SectionPublisher(name, this->id)).first->second;
         const SectionSum sum
@@ -228,6 +249,10 @@
         this->regionSum.set(sum.amounts, sum.entries, sum.silentEntries, sum.coverage);
         this->append(message, peer, this->regionSum);
     }
+    const auto ungrouped = this->groups.find({});
+    if (ungrouped != this->groups.end()) {
+        this->append(message, peer, ungrouped->second.publisher);
+    }
     return message;
 }
 
@@ -244,7 +269,7 @@
     Neighbour &neighbour = this->neighbours[message.sender];
     neighbour.heardAt = now;
     for (const SectionUpdate &update : message.updates) {
-        if (update.section.starts_with(groupPrefix)) {
+        if (isCollected(update.section)) {
             neighbour.collectedAt = now;
         }
         SectionStore &store
--- a/src/libexchange/treequota_test.cpp
+++ b/src/libexchange/treequota_test.cpp
@@ -134,7 +134,7 @@
         entry.limiter = QuotaLimiter({ window, this->scenario.slack, 0.1 });
     }
 
-    Node &nodeAt(const std::string &address)
+    Node &nodeAt(const std::string &address, TimePoint now)
     {
         Node &node = this->nodes[address];
         if (!node.decisions) {
@@ -142,15 +142,15 @@
                 [&address](const Target &target) { return target.address == address; });
             node.region = engine->region;
             node.domain = engine->failureDomain;
-            this->startNode(node);
+            this->startNode(node, now);
         }
         return node;
     }
 
-    void startNode(Node &node)
+    void startNode(Node &node, TimePoint now)
     {
         node.id = ++this->lastId;
-        node.decisions = std::make_unique<ExchangeNode>(node.region, node.id, window);
+        node.decisions = std::make_unique<ExchangeNode>(node.region, node.id, window, now);
     }
 
     void send(const std::string &fromRegion, const std::string &toRegion, TimePoint now,
@@ -180,7 +180,7 @@
     {
         const UsageByOrganisation usage = entry.limiter.ownUsage(now);
         for (const std::string &address : entry.place.collectors) {
-            Node &node = this->nodeAt(address);
+            Node &node = this->nodeAt(address, now);
             node.holders = entry.place.regionHolders;
             node.peers = entry.place.otherHolders;
             this->send(entry.location.region, node.region, now,
@@ -229,7 +229,7 @@
             }
             node.sentAt = now;
             for (const std::string &holderAddress : node.holders) {
-                Node &holder = this->nodeAt(holderAddress);
+                Node &holder = this->nodeAt(holderAddress, now);
                 holder.isHolder = true;
                 holder.peers = node.peers;
                 this->send(node.region, holder.region, now,
@@ -249,7 +249,7 @@
             }
             for (const std::string &peerAddress :
                 node.isHolder ? node.peers : std::vector<std::string>()) {
-                Node &peer = this->nodeAt(peerAddress);
+                Node &peer = this->nodeAt(peerAddress, now);
                 this->send(node.region, peer.region, now,
                     [this, &peer, message = node.decisions->messageToPeer(peer.id, now)](
                         TimePoint arrival) {
@@ -285,7 +285,7 @@
             = this->scenario.allKilledAt && now == start + *this->scenario.allKilledAt;
         for (auto &[address, node] : this->nodes) {
             if (allDie || (holdersDie && node.isHolder) || (domainDies && node.domain == "1")) {
-                this->startNode(node);
+                this->startNode(node, now);
             }
         }
         for (Entry &entry : this->entries) {
