--- a/src/libgateway/sharedlimits_test.cpp
+++ b/src/libgateway/sharedlimits_test.cpp
@@ -245,6 +245,21 @@
         << "by the older collector's report the quota is used up";
 }
 
+/// Guards against both sides of a split using the whole quota.
+TEST(QuotaLimiter, entriesThatAreCutOffKeepTheirShare)
+{
+    QuotaLimiter limiter({ window });
+    const TimePoint now{ seconds(100) };
+    UsageReport report;
+    report.collectorAge = seconds(60);
+    report.reachedShare = 0.5;
+    report.othersUsage["hot"] = windowQuota();
+    limiter.applyReport(report, now);
+    const auto refusal = limiter.admit(limitedAccount(), 10, now);
+    ASSERT_TRUE(refusal);
+    EXPECT_DOUBLE_EQ(refusal->allowance, windowQuota() / 2);
+}
+
 /// Guards against the last report of a killed entry that reached one of two collectors only: the
 /// other one's report must not hide it.
 TEST(QuotaLimiter, highestUsageOfSeveralCollectorsCounts)
