--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -251,6 +251,10 @@
     Duration collectorAge = {}; ///< How long the collector has been running.
     /// Amount requested per second at the other entries, by organisation.
     std::map<std::string, double> othersDemand;
+    std::uint64_t collector = 0; ///< Random id of the collector's process.
+    /// Share of the entries that the collector hears of now. The others may be cut off and use up
+    /// their share of the quotas.
+    double reachedShare = 1;
 };
 
 /// Quota usage of an organisation at one entry.
@@ -278,6 +282,8 @@
 
     /// Adds a usage report. \param entry Random id of the entry's incarnation.
     void addReport(std::uint64_t entry, const UsageByOrganisation &usage, TimePoint now);
+    /// Removes an entry whose usage another collector counts from now on.
+    void remove(std::uint64_t entry);
     /// Sums up the usage in the window of all entries but the given one.
     UsageReport reportFor(std::uint64_t entry, TimePoint now);
     std::size_t entryCount() const { return this->entries.size(); }
@@ -289,6 +295,12 @@
         double demand = 0; ///< Requested per second.
     };
     using AmountsByOrganisation = std::map<std::string, Amounts, std::less<>>;
+    /// An organisation's total at an entry.
+    struct Total
+    {
+        double value = 0; ///< Highest that was reported lately.
+        TimePoint at; ///< When a report last stated this value.
+    };
     struct Sample
     {
         TimePoint at;
@@ -299,10 +311,14 @@
         /// Oldest first. The first sample is the baseline: the totals at the start of the window.
         std::deque<Sample> samples;
         UsageByOrganisation latest;
+        /// By organisation. A report that was overtaken by a newer one states a lower total.
+        std::map<std::string, Total, std::less<>> totals;
         AmountsByOrganisation counted; ///< The part of the sums that is this entry's.
         bool reporting = false; ///< Counted as sharing the quotas.
     };
     void removeExpired(TimePoint now);
+    /// Adopts the totals of a report, unless it may have been overtaken by the one before.
+    static void adoptTotals(Entry &entry, const UsageByOrganisation &usage, TimePoint now);
     /// Removes samples that are older than the window, all but one, which is the baseline.
     void removeExpiredSamples(Entry &entry, TimePoint now) const;
     /// Replaces the entry's part of the sums.
@@ -362,7 +378,8 @@
     /// Applies a report of the other entries' usage. A report of a collector that has run for less
     /// than a window is ignored while there is a recent one of a collector that has run longer.
     /// Without such a one, only the part of the quota that has accrued since the collector's start
-    /// is available.
+    /// is available. Of recent reports of several collectors, the highest usage of an organisation
+    /// counts, since a collector may have missed the last report of an entry that was killed.
     void applyReport(const UsageReport &report, TimePoint now);
     /// Number of entries that share the quotas, this one included.
     int sharingEntries() const { return this->sharingEntryCount; }
@@ -377,6 +394,8 @@
         double ownInWindow = 0; ///< Sum of the costs in admitted.
         double total = 0; ///< Admitted since the start.
         double reportedTotal = 0; ///< Of total, as of the last ownUsage().
+        /// Usage of the other entries by collector, each with the time of its report.
+        std::map<std::uint64_t, std::pair<TimePoint, double>> othersByCollector;
         double othersInWindow = 0; ///< Usage of the other entries.
         double othersDemand = 0; ///< Requested per second at the other entries.
         double requested = 0; ///< Sum of requested costs, decaying exponentially with their age.
@@ -405,6 +424,7 @@
     std::optional<TimePoint> firstReportAt;
     TimePoint lastReportAt;
     Duration collectorAge = {}; ///< Of the last report that was applied.
+    double reachedShare = 1; ///< Of the last report that was applied.
 };
 
 // ---------------------------------------------------------------------------------------------
--- a/src/libgateway/sharedlimits.cpp
+++ b/src/libgateway/sharedlimits.cpp
@@ -51,6 +51,8 @@
 /// Without a report for this long, an entry admits an even share of the quota. Reports arrive four
 /// times a second.
 constexpr Duration reportTimeout = seconds(2);
+/// A collector's report counts beside those of the others for this long: two rounds of reports.
+constexpr Duration reportValidity = milliseconds(500);
 /// For this long, an entry that was started waits for its first report before it admits a request
 /// that is larger than its share: two rounds of reports.
 constexpr Duration firstReportWait = milliseconds(500);
@@ -140,6 +142,7 @@
 {
     const double windowSeconds = toSeconds(this->limits.window);
     double allowed = organisation.ratePerSecond * windowSeconds + organisation.burst;
+    allowed *= this->hasReport(now) ? this->reachedShare : 1;
     if (this->hasReport(now) && this->collectorAge < this->limits.window) {
         // All processes may have been killed recently, which lost their counts.
         const Duration accrued = this->collectorAge + restartAllowance;
@@ -235,12 +238,21 @@
         = std::max(report.sharingEntries, settled ? 1 : largestDeploymentEntries);
     this->lastReportAt = now;
     this->collectorAge = report.collectorAge;
+    this->reachedShare = report.reachedShare;
     for (auto &[name, account] : this->accounts) {
-        account.othersInWindow = 0;
+        account.othersByCollector.erase(report.collector);
         account.othersDemand = 0;
     }
     for (const auto &[name, use] : report.othersUsage) {
-        this->accounts[name].othersInWindow = use;
+        this->accounts[name].othersByCollector[report.collector] = { now, use };
+    }
+    for (auto &[name, account] : this->accounts) {
+        account.othersInWindow = 0;
+        std::erase_if(account.othersByCollector,
+            [now](const auto &record) { return now - record.second.first > reportValidity; });
+        for (const auto &[collector, record] : account.othersByCollector) {
+            account.othersInWindow = std::max(account.othersInWindow, record.second);
+        }
     }
     for (const auto &[name, demand] : report.othersDemand) {
         this->accounts[name].othersDemand = demand;
--- a/src/libgateway/sharedlimits_test.cpp
+++ b/src/libgateway/sharedlimits_test.cpp
@@ -172,6 +172,32 @@
     EXPECT_EQ(collector.reportFor(2, now).othersUsage["hot"], 0);
 }
 
+/// Guards against a report at once that is overtaken by a newer one, or comes twice, and hides what
+/// the newer one stated until the next round; for good if the entry is killed before.
+TEST(UsageCollector, reportThatWasOvertakenHidesNothing)
+{
+    TimePoint now{ seconds(100) };
+    UsageCollector collector(window, now);
+    collector.addReport(1, { { "hot", { 4'223, 4'223 } } }, now);
+    now += milliseconds(5);
+    collector.addReport(1, { { "hot", { 2'723, 2'723 } } }, now);
+    EXPECT_EQ(collector.reportFor(2, now).othersUsage["hot"], 4'223);
+    now += seconds(4);
+    EXPECT_EQ(collector.reportFor(2, now).othersUsage["hot"], 4'223) << "the entry was killed";
+}
+
+TEST(UsageCollector, refundIsKnownAfterTwoRounds)
+{
+    TimePoint now{ seconds(100) };
+    UsageCollector collector(window, now);
+    collector.addReport(1, { { "hot", { 4'223, 4'223 } } }, now);
+    for (int round = 1; round <= 2; ++round) {
+        now += milliseconds(250);
+        collector.addReport(1, { { "hot", { 2'723, 2'723 } } }, now);
+    }
+    EXPECT_EQ(collector.reportFor(2, now).othersUsage["hot"], 2'723);
+}
+
 TEST(QuotaLimiter, limitsAdmissionAfterAllCountsWereLost)
 {
     QuotaLimiter ledger({ window });
@@ -219,6 +245,44 @@
         << "by the older collector's report the quota is used up";
 }
 
+/// Guards against both sides of a split using the whole quota.
+TEST(QuotaLimiter, entriesThatAreCutOffKeepTheirShare)
+{
+    QuotaLimiter limiter({ window });
+    const TimePoint now{ seconds(100) };
+    UsageReport report;
+    report.collectorAge = seconds(60);
+    report.reachedShare = 0.5;
+    report.othersUsage["hot"] = windowQuota();
+    limiter.applyReport(report, now);
+    const auto refusal = limiter.admit(limitedAccount(), 10, now);
+    ASSERT_TRUE(refusal);
+    EXPECT_DOUBLE_EQ(refusal->allowance, windowQuota() / 2);
+}
+
+/// Guards against the last report of a killed entry that reached one of two collectors only: the
+/// other one's report must not hide it.
+TEST(QuotaLimiter, highestUsageOfSeveralCollectorsCounts)
+{
+    QuotaLimiter limiter({ window });
+    TimePoint now{ seconds(100) };
+    const OrganisationAccount account = limitedAccount();
+    const double full = account.ratePerSecond * 8 + account.burst;
+    UsageReport report;
+    report.collectorAge = seconds(60);
+    report.collector = 1;
+    report.othersUsage[account.name] = full;
+    limiter.applyReport(report, now);
+    now += milliseconds(5);
+    report.collector = 2;
+    report.othersUsage[account.name] = full / 2;
+    limiter.applyReport(report, now);
+    EXPECT_TRUE(limiter.admit(account, 10, now)) << "the quota is full";
+    now += milliseconds(600);
+    limiter.applyReport(report, now);
+    EXPECT_FALSE(limiter.admit(account, 10, now)) << "the first collector has not answered since";
+}
+
 RC_GTEST_PROP(QuotaLimiter, singleEntryNeverExceedsQuota, ())
 {
     QuotaLimiter ledger({ window });
