Agent: learned speed, limit and memory in place of constants and slots

The setting of an agent is called learnCapacity (true or false, off when absent). Deploy templates are unchanged.

Cause: TargetAdmission uses figures of one kind of engine and fills all slots of engines that slow down before; an engine crashes when the requests that it holds exceed its memory.

Change: with learnCapacity, TargetAdmission takes prompt and token times from EngineModel, the bound of concurrent requests from EngineLimit, and keeps the tokens of granted requests within 0.9 of the memory that the engine's report states (kvTotal, kvUsed).

Result: off, targetadmission_test, targetranking_test, platformdecoder_test and the testsuite cases engine-limits, engine-signals and platform-path pass unchanged. learnedadmission_test (7) and enginemodel_test (9) pass. Not measured on a deployment with the setting on.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -277,6 +277,8 @@
     int running = 0;
     int waiting = 0;
     std::int64_t startedMs = 0; ///< As Target::startedMs.
+    std::optional<std::int64_t> memoryTokens = {}; ///< Tokens that its requests may hold.
+    std::optional<std::int64_t> memoryTokensUsed = {}; ///< Tokens that its requests hold.
 };
 /// What a target's answer to a request for its report states.
 struct ReportAnswer
--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -6,6 +6,7 @@
 /// as an argument. Nothing is thread-safe unless its comment says so.
 #pragma once
 
+#include "wigeonsill/capacity.h"
 #include "wigeonsill/rates.h"
 
 #include <deque>
@@ -513,6 +514,63 @@
     Duration untilPermit = {};
 };
 
+/// What an agent has learned about the speed, the limit and the memory of the engine beside it.
+class LearnedEngine
+{
+public:
+    /// Forgets everything: another incarnation of the engine answers.
+    void reset() { *this = LearnedEngine(); }
+    /// Records that the number of requests at the engine changes. \param running The number before.
+    void recordRunning(int running, TimePoint now);
+    /// Request time at the engine since the start, for meanRunning().
+    double runningIntegralMs() const { return this->runningMs; }
+    /// Mean number of requests at the engine since a time at which runningIntegralMs() was taken.
+    double meanRunning(double integralMs, TimePoint since, TimePoint now) const;
+
+    void recordFirstEvent(
+        std::uint32_t promptTokens, TimePoint grantedAt, bool behindPrompt, TimePoint now);
+    /// Records a first event whose time does not show the engine's speed.
+    void recordOtherFirstEvent(TimePoint now) { this->lastFirstEventAt = now; }
+    void recordEnd(std::uint32_t generated, TimePoint firstEventAt, double running, TimePoint now);
+    void recordPending(const PendingWork &pending, TimePoint now)
+    {
+        this->engineModel.recordPending(pending, now);
+    }
+    void recordNeed(const ReservationProfile &profile)
+    {
+        this->engineLimit.recordNeed(profile.outputTokens, profile.timeLeft);
+    }
+    /// When the engine could begin with a prompt that was granted then.
+    TimePoint beginOf(TimePoint grantedAt) const
+    {
+        return std::max(grantedAt, this->lastFirstEventAt);
+    }
+    const EngineModel &model() const { return this->engineModel; }
+    /// Evaluates the limit of concurrent requests; see EngineLimit::update().
+    int updateLimit(int slots, bool isLoaded, TimePoint now)
+    {
+        return this->engineLimit.update(this->engineModel, slots, isLoaded, now);
+    }
+
+    /// Records the memory that the engine reports. \param total In tokens; empty when it does not
+    /// state it. \param used In tokens. \param granted Tokens of all granted requests.
+    void recordMemory(
+        std::optional<std::int64_t> total, std::optional<std::int64_t> used, std::int64_t granted);
+    /// Whether the engine's memory holds another request. A request that has the engine for itself
+    /// may use all of it, others leave a tenth.
+    bool hasMemory(std::int64_t granted, std::int64_t needed) const;
+    std::optional<std::int64_t> memoryTokens() const { return this->memoryTotal; }
+
+private:
+    EngineModel engineModel;
+    EngineLimit engineLimit;
+    TimePoint lastFirstEventAt;
+    double runningMs = 0;
+    TimePoint runningAt;
+    std::optional<std::int64_t> memoryTotal;
+    std::int64_t memoryBeyondGrants = 0; ///< Used by requests that were not granted here.
+};
+
 /// Decides which waiting request is sent to the target next and when, so that the target's own
 /// first-in, first-out queue stays empty. In a burst, the target would otherwise queue prompts for
 /// seconds and answer all of them late.
@@ -529,10 +587,16 @@
         int queueAhead = 0;
         /// A granted request is considered ended this long after its grant.
         Duration grantTimeout = seconds(16);
+        /// The engine's speed, its limit of concurrent requests and its memory are learned and used
+        /// in place of constants and slots.
+        bool learnCapacity = false;
     };
     explicit TargetAdmission(const Limits &bounds)
         : limits(bounds)
     {
+        if (bounds.learnCapacity) {
+            this->learned.emplace();
+        }
     }
 
     /// Adds a request to the queue; repeating a reservation has no effect. \pre !isClosed(now).
@@ -573,6 +637,14 @@
     /// Requests beyond the grants occupy slots; grants that are missing from several reports in a
     /// row are dropped.
     void reconcile(int running, int waiting, TimePoint now);
+    /// Records the memory that the target reports, in tokens. Has no effect without learnCapacity.
+    void recordMemory(std::optional<std::int64_t> total, std::optional<std::int64_t> used);
+    /// What was learned about the target; null without learnCapacity.
+    const LearnedEngine *learnedEngine() const { return this->learned ? &*this->learned : nullptr; }
+    /// Number of requests that may be granted at once, apart from the queue ahead.
+    int concurrencyLimit() const { return this->learned ? this->learnedLimit : this->slots; }
+    /// Prompt and output tokens of all granted requests.
+    std::int64_t grantedTokens() const;
 
     bool isGranted(const ReservationId &reservationId) const
     {
@@ -598,8 +670,24 @@
         TimePoint at; ///< Of the grant.
         std::optional<TimePoint> firstEventAt;
         bool nothingAhead = false; ///< No other prompt was pending at the target at the grant.
+        std::int64_t targetStartedMs = 0; ///< Incarnation to which it was granted.
+        /// All slots were taken at the grant, so its prompt waits for the end of another request.
+        bool waitsForSlot = false;
+        double runningIntegralMs = 0; ///< LearnedEngine::runningIntegralMs() at the first event.
     };
 
+    /// Time for which a prompt occupies the target.
+    double promptMs(double tokens) const;
+    /// Time from first event to end of one more request.
+    double decodeMs(std::uint32_t outputTokens) const;
+    /// prefillAheadMs() by what was learned.
+    double learnedAheadMs(TimePoint now) const;
+    void recordRunning(TimePoint now);
+    void recordPending(TimePoint now);
+    void updateLimit(TimePoint now);
+    bool hasMemoryFor(const ReservationProfile &profile) const;
+    /// Waiting request with the highest score that the target's memory holds.
+    std::map<ReservationId, Waiting>::iterator bestWaiting(double aheadMs, TimePoint now);
     /// Expected time until the target has processed the prompts of the granted requests.
     double prefillAheadMs(TimePoint now) const;
     int occupiedSlots() const;
@@ -610,6 +698,8 @@
 
     Limits limits;
     int slots = 1;
+    std::optional<LearnedEngine> learned;
+    int learnedLimit = 1;
     std::int64_t targetStartedMs = 0;
     bool leaving = false; ///< Stated by this incarnation of the target.
     TimePoint quietUntil; ///< Stated by this incarnation of the target.
--- a/src/libcapacity/enginelimit.cpp
+++ b/src/libcapacity/enginelimit.cpp
@@ -28,7 +28,7 @@
 /// Length of a probe in typical answers, which must run at the lower number, and its bounds.
 constexpr double answersPerProbe = 1.2;
 constexpr double shortestProbeMs = 300;
-constexpr double longestProbeMs = 3'000;
+constexpr double longestProbeMs = 1'500;
 /// Time between probes in lengths of a probe: while too few numbers were seen, and otherwise. The
 /// latter costs about half a hundredth of the goodput.
 constexpr int firstProbeInterval = 1;
@@ -112,8 +112,13 @@
 
 int EngineLimit::update(const EngineModel &model, int slots, bool isLoaded, TimePoint now)
 {
-    if (this->limit == 0 || this->smoothed > slots) {
+    if (slots > EngineModel::maximumRunning) {
+        return slots; // The model does not tell such numbers apart.
+    }
+    if (this->limit == 0 || this->smoothed > slots || !this->wasReduced) {
         this->smoothed = slots;
+    }
+    if (this->limit == 0) {
         this->limit = slots;
         this->updatedAt = now;
         this->probeAt = now;
--- a/src/libcapacity/enginemodel.cpp
+++ b/src/libcapacity/enginemodel.cpp
@@ -50,7 +50,7 @@
 /// of nine must be, so that some slow callers beside slow requests don't suffice.
 constexpr double slowerQuantile = 0.23;
 /// Number of answers after a change of the speed that show by how much the token times changed.
-constexpr std::size_t calibrationSamples = 5;
+constexpr std::size_t calibrationSamples = 7;
 /// Age at which the evidence of a token time has faded to 1/e.
 constexpr double evidenceAgeMs = 40'000;
 /// Evidence below this does not take part in the curve.
@@ -396,22 +396,23 @@
     for (int running = 1; running <= maximumRunning; ++running) {
         const double evidence = this->decodeEvidence(running, now);
         if (evidence >= leastEvidence) {
-            points.push_back({ static_cast<double>(running),
-                this->tokenTimes[static_cast<std::size_t>(running)].milliseconds(),
-                std::min(evidence, 10.0) });
+            const double ms = this->tokenTimes[static_cast<std::size_t>(running)].milliseconds();
+            // Deviations are proportional to the time.
+            points.push_back(
+                { static_cast<double>(running), ms, std::min(evidence, 10.0) / (ms * ms) });
         }
     }
     if (points.empty()) {
         return;
     }
     double bestError = -1;
-    const double meanMs = points.front().ms;
+    const double flatness = flatWeight / (points.front().ms * points.front().ms);
     for (double knee = points.back().running; knee >= points.front().running; knee -= 0.5) {
         // Weighted least squares of ms = flat + slope * max(0, running - knee), slope >= 0.
         double weights = 0;
         double sumX = 0;
         double sumY = 0;
-        double sumXX = flatWeight;
+        double sumXX = flatness;
         double sumXY = 0;
         for (const Point &point : points) {
             const double x = std::max(point.running - knee, 0.0);
@@ -424,12 +425,12 @@
         const double slope
             = std::max((sumXY - sumX * sumY / weights) / (sumXX - sumX * sumX / weights), 0.0);
         const double flat = (sumY - slope * sumX) / weights;
-        double error = flatWeight * slope * slope;
+        double error = flatness * slope * slope;
         for (const Point &point : points) {
             const double rest = point.ms - flat - slope * std::max(point.running - knee, 0.0);
             error += point.weight * rest * rest;
         }
-        if (bestError < 0 || error < bestError * 0.98 - 1e-9 * meanMs * meanMs) {
+        if (bestError < 0 || error < bestError * 0.98 - 1e-9) {
             bestError = error;
             this->curve = { std::max(flat, 1e-3), knee, slope };
         }
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -1,5 +1,6 @@
 /// \file grantagent.cpp
 /// The agent beside a target: runs TargetAdmission with a UDP socket and two timers.
+#include "capacitypublisher.h"
 #include "grantmessage.h"
 #include "wigeonsill/forward.h"
 
@@ -92,6 +93,7 @@
     bool targetReachable = true;
     std::int64_t targetStartedMs = 0;
     bool expiryScheduled = false;
+    CapacityPublisher capacityPublisher;
 };
 
 void GrantAgent::Private::receive()
@@ -410,7 +412,9 @@
     }
     this->targetStartedMs = report->startedMs;
     this->admission.reconcile(report->running, report->waiting, currentTime());
+    this->admission.recordMemory(report->memoryTokens, report->memoryTokensUsed);
     this->sendGrants();
+    this->capacityPublisher.publish(this->admission, this->metrics, this->log, currentTime());
 }
 
 GrantAgent::GrantAgent(asio::io_context &io, Metrics &metrics, DecisionLog &log,
@@ -456,6 +460,7 @@
                                            : boost::json::value() },
         { "crashReports", this->d->quarantine.reports().size() },
         { "partHolds", this->d->quarantine.holds().size() },
+        { "capacity", CapacityPublisher::dump(this->d->admission) },
     };
 }
 
--- a/src/libgateway/targetadmission.cpp
+++ b/src/libgateway/targetadmission.cpp
@@ -30,6 +30,14 @@
 constexpr double decodeLearningRate = 0.05;
 /// Number of reports in a row with fewer requests than were granted before grants are dropped.
 constexpr int reportsBeforeRelease = 3;
+/// A first event that is late by this much longer than its prompt should take, and ten times as
+/// long, is taken for lost, so that it does not hold back grants.
+constexpr double lostEventMs = 500;
+constexpr double lostEventFactor = 10;
+/// Part of the time by which a prompt is late that it is expected to be late still.
+constexpr double remainingLateShare = 0.5;
+/// An answer is overdue after this multiple of its expected time.
+constexpr double overdueFactor = 2;
 /// More recent grants may not be visible in a report yet.
 constexpr Duration maximumReportDelay = milliseconds(600);
 
@@ -67,6 +75,9 @@
         this->permits = {};
         this->statedRate.reset();
         this->rateStatedAt.reset();
+        if (this->learned) {
+            this->learned->reset();
+        }
     }
     this->leaving = this->leaving || isLeaving;
 }
@@ -112,7 +123,15 @@
     if (unused) {
         this->permits.giveBack(now);
     }
-    if (found->second.firstEventAt && generated > 0) {
+    this->recordRunning(now);
+    if (this->learned) {
+        const Granted &record = found->second;
+        if (record.firstEventAt && record.targetStartedMs == this->targetStartedMs) {
+            const double running
+                = this->learned->meanRunning(record.runningIntegralMs, *record.firstEventAt, now);
+            this->learned->recordEnd(generated, *record.firstEventAt, running, now);
+        }
+    } else if (found->second.firstEventAt && generated > 0) {
         this->decodedTokens += generated - decodeLearningRate * this->decodedTokens;
         this->decodedMs
             += toMs(now - *found->second.firstEventAt) - decodeLearningRate * this->decodedMs;
@@ -128,6 +147,17 @@
     }
     Granted &record = found->second;
     record.firstEventAt = now;
+    if (this->learned) {
+        this->recordRunning(now);
+        record.runningIntegralMs = this->learned->runningIntegralMs();
+        if (record.waitsForSlot || record.targetStartedMs != this->targetStartedMs) {
+            this->learned->recordOtherFirstEvent(now);
+        } else {
+            this->learned->recordFirstEvent(
+                record.profile.promptTokens, record.at, !record.nothingAhead, now);
+        }
+        return;
+    }
     // Behind other prompts, the time would include an unknown part of theirs.
     const double work = prefillWork(record.profile.promptTokens);
     if (record.nothingAhead && work >= minimumMeasuredTokens) {
@@ -137,8 +167,114 @@
     }
 }
 
+double TargetAdmission::promptMs(double tokens) const
+{
+    return this->learned ? this->learned->model().promptMs(tokens)
+                         : prefillWork(tokens) / this->prefillTokensPerMs;
+}
+
+double TargetAdmission::decodeMs(std::uint32_t outputTokens) const
+{
+    return this->learned ? outputTokens * this->learned->model().tokenMs(this->occupiedSlots() + 1)
+                         : outputTokens * this->decodedMs / this->decodedTokens;
+}
+
+double TargetAdmission::learnedAheadMs(TimePoint now) const
+{
+    double workMs = 0;
+    const Granted *oldest = nullptr;
+    for (const auto &[reservationId, record] : this->granted) {
+        const double ownMs = this->promptMs(record.profile.promptTokens);
+        const double lateMs = toMs(now - this->learned->beginOf(record.at)) - ownMs;
+        if (record.firstEventAt || lateMs > lostEventMs + lostEventFactor * ownMs) {
+            continue;
+        }
+        workMs += ownMs;
+        if (record.waitsForSlot) {
+            continue;
+        }
+        oldest = oldest == nullptr || record.at < oldest->at ? &record : oldest;
+    }
+    if (oldest == nullptr) {
+        return workMs;
+    }
+    const double oldestMs = this->promptMs(oldest->profile.promptTokens);
+    const double elapsedMs = toMs(now - this->learned->beginOf(oldest->at));
+    const double restMs
+        = elapsedMs > oldestMs ? remainingLateShare * (elapsedMs - oldestMs) : oldestMs - elapsedMs;
+    return std::max(workMs - oldestMs + restMs, 1.0);
+}
+
+void TargetAdmission::recordRunning(TimePoint now)
+{
+    if (this->learned) {
+        this->learned->recordRunning(this->occupiedSlots(), now);
+    }
+}
+
+void TargetAdmission::recordPending(TimePoint now)
+{
+    PendingWork pending;
+    TimePoint oldest = TimePoint::max();
+    const double expectedTokenMs = this->learned->model().tokenMs(this->occupiedSlots());
+    for (const auto &[reservationId, record] : this->granted) {
+        if (record.targetStartedMs != this->targetStartedMs) {
+            continue;
+        }
+        if (record.firstEventAt) {
+            ++pending.decoding;
+            const double expectedMs = record.profile.outputTokens * expectedTokenMs;
+            pending.overdue
+                += toMs(now - *record.firstEventAt) > overdueFactor * expectedMs ? 1 : 0;
+        } else if (!record.waitsForSlot && record.at < oldest) {
+            oldest = record.at;
+            pending.hasPrompt = true;
+            pending.promptTokens = record.profile.promptTokens;
+            pending.promptTime = now - this->learned->beginOf(record.at);
+            pending.behindPrompt = !record.nothingAhead;
+        }
+    }
+    this->learned->recordPending(pending, now);
+}
+
+void TargetAdmission::updateLimit(TimePoint now)
+{
+    if (this->learned) {
+        this->recordPending(now);
+        const bool isLoaded = !this->waiting.empty() && this->occupiedSlots() >= this->learnedLimit;
+        this->learnedLimit = this->learned->updateLimit(this->slots, isLoaded, now);
+    }
+}
+
+void TargetAdmission::recordMemory(
+    std::optional<std::int64_t> total, std::optional<std::int64_t> used)
+{
+    if (this->learned) {
+        this->learned->recordMemory(total, used, this->grantedTokens());
+    }
+}
+
+std::int64_t TargetAdmission::grantedTokens() const
+{
+    std::int64_t result = 0;
+    for (const auto &[reservationId, record] : this->granted) {
+        result += std::int64_t{ record.profile.promptTokens } + record.profile.outputTokens;
+    }
+    return result;
+}
+
+bool TargetAdmission::hasMemoryFor(const ReservationProfile &profile) const
+{
+    return !this->learned
+        || this->learned->hasMemory(
+            this->grantedTokens(), std::int64_t{ profile.promptTokens } + profile.outputTokens);
+}
+
 double TargetAdmission::prefillAheadMs(TimePoint now) const
 {
+    if (this->learned) {
+        return this->learnedAheadMs(now);
+    }
     double work = 0;
     TimePoint oldest = now;
     for (const auto &[reservationId, record] : this->granted) {
@@ -159,12 +295,14 @@
 double TargetAdmission::scoreOf(const Waiting &record, double aheadMs, TimePoint now) const
 {
     const ReservationProfile &profile = record.profile;
-    const double prefillMs = prefillWork(profile.promptTokens) / this->prefillTokensPerMs;
-    const double decodeMs = profile.outputTokens * this->decodedMs / this->decodedTokens;
+    const double prefillMs = this->learned && aheadMs <= 0
+        ? this->learned->model().firstTokenMs(profile.promptTokens)
+        : this->promptMs(profile.promptTokens);
+    const double decodeMs = this->decodeMs(profile.outputTokens);
     // A step that processes a prompt delays every other request of the batch, so prefill costs more
     // than the time of one slot. A short request costs at least its messages.
     constexpr double minimumCostMs = 20;
-    const double cost = minimumCostMs + decodeMs + prefillMs * this->slots / 2;
+    const double cost = minimumCostMs + decodeMs + prefillMs * this->concurrencyLimit() / 2;
     const double latencyLeftMs = toMs(profile.latencyLeft - (now - record.reservedAt));
     const bool onTime = aheadMs + prefillMs < onTimeBudgetShare * latencyLeftMs;
     const double timeLeftMs = toMs(profile.timeLeft - (now - record.reservedAt));
@@ -173,30 +311,46 @@
         * (completable ? 1 : incompletableScoreFactor);
 }
 
+std::map<ReservationId, TargetAdmission::Waiting>::iterator TargetAdmission::bestWaiting(
+    double aheadMs, TimePoint now)
+{
+    auto best = this->waiting.end();
+    double bestScore = -1;
+    for (auto record = this->waiting.begin(); record != this->waiting.end(); ++record) {
+        const double score = this->scoreOf(record->second, aheadMs, now);
+        if (score > bestScore && this->hasMemoryFor(record->second.profile)) {
+            best = record;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
 std::vector<ReservationProfile> TargetAdmission::grant(TimePoint now)
 {
     std::vector<ReservationProfile> result;
     if (this->isClosed(now)) {
         return result;
     }
-    while (
-        !this->waiting.empty() && this->occupiedSlots() < this->slots + this->limits.queueAhead) {
+    this->updateLimit(now);
+    while (!this->waiting.empty()
+        && this->occupiedSlots() < this->concurrencyLimit() + this->limits.queueAhead) {
         const double aheadMs = this->prefillAheadMs(now);
-        if (aheadMs > toMs(this->limits.prefillBacklog) || !this->permits.tryTake(now)) {
+        if (aheadMs > toMs(this->limits.prefillBacklog)) {
+            break;
+        }
+        const auto best = this->bestWaiting(aheadMs, now);
+        if (best == this->waiting.end() || !this->permits.tryTake(now)) {
             break;
         }
-        auto best = this->waiting.end();
-        double bestScore = -1;
-        for (auto record = this->waiting.begin(); record != this->waiting.end(); ++record) {
-            const double score = this->scoreOf(record->second, aheadMs, now);
-            if (score > bestScore) {
-                best = record;
-                bestScore = score;
-            }
+        this->recordRunning(now);
+        if (this->learned) {
+            this->learned->recordNeed(best->second.profile);
         }
         const ReservationProfile profile = best->second.profile;
-        this->granted.emplace(
-            profile.reservationId, Granted{ profile, now, std::nullopt, aheadMs <= 0 });
+        this->granted.emplace(profile.reservationId,
+            Granted{ profile, now, std::nullopt, aheadMs <= 0, this->targetStartedMs,
+                this->occupiedSlots() >= this->slots, 0 });
         this->waiting.erase(best);
         result.push_back(profile);
     }
@@ -214,6 +368,7 @@
             ++record;
         }
     }
+    this->recordRunning(now);
     std::erase_if(this->granted, [this, now](const auto &record) {
         return now - record.second.at > this->limits.grantTimeout;
     });
@@ -252,6 +407,7 @@
 
 void TargetAdmission::reconcile(int running, int queued, TimePoint now)
 {
+    this->recordRunning(now);
     int settledGrants = 0;
     for (const auto &[reservationId, record] : this->granted) {
         settledGrants += now - record.at > maximumReportDelay ? 1 : 0;
@@ -280,15 +436,18 @@
 TargetLoad TargetAdmission::load(TimePoint now) const
 {
     TargetLoad result;
-    result.freeSlots = std::max(0, this->slots - this->occupiedSlots());
+    result.freeSlots = std::max(0, this->concurrencyLimit() - this->occupiedSlots());
     result.waiting = static_cast<int>(this->waiting.size());
-    result.prefillTokensPerMs = this->prefillTokensPerMs;
-    result.decodeTokensPerMs = this->decodedTokens / this->decodedMs;
+    result.prefillTokensPerMs
+        = this->learned ? this->learned->model().prefillTokensPerMs() : this->prefillTokensPerMs;
+    result.decodeTokensPerMs
+        = this->learned ? 1 / this->decodeMs(1) : this->decodedTokens / this->decodedMs;
     double delayMs = this->prefillAheadMs(now);
     double waitingWork = 0;
     for (const auto &[reservationId, record] : this->waiting) {
-        waitingWork += prefillWork(record.profile.promptTokens) / this->prefillTokensPerMs;
-        waitingWork += record.profile.outputTokens / result.decodeTokensPerMs / this->slots;
+        waitingWork += this->promptMs(record.profile.promptTokens);
+        waitingWork
+            += record.profile.outputTokens / result.decodeTokensPerMs / this->concurrencyLimit();
     }
     delayMs += waitingWork;
     if (result.freeSlots == 0) {
