--- a/src/libgateway/learnedadmission_test.cpp
+++ b/src/libgateway/learnedadmission_test.cpp
@@ -139,13 +139,13 @@
     TimePoint now{ seconds(1) };
     learn(admission, now);
     const double before = admission.learnedEngine()->model().firstTokenMs(600);
+    admission.reserve(makeProfile(0, 600), 1, now);
+    ASSERT_EQ(admission.grant(now).size(), 1U);
+    now += milliseconds(57);
+    admission.recordFirstEvent({ 1, 0 }, now);
     for (std::uint64_t i = 0; i < 8; ++i) {
-        admission.reserve(makeProfile(i, 600), 1, now);
-        for (const ReservationProfile &profile : admission.grant(now)) {
-            if (profile.reservationId.number == 0) {
-                admission.recordFirstEvent(profile.reservationId, now + milliseconds(57));
-            }
-        }
+        admission.reserve(makeProfile(i + 1, 600), 1, now);
+        ASSERT_EQ(admission.grant(now).size(), 1U);
         now += milliseconds(900);
         admission.release({ 1, i }, 100, false, now);
         now += milliseconds(57);
