--- a/src/include/wigeonsill/rollout.h
+++ b/src/include/wigeonsill/rollout.h
@@ -39,16 +39,15 @@
 /// order that is there again has another id.
 bool isSameOrder(const RolloutOrder &known, const RolloutOrder &read);
 
-/// Points in the course of a rollout, from the order on.
+/// Times in the course of a rollout, from the order on.
 class RolloutSchedule
 {
 public:
     explicit RolloutSchedule(Duration orderDuration);
     Duration canaryEnd() const { return this->end / 2; }
-    /// Latest time at which all new requests go to the new version.
+    /// From then on, an open judgement may be enough to move; see canAffordMove().
     Duration latestMove() const { return this->end * 7 / 10; }
-    /// The rollout is final from then on, so that the store's answer and the entries' next read of
-    /// the store come before the deadline.
+    /// Before the deadline by the time of the store's answer and the entries' next read.
     Duration endTime() const { return this->end; }
 
 private:
