--- a/src/libforward/rolloutwriter.cpp
+++ b/src/libforward/rolloutwriter.cpp
@@ -108,10 +108,9 @@
 {
     this->acquiring = true;
     const TimePoint sentAt = bootTime();
-    const TimePoint sentAtSteady = currentTime();
     this->store->acquire(this->ownAddress,
         this->guarded<RolloutStore::Acquired>(
-            [this, sentAt, sentAtSteady](const Result<RolloutStore::Acquired> &result) {
+            [this, sentAt](const Result<RolloutStore::Acquired> &result) {
                 this->acquiring = false;
                 if (result) {
                     this->ownership.recordAcquired(
