--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -272,6 +272,12 @@
     }
     record.load = message.load;
     record.loadReceivedAt = currentTime();
+    this->handleReservationAnswer(message, from);
+}
+
+void GrantClient::handleReservationAnswer(
+    const GrantMessage &message, const asio::ip::udp::endpoint &from)
+{
     const std::uint64_t reservationId = message.profile.reservationId.number;
     const auto listener = this->listeners.find(reservationId);
     if (listener == this->listeners.end()) {
--- a/src/libforward/grantclient.h
+++ b/src/libforward/grantclient.h
@@ -98,6 +98,9 @@
     void sendTo(const boost::asio::ip::udp::endpoint &agent, const GrantMessage &message);
     void receive();
     void handle(const GrantMessage &message, const boost::asio::ip::udp::endpoint &from);
+    /// Passes an agent's answer to a reservation on to the request that made it.
+    void handleReservationAnswer(
+        const GrantMessage &message, const boost::asio::ip::udp::endpoint &from);
 
     Metrics &metrics;
     const StatedRates &rates;
--- a/src/libforward/rolloutcodec.cpp
+++ b/src/libforward/rolloutcodec.cpp
@@ -2,6 +2,8 @@
 /// Encoding and decoding of the messages about rollouts, with bounds on all that is decoded.
 #include "rolloutcodec.h"
 
+#include "grant.capnp.h"
+
 #include <algorithm>
 
 namespace wigeonsill {
