--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -146,6 +146,8 @@
 {
 public:
     using Handler = std::function<void(Result<HttpResponse>)>;
+    /// Called with the number of bytes of each piece of an answer's body that is received.
+    using ProgressHandler = std::function<void(std::size_t bytes)>;
 
     CallClient(boost::asio::io_context &io, Metrics &metrics,
         const boost::asio::ip::tcp::endpoint &server);
@@ -156,7 +158,8 @@
     /// Calls the handler exactly once. Errors: ConnectionFailed (nothing was sent),
     /// ConnectionClosed (also on timeout). \pre the handler's captures outlive the client's pending
     /// calls.
-    void get(const std::string &target, Duration timeout, Handler handler);
+    void get(const std::string &target, Duration timeout, Handler handler,
+        ProgressHandler onProgress = {});
     /// As get(), with a JSON body. After ConnectionClosed the call may have been or may still be
     /// executed.
     void post(
@@ -166,7 +169,8 @@
         const std::string &target, const std::string &body, Duration timeout, Handler handler);
 
 private:
-    void call(std::string head, std::string_view body, Duration timeout, Handler handler);
+    void call(std::string head, std::string_view body, Duration timeout, Handler handler,
+        ProgressHandler onProgress = {});
 
     struct Private;
     std::unique_ptr<Private> d;
--- a/src/libforward/callclient.cpp
+++ b/src/libforward/callclient.cpp
@@ -28,8 +28,10 @@
 class Call : public AnswerHandler, public std::enable_shared_from_this<Call>
 {
 public:
-    Call(asio::io_context &io, CallClient::Handler completionHandler)
+    Call(asio::io_context &io, CallClient::Handler completionHandler,
+        CallClient::ProgressHandler progressHandler)
         : handler(std::move(completionHandler))
+        , onProgress(std::move(progressHandler))
         , timer(io)
     {
     }
@@ -42,7 +44,9 @@
             [call = this->shared_from_this()](const boost::system::error_code &error) {
                 if (!error && call->selfReference) {
                     call->connection->cancel();
-                    call->finish(Error{ ResultCode::ConnectionClosed, "the call timed out" });
+                    call->finish(Error{ ResultCode::ConnectionClosed,
+                        "the call timed out; " + std::to_string(call->response.body.size())
+                            + " bytes of the answer were received" });
                 }
             });
         this->connection = pool.send(server, std::move(request), *this);
@@ -55,7 +59,13 @@
         this->response.status = head.status;
         this->response.fields = head.fields;
     }
-    void onAnswerBody(std::string_view bytes) override { this->response.body += bytes; }
+    void onAnswerBody(std::string_view bytes) override
+    {
+        this->response.body += bytes;
+        if (this->onProgress) {
+            this->onProgress(bytes.size());
+        }
+    }
     void onForeignAnswer(std::string_view /*answerId*/, std::uint64_t /*earlierRequests*/) override
     {
         // Calls carry no request id, so no answer is told from theirs.
@@ -78,6 +88,7 @@
     }
 
     CallClient::Handler handler;
+    CallClient::ProgressHandler onProgress;
     asio::steady_timer timer;
     std::shared_ptr<TargetConnection> connection;
     HttpResponse response;
@@ -110,9 +121,10 @@
 
 CallClient::~CallClient() = default;
 
-void CallClient::get(const std::string &target, Duration timeout, Handler handler)
+void CallClient::get(
+    const std::string &target, Duration timeout, Handler handler, ProgressHandler onProgress)
 {
-    this->call("GET " + target, {}, timeout, std::move(handler));
+    this->call("GET " + target, {}, timeout, std::move(handler), std::move(onProgress));
 }
 
 void CallClient::post(
@@ -127,7 +139,8 @@
     this->call("DELETE " + target, body, timeout, std::move(handler));
 }
 
-void CallClient::call(std::string head, std::string_view body, Duration timeout, Handler handler)
+void CallClient::call(std::string head, std::string_view body, Duration timeout, Handler handler,
+    ProgressHandler onProgress)
 {
     head += " HTTP/1.1\r\nHost: " + this->d->server.address + "\r\n";
     if (!body.empty()) {
@@ -137,7 +150,7 @@
     OutgoingRequest request;
     request.bytes = std::move(head) + "\r\n";
     request.bytes += body;
-    std::make_shared<Call>(this->d->io, std::move(handler))
+    std::make_shared<Call>(this->d->io, std::move(handler), std::move(onProgress))
         ->start(this->d->pool, this->d->server, std::move(request), timeout);
 }
 
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -89,6 +89,10 @@
     this->usageTimer.expires_after(usageReportInterval);
     this->usageTimer.async_wait([this](const error_code &error) {
         if (!error) {
+            const auto delay = std::chrono::duration_cast<milliseconds>(
+                asio::steady_timer::clock_type::now() - this->usageTimer.expiry());
+            this->state.metrics.sample(
+                "wigeonsill_timer_delay_ms", {}, static_cast<double>(delay.count()));
             this->reportUsage();
             this->scheduleUsageReport();
         }
