--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -140,8 +140,15 @@
 // ---------------------------------------------------------------------------------------------
 // HTTP calls
 
-/// Client for small calls to one server over persistent connections, each with a timeout. No call
-/// is repeated.
+/// How long a call may take whose answer can be large.
+struct CallTimeout
+{
+    Duration silence = {}; ///< Longest time without received bytes, from the start on.
+    Duration total = {}; ///< Of the whole call.
+};
+
+/// Client for calls to one server over persistent connections, each with a timeout. No call is
+/// repeated. Bodies of answers are bounded (AnswerBound::Body).
 class CallClient
 {
 public:
@@ -158,7 +165,9 @@
     /// Calls the handler exactly once. Errors: ConnectionFailed (nothing was sent),
     /// ConnectionClosed (also on timeout). \pre the handler's captures outlive the client's pending
     /// calls.
-    void get(const std::string &target, Duration timeout, Handler handler,
+    void get(const std::string &target, Duration timeout, Handler handler);
+    /// As above. A call whose answer keeps arriving is not ended before the total time is over.
+    void get(const std::string &target, const CallTimeout &timeout, Handler handler,
         ProgressHandler onProgress = {});
     /// As get(), with a JSON body. After ConnectionClosed the call may have been or may still be
     /// executed.
@@ -169,7 +178,7 @@
         const std::string &target, const std::string &body, Duration timeout, Handler handler);
 
 private:
-    void call(std::string head, std::string_view body, Duration timeout, Handler handler,
+    void call(std::string head, std::string_view body, const CallTimeout &timeout, Handler handler,
         ProgressHandler onProgress = {});
 
     struct Private;
--- a/src/libforward/callclient.cpp
+++ b/src/libforward/callclient.cpp
@@ -2,12 +2,17 @@
 /// Small calls on persistent connections.
 #include "targetpool.h"
 
+#include <algorithm>
+
 namespace wigeonsill {
 
 namespace asio = boost::asio;
 
 namespace {
 
+/// Maximum size of an answer's body in bytes; several of the largest values that a store holds.
+constexpr std::size_t bodyLimit = 16'777'216;
+
 /// Passes fields through unchanged; such calls carry no request id.
 class PlainDialect : public WireDialect
 {
@@ -36,32 +41,57 @@
     {
     }
 
-    void start(TargetPool &pool, const Target &server, OutgoingRequest request, Duration timeout)
+    void start(TargetPool &pool, const Target &server, OutgoingRequest request,
+        const CallTimeout &callTimeout)
     {
         this->selfReference = this->shared_from_this();
-        this->timer.expires_after(timeout);
+        this->timeout = callTimeout;
+        this->progressAt = currentTime();
+        this->endsAt = this->progressAt + callTimeout.total;
+        this->startTimer();
+        this->connection = pool.send(server, std::move(request), *this);
+    }
+
+private:
+    void startTimer()
+    {
+        this->timer.expires_at(std::min(this->progressAt + this->timeout.silence, this->endsAt));
         this->timer.async_wait(
             [call = this->shared_from_this()](const boost::system::error_code &error) {
                 if (!error && call->selfReference) {
-                    call->connection->cancel();
-                    call->finish(Error{ ResultCode::ConnectionClosed,
-                        "the call timed out; " + std::to_string(call->response.body.size())
-                            + " bytes of the answer were received" });
+                    call->onTimer();
                 }
             });
-        this->connection = pool.send(server, std::move(request), *this);
+    }
+    void onTimer()
+    {
+        const TimePoint now = currentTime();
+        if (now < this->progressAt + this->timeout.silence && now < this->endsAt) {
+            this->startTimer();
+            return;
+        }
+        this->connection->cancel();
+        this->finish(Error{ ResultCode::ConnectionClosed,
+            "the call timed out; " + std::to_string(this->response.body.size())
+                + " bytes of the answer were received" });
     }
 
-private:
     void onSent() override { }
     void onAnswerHead(const MessageHead &head) override
     {
+        this->progressAt = currentTime();
         this->response.status = head.status;
         this->response.fields = head.fields;
     }
     void onAnswerBody(std::string_view bytes) override
     {
+        const auto self = this->shared_from_this();
+        this->progressAt = currentTime();
         this->response.body += bytes;
+        if (this->response.body.size() > bodyLimit) {
+            this->connection->endAtBound(AnswerBound::Body);
+            return;
+        }
         if (this->onProgress) {
             this->onProgress(bytes.size());
         }
@@ -90,6 +120,9 @@
     CallClient::Handler handler;
     CallClient::ProgressHandler onProgress;
     asio::steady_timer timer;
+    CallTimeout timeout;
+    TimePoint progressAt; ///< When bytes of the answer were received last, or the call began.
+    TimePoint endsAt;
     std::shared_ptr<TargetConnection> connection;
     HttpResponse response;
     std::shared_ptr<Call> selfReference; ///< Set while the call is pending.
@@ -121,8 +154,13 @@
 
 CallClient::~CallClient() = default;
 
-void CallClient::get(
-    const std::string &target, Duration timeout, Handler handler, ProgressHandler onProgress)
+void CallClient::get(const std::string &target, Duration timeout, Handler handler)
+{
+    this->get(target, CallTimeout{ timeout, timeout }, std::move(handler));
+}
+
+void CallClient::get(const std::string &target, const CallTimeout &timeout, Handler handler,
+    ProgressHandler onProgress)
 {
     this->call("GET " + target, {}, timeout, std::move(handler), std::move(onProgress));
 }
@@ -130,17 +168,17 @@
 void CallClient::post(
     const std::string &target, const std::string &body, Duration timeout, Handler handler)
 {
-    this->call("POST " + target, body, timeout, std::move(handler));
+    this->call("POST " + target, body, { timeout, timeout }, std::move(handler));
 }
 
 void CallClient::remove(
     const std::string &target, const std::string &body, Duration timeout, Handler handler)
 {
-    this->call("DELETE " + target, body, timeout, std::move(handler));
+    this->call("DELETE " + target, body, { timeout, timeout }, std::move(handler));
 }
 
-void CallClient::call(std::string head, std::string_view body, Duration timeout, Handler handler,
-    ProgressHandler onProgress)
+void CallClient::call(std::string head, std::string_view body, const CallTimeout &timeout,
+    Handler handler, ProgressHandler onProgress)
 {
     head += " HTTP/1.1\r\nHost: " + this->d->server.address + "\r\n";
     if (!body.empty()) {
