Targets: an answer that is long in arriving is not an outage of the store

What callers saw: requests reached a target 4.0 to 4.6 s after its record was removed. Cause: after more than two heartbeats without a list, targets that a list lacks are kept for 2 s, since records expire while the store is away. The time was measured from list to list, so that a large answer that took a second counted as an outage, and a target that was removed meanwhile stayed in use. The revision does not grow with heartbeats that change nothing, so its growth did not rule an outage out. Class: the process's own slowness is taken for another's failure. Change: each part of a successful answer is a contact with the store; the longest time between contacts decides.

--- a/src/include/wigeonsill/directory.h
+++ b/src/include/wigeonsill/directory.h
@@ -152,6 +152,8 @@
         : heartbeat(heartbeatInterval)
     {
     }
+    /// Records that the store answers: a part of an answer was received.
+    void recordContact(TimePoint now);
     /// Records that a list was read. \param revision Of the store.
     /// \param recordCount Number of records in the list.
     void recordList(std::uint64_t revision, std::size_t recordCount, TimePoint now);
@@ -166,7 +168,8 @@
     Duration heartbeat;
     std::uint64_t lastRevision = 0;
     std::size_t lastRecordCount = 0;
-    std::optional<TimePoint> lastListAt;
+    std::optional<TimePoint> lastContactAt; ///< Empty before the first list.
+    Duration longestGap = {}; ///< Between two contacts since the last list.
     TimePoint incompleteUntil;
 };
 
--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -153,8 +153,9 @@
 {
 public:
     using Handler = std::function<void(Result<HttpResponse>)>;
-    /// Called with the number of bytes of each piece of an answer's body that is received.
-    using ProgressHandler = std::function<void(std::size_t bytes)>;
+    /// Called for each piece of an answer's body that is received, with the answer's status and the
+    /// number of bytes.
+    using ProgressHandler = std::function<void(int status, std::size_t bytes)>;
 
     CallClient(boost::asio::io_context &io, Metrics &metrics,
         const boost::asio::ip::tcp::endpoint &server);
--- a/src/libdirectory/targetdirectory.cpp
+++ b/src/libdirectory/targetdirectory.cpp
@@ -164,15 +164,24 @@
 
 void StoreOutageDetector::recordHistoryReplaced(TimePoint now)
 {
-    this->lastListAt.reset();
+    this->lastContactAt.reset();
+    this->longestGap = {};
     this->incompleteUntil = now + recordRecoveryTime;
 }
 
+void StoreOutageDetector::recordContact(TimePoint now)
+{
+    if (this->lastContactAt) {
+        this->longestGap = std::max(this->longestGap, now - *this->lastContactAt);
+        this->lastContactAt = now;
+    }
+}
+
 void StoreOutageDetector::recordList(std::uint64_t revision, std::size_t recordCount, TimePoint now)
 {
-    if (this->lastListAt) {
-        const Duration gap = now - *this->lastListAt;
-        const double heartbeats = static_cast<double>(gap.count())
+    if (this->lastContactAt) {
+        this->recordContact(now);
+        const double heartbeats = static_cast<double>(this->longestGap.count())
             / static_cast<double>(std::max<Duration>(this->heartbeat, milliseconds(1)).count());
         const double expectedGrowth = heartbeats * static_cast<double>(this->lastRecordCount);
         const double growth = static_cast<double>(revision - this->lastRevision);
@@ -182,7 +191,8 @@
     }
     this->lastRevision = revision;
     this->lastRecordCount = recordCount;
-    this->lastListAt = now;
+    this->lastContactAt = now;
+    this->longestGap = {};
 }
 
 } // namespace wigeonsill
--- a/src/libdirectory/targetdirectory_test.cpp
+++ b/src/libdirectory/targetdirectory_test.cpp
@@ -270,6 +270,26 @@
         << "too short for a record to expire";
 }
 
+/// A list that was long in arriving, while parts of it showed that the store answers.
+TEST(StoreOutageDetector, aSlowAnswerIsNoOutage)
+{
+    StoreOutageDetector detector(milliseconds(1'200));
+    TimePoint now{ seconds(100) };
+    detector.recordList(1'000, 20, now);
+    for (int i = 0; i < 5; ++i) {
+        now += seconds(1);
+        detector.recordContact(now);
+    }
+    detector.recordList(1'000, 20, now);
+    EXPECT_FALSE(detector.listMayBeIncomplete(now));
+    // An outage before the first part of the next answer is noticed with its end.
+    now += seconds(5);
+    detector.recordContact(now);
+    now += seconds(1);
+    detector.recordList(1'001, 20, now);
+    EXPECT_TRUE(detector.listMayBeIncomplete(now));
+}
+
 TEST(StoreOutageDetector, treatsListAsCompleteAfterTwoSeconds)
 {
     StoreOutageDetector detector(milliseconds(1'200));
--- a/src/libforward/callclient.cpp
+++ b/src/libforward/callclient.cpp
@@ -93,7 +93,7 @@
             return;
         }
         if (this->onProgress) {
-            this->onProgress(bytes.size());
+            this->onProgress(this->response.status, bytes.size());
         }
     }
     void onForeignAnswer(std::string_view /*answerId*/, std::uint64_t /*earlierRequests*/) override
