Joined versions: a failing test of streams that go on at another software version

What callers saw: text whose first part is from one version and the rest from another, with nothing in the answer to show it. The case breaks streams off within one answer, and kills all entries, with and without the agents, while two versions serve, one has just left, or one serves alone.

--- /dev/null
+++ b/testsuite/joined-versions/run.py
@@ -0,0 +1,158 @@
+"""Streams joined from two software versions of a service, within one answer and over a caller's tries."""
+
+import http.client
+import pathlib
+import tempfile
+import threading
+import time
+
+from harness import check, wait_until
+from platformdeployment import Client, Deployment
+
+SERVICE = "engines"
+EVENT_COUNT = 12
+CALLERS = 12
+
+
+class Stream:
+    """A caller that reads a stream until it ends or breaks off."""
+
+    def __init__(self, entry, path, **options):
+        self.client = Client(entry)
+        self.request = self.client.send(path, **options)
+        self.status, self.body, self.complete = 0, b"", False
+        self.thread = threading.Thread(target=self.read, daemon=True)
+        self.thread.start()
+
+    def read(self):
+        try:
+            response = self.client.connection.getresponse()
+            self.status = response.status
+            while piece := response.read1(65536):
+                self.body += piece
+            self.complete = True
+        except (http.client.HTTPException, OSError):
+            pass  # It broke off.
+
+    def last_event(self):
+        """Returns the id of the last whole event, 0 without one."""
+        whole = self.body.decode().split("\n\n")[:-1]
+        return int(whole[-1].split("\n")[0].removeprefix("id: ")) if whole else 0
+
+    def take_up(self, entry, first_request):
+        """Returns a stream that goes on behind this one."""
+        return Stream(entry, "/ask/x", extra={"Last-Event-Id": str(self.last_event()), "Resumes": first_request})
+
+
+def versions_of(deployment, *requests):
+    """Returns the versions of the engines that ran requests with these ids."""
+    return {
+        engine.version for engine in deployment.engines for run in engine.runs
+        if run["headers"]["Attempt-Id"] in requests}
+
+
+def set_versions(deployment, versions):
+    for engine, version in zip(deployment.engines, versions):
+        engine.version = version
+        engine.event_count = EVENT_COUNT
+        engine.slots = 8
+        deployment.store.put("servers/" + engine.instance, engine.instance_record(SERVICE))
+
+
+def kill(node):
+    node.popen.kill()
+    node.popen.wait()
+
+
+def break_off_and_take_up(deployment, between=lambda: None, agents_too=False):
+    """Kills the entry while streams are under way. Returns the streams and those that take them up."""
+    streams = [Stream(deployment.entry, "/ask/slow") for _ in range(CALLERS)]
+    wait_until(lambda: all(stream.last_event() >= 2 for stream in streams), "all streams have begun")
+    kill(deployment.entry)
+    if agents_too:
+        for number in range(len(deployment.agents)):
+            deployment.restart_agent(number)
+    between()
+    for stream in streams:
+        stream.thread.join()
+    deployment.entry = deployment.start_entry("entry-again")
+    taken_up = [stream.take_up(deployment.entry, stream.request) for stream in streams]
+    for stream in taken_up:
+        stream.thread.join()
+    return list(zip(streams, taken_up))
+
+
+def joined(deployment, pairs):
+    return [
+        (first.request, again.request) for first, again in pairs
+        if len(versions_of(deployment, first.request, again.request)) > 1]
+
+
+def went_on(pairs):
+    return sum(again.status == 200 and again.complete and again.last_event() == EVENT_COUNT for _, again in pairs)
+
+
+def check_one_answer(deployment):
+    """A stream that its engine breaks off goes on at its version."""
+    set_versions(deployment, ["v1", "v1", "v1", "v2", "v2", "v2"])
+    time.sleep(1.5)  # The entry reads the records.
+    streams = [Stream(deployment.entry, "/ask/torn-once") for _ in range(20)]
+    for stream in streams:
+        stream.thread.join()
+    both = [stream.request for stream in streams if len(versions_of(deployment, stream.request)) > 1]
+    check(not both, "streams within one answer keep their version (%d of 20 joined)" % len(both))
+    whole = sum(stream.complete and stream.last_event() == EVENT_COUNT for stream in streams)
+    check(whole >= 15, "most of them go on (%d of 20)" % whole)
+
+
+def check_two_versions(deployment):
+    """Both versions serve when all entries are killed; two engines of each are left."""
+    set_versions(deployment, ["v1", "v1", "v1", "v2", "v2", "v2"])
+    time.sleep(1.5)
+    pairs = break_off_and_take_up(deployment)
+    both = joined(deployment, pairs)
+    check(not both, "streams that are taken up keep their version (%d of %d joined)" % (len(both), CALLERS))
+    check(went_on(pairs) >= CALLERS // 2, "most of them go on (%d of %d)" % (went_on(pairs), CALLERS))
+
+
+def check_old_version_gone(deployment):
+    """The engines of the old version leave while the entries are away."""
+    set_versions(deployment, ["v1", "v1", "v1", "v2", "v2", "v2"])
+    time.sleep(1.5)
+
+    def remove_old():
+        for engine in deployment.engines[:3]:
+            deployment.store.remove("servers/" + engine.instance)
+
+    pairs = break_off_and_take_up(deployment, remove_old)
+    both = joined(deployment, pairs)
+    check(not both, "no stream of the version that left goes on at the other (%d joined)" % len(both))
+    began_at_new = [pair for pair in pairs if versions_of(deployment, pair[0].request) == {"v2"}]
+    check(went_on(began_at_new) >= len(began_at_new) // 2, "streams of the version that is left go on (%d of %d)"
+          % (went_on(began_at_new), len(began_at_new)))
+    refused = [again for first, again in pairs if versions_of(deployment, first.request) == {"v1"}]
+    check(all(again.status == 503 for again in refused), "the others are refused as not run")
+
+
+def check_one_version(deployment):
+    """One version serves, and entries and agents are killed: nothing is known of the streams."""
+    set_versions(deployment, ["v1"] * 6)
+    time.sleep(1.5)
+    pairs = break_off_and_take_up(deployment, agents_too=True)
+    check(went_on(pairs) == CALLERS, "streams go on where only one version serves (%d of %d)" % (went_on(pairs), CALLERS))
+
+
+def check_all_killed(deployment):
+    """Two versions serve, and entries and agents are killed: a stream is not joined, whatever is known."""
+    set_versions(deployment, ["v1", "v1", "v1", "v2", "v2", "v2"])
+    time.sleep(1.5)
+    pairs = break_off_and_take_up(deployment, agents_too=True)
+    both = joined(deployment, pairs)
+    check(not both, "no stream of an unknown version is joined (%d of %d joined)" % (len(both), CALLERS))
+
+
+for case in (check_one_answer, check_two_versions, check_old_version_gone, check_one_version, check_all_killed):
+    print(case.__name__)
+    with tempfile.TemporaryDirectory() as folder:
+        with Deployment(pathlib.Path(folder)) as running:
+            case(running)
