Entry: a stream goes on within its answer only at the version that began it

What callers saw: events of two software versions in one answer. Cause: the target that replaces one that broke off, or is silent, was chosen without regard to its version. Change: the version of the target that sent the first event restricts the targets of the request, as rollouts do.

--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -71,10 +71,13 @@
     /// Waits for a target that takes requests, or refuses the request.
     void waitOrRefuse();
     /// Whether a rollout may keep requests from targets of some versions.
+    bool followsRollout() const;
+    /// Whether the request may not be sent to targets of all versions.
     bool areVersionsRestricted() const;
     /// The usable targets of the service of versions that the request may be sent to.
     std::vector<const Target *> usableTargets() const;
-    /// Whether the request may go to a target of this version, as far as rollouts are concerned.
+    /// Whether the request may go to a target of this version: a stream goes on only at the version
+    /// that began it, and rollouts restrict others.
     bool isAdmitted(const Target &target) const;
     /// As isAdmitted(), and the limits allow one more request to the version now.
     bool maySendTo(const Target &target) const;
@@ -209,6 +212,8 @@
     TimePoint arrived;
     Duration timeLimit = {}; ///< From arrival until the final answer.
     Duration maximumWait = {}; ///< From arrival until it is refused when no target has room.
+    std::optional<std::string>
+        streamVersion; ///< That began the stream; empty before its first event.
     std::optional<VersionSide> side; ///< Of a rollout; empty until it is chosen.
     double quotaCharged = 0;
     Duration timeBeforeCallerRetry = {}; ///< Spent by the caller on refused requests before this.
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -258,6 +258,9 @@
         this->state.grantClient.reportFirstEvent(
             this->attempt->target, this->attempt->reservationId);
     }
+    if (!this->streamVersion && events.count() > 0) {
+        this->streamVersion = this->attempt->target.version;
+    }
     if (!this->headSentToCaller) {
         this->beginRelay();
     }
--- a/src/libforward/requestversions.cpp
+++ b/src/libforward/requestversions.cpp
@@ -22,22 +22,29 @@
 
 } // namespace
 
-bool RequestFlow::areVersionsRestricted() const
+bool RequestFlow::followsRollout() const
 {
     return this->state.rollouts && this->state.rollouts->isRestricting();
 }
 
+bool RequestFlow::areVersionsRestricted() const
+{
+    return this->streamVersion || this->followsRollout();
+}
+
 bool RequestFlow::isAdmitted(const Target &target) const
 {
-    return !this->areVersionsRestricted()
+    if (this->streamVersion && target.version != *this->streamVersion) {
+        return false;
+    }
+    return !this->followsRollout()
         || this->state.rollouts->admits(target, this->side.value_or(VersionSide::Any));
 }
 
 bool RequestFlow::maySendTo(const Target &target) const
 {
     return this->isAdmitted(target)
-        && (!this->areVersionsRestricted()
-            || this->state.rollouts->sideOf(target) != VersionSide::Target
+        && (!this->followsRollout() || this->state.rollouts->sideOf(target) != VersionSide::Target
             || this->state.rollouts->mayExpose(target.service));
 }
 
@@ -53,7 +60,7 @@
 
 void RequestFlow::settleSide()
 {
-    if (!this->areVersionsRestricted()) {
+    if (!this->followsRollout()) {
         return;
     }
     const std::string &name = this->service->name;
@@ -96,7 +103,7 @@
 
 void RequestFlow::recordSample(bool failed)
 {
-    if (!this->areVersionsRestricted() || !this->attempt) {
+    if (!this->followsRollout() || !this->attempt) {
         return;
     }
     const Target &target = this->attempt->target;
