Soak: configurations that grow, over links of a limited rate

The soak's configuration had six routes and its links no rate, so that no answer of the store ever took long. The kind grow of the operator adds 400 to 800 routes and writes two versions in succession; the store's links carry 0.8 MB a second to each entry.

--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -28,6 +28,8 @@
 QUOTA_WINDOW_S, QUOTA_EXCESS, QUOTA_SLACK = 8.0, 0.1, 4000
 QUOTA_RATES = (2000, 3200)  # tokens per second of the organisation with a quota
 HEARTBEAT_S = 1.2
+PADDING_STEP, PADDING_LIMIT = 400, 1500  # routes; the most make half a megabyte in the store's answers
+STORE_BYTES_PER_S = 800_000  # to each entry
 ENGINES_PER_HEARTBEAT = 24  # more engines write less often, which bounds the writes to the store
 UNLISTED_DRAIN_SHARE = 0.25  # of the drains, that the store never learns
 GONE_DRAIN_SHARE = 0.5  # up to this share it learns them by the removal of the record
@@ -61,6 +63,7 @@
         self.store = store
         self.lock = threading.RLock()
         self.version = 0
+        self.padding_routes = 0  # that nobody uses
         self.keys = ["key-stable", "key-0"]
         self.next_key = 1
         self.revoked = {}  # key: when its revocation was acknowledged
@@ -84,6 +87,7 @@
         wait_until(lambda: self.store.mode in ("ok", "slow"), "the store takes writes")
         routes = [route(name, *properties) for name, properties in ROUTES.items()]
         routes.append(route("v%d" % self.version, "idempotent", "plain", 2, False, anonymous=True))
+        routes += [route("padding-%d" % number, "idempotent", "plain", 2, False) for number in range(self.padding_routes)]
         tenant = {"unit": "token_count", "plainTokens": 200, "ratePerS": 0, "burst": 0}
         self.store.put("op/config", {
             "version": self.version, "routes": routes,
@@ -106,6 +110,13 @@
             self.next_key += 1
             self.revoked[key] = self.write()
 
+    def grow(self, share):
+        """Writes two versions in succession, the first with many more routes, up to a limit."""
+        with self.lock:
+            self.padding_routes = min(PADDING_LIMIT, self.padding_routes + int(PADDING_STEP * (1 + share)))
+            self.write()
+            self.write()
+
     def change_quota(self):
         with self.lock:
             self.rate = QUOTA_RATES[1] if self.rate == QUOTA_RATES[0] else QUOTA_RATES[0]
@@ -218,6 +229,7 @@
             name = "entry-%d" % number
             self.links[name] = self.link("127.0.0.1", None)
             self.links["store of " + name] = self.link("127.0.0.1", self.store.address)
+            self.links["store of " + name].bytes_per_s = STORE_BYTES_PER_S
             self.add_node(name, {
                 "role": "entry", "grant": "127.0.%d.%d:%d" % (20 + number // 250, 1 + number % 250, grant_port),
                 "failureDomain": "a", "region": "r", "regions": {"a": "r"},
@@ -334,7 +346,7 @@
             "term": self.terminate, "kill": self.kill, "freeze": self.freeze, "hangup": self.hang_up,
             "crash": self.crash, "drain": self.drain, "replace": self.replace, "forget": self.forget_history,
             "back": self.go_back, "config": self.change_configuration, "revoke": self.change_configuration,
-            "quota": self.change_configuration, "crashing-part": self.add_crashing_part,
+            "quota": self.change_configuration, "grow": self.change_configuration, "crashing-part": self.add_crashing_part,
             "limit": self.limit_engine, "crashing-request": self.add_crashing_request,
         }
         if fault.kind in methods:
@@ -531,5 +543,6 @@
 
     def change_configuration(self, fault):
         actions = {"config": lambda: self.operator.write(1 + int(3 * fault.amount)),
-                   "revoke": self.operator.revoke, "quota": self.operator.change_quota}
+                   "revoke": self.operator.revoke, "quota": self.operator.change_quota,
+                   "grow": lambda: self.operator.grow(fault.amount)}
         actions[fault.kind]()
--- a/testsuite/soak/link.py
+++ b/testsuite/soak/link.py
@@ -50,6 +50,7 @@
         self.owners = {}  # by the port of the peer
         self.blocked = set()
         self.delay_s = 0.0
+        self.bytes_per_s = None  # of each connection, down from the target; None without a limit
         self.split = False
         self.dark = False
         self.connections = set()
@@ -88,6 +89,8 @@
             for piece in self.cut_in_pieces(data):
                 writer.write(piece)
                 await writer.drain()
+                if self.bytes_per_s and direction == "down":
+                    await asyncio.sleep(len(piece) / self.bytes_per_s)
                 if self.split:
                     await asyncio.sleep(0.002)
 
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -45,6 +45,7 @@
         "callers": {"crashing-part": (2, 6, 12)},
     }),
     "requests": (0.1, {"callers": {"crashing-request": (1, 8, 14)}}),
+    "sizes": (0.08, {"operator": {"grow": (1, 0, 0)}}),
     "limits": (0.15, {"engine": {"limit": (2, 7, 14)}, "plain": {"limit": (1, 7, 14)}}),
 }
 SORT_WEIGHTS = {"entry": 5, "agent": 3, "engine": 6, "plain": 3, "store": 2, "operator": 4}
