Soak: engines of two software versions, and callers that name the stream that they take up

All engines had one version, and callers that took a stream up did not say where it began. Half of the engines are of another version now; a stream that holds events of both breaks the promise ORDER, over all tries of its caller.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -52,6 +52,7 @@
         self.parts = ()  # of its prompt, but its own last one
         self.fixed_body = b""  # of a request that comes again; otherwise each attempt has its own
         self.first_event = 1
+        self.origin = None  # the request that brought the first event of a stream that this one takes up
         self.version_1_0 = False
         self.gives_up_s = None  # after which its caller leaves, in the middle of a stream
         self.entry = None
@@ -130,6 +131,8 @@
             if previous.kind == "ask" and previous.body:
                 # Goes on after the whole events that it has.
                 attempt.first_event = previous.first_event + previous.body.count(b"\n\n")
+                if attempt.first_event > 1:
+                    attempt.origin = previous.origin or previous.id
                 if attempt.first_event > int(previous.target.split("n=")[1]):
                     return
 
@@ -198,7 +201,7 @@
         if attempt.parts:
             lines.append("Prompt-Prefix: " + ",".join("%s:20" % part for part in (*attempt.parts, "e" + attempt.id[2:])))
         if attempt.first_event > 1:
-            lines.append("Last-Event-Id: %d" % (attempt.first_event - 1))
+            lines += ["Last-Event-Id: %d" % (attempt.first_event - 1), "Resumes: " + attempt.origin]
         attempt.request = (method, attempt.target, body)
         attempt.sent_at = time.monotonic()
         self.connection.settimeout(max(0.1, deadline - attempt.sent_at) + 0.5)
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -29,6 +29,7 @@
 QUOTA_RATES = (2000, 3200)  # tokens per second of the organisation with a quota
 HEARTBEAT_S = 1.2
 PADDING_STEP, PADDING_LIMIT = 400, 1500  # routes; the most make half a megabyte in the store's answers
+SOFTWARE_VERSIONS = ("v1", "v2")  # side by side in each service
 STORE_BYTES_PER_S = 800_000  # to each entry
 ENGINES_PER_HEARTBEAT = 24  # more engines write less often, which bounds the writes to the store
 UNLISTED_DRAIN_SHARE = 0.25  # of the drains, that the store never learns
@@ -216,6 +217,7 @@
                 name = "%s-%d" % (sort, number)
                 engine = SoakEngine(name, service, self.journal, seed)
                 engine.crash = self.end_by_part
+                engine.version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
                 host = "127.0.%d.%d" % (1 + number // 250, 1 + number % 250) if sort == "engine" else "127.0.0.1"
                 self.engines[name] = engine
                 self.links[name] = self.link(host, engine.address)
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -51,6 +51,7 @@
             self.check_loss(attempt, runs)
         for request in set(self.runs) - set(self.attempts):
             self.add("UNASKED", request, "no caller sent this request")
+        self.check_versions()
         self.check_denials()
         self.check_attempts()
         self.check_drains()
@@ -124,6 +125,17 @@
         if seen and seen[0] != attempt.headers["Server-Stamp"] and len(runs) == 1:
             self.add("MIXED", attempt.id, "stamp %s, events of %s", attempt.headers["Server-Stamp"], seen)
 
+    def check_versions(self):
+        """A stream holds events of one software version, over all tries of its caller."""
+        versions = collections.defaultdict(set)
+        for attempt in self.attempts.values():
+            stamps = {match.group(4).decode() for match in EVENT.finditer(attempt.body)}
+            versions[attempt.origin or attempt.id] |= {
+                run.version for run in self.runs[attempt.id] if run.stamp in stamps}
+        for request, of_stream in versions.items():
+            if len(of_stream) > 1:
+                self.add("ORDER", request, "the stream has events of versions %s", sorted(of_stream))
+
     def cut_by_end(self, attempt):
         """The kernel ends the connections of a killed process in order: without a length, all looks well."""
         return attempt.version_1_0 and any(
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -57,6 +57,7 @@
         self.at = time.monotonic()
         self.engine = engine
         self.stamp = stamp
+        self.version = engine.version
         self.headers = headers
         self.attempt = headers.get("Attempt-Id", "")
         self.request = (method, target, body)
