Entry: a line for timers that run late

No line told how late an entry's one thread runs. Change: a decision line when a timer of the entry runs 0.1 s late or more.

--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t usageCollectorCount = 2;
 /// Delay before accepting again after a failed accept, for example without free file descriptors.
 constexpr Duration acceptRetryDelay = milliseconds(50);
+/// A timer that is this late shows that the process has more to do than its processor bears.
+constexpr Duration notableTimerDelay = milliseconds(100);
 constexpr Duration drainCheckInterval = milliseconds(100);
 
 } // namespace
@@ -43,6 +45,7 @@
 
     void accept();
     void scheduleUsageReport();
+    void recordTimerDelay(Duration delay);
     void reportUsage();
     void continueDrain();
     bool hasUnfinishedAnswers() const;
@@ -91,16 +94,26 @@
     this->usageTimer.expires_after(usageReportInterval);
     this->usageTimer.async_wait([this](const error_code &error) {
         if (!error) {
-            const auto delay = std::chrono::duration_cast<milliseconds>(
-                asio::steady_timer::clock_type::now() - this->usageTimer.expiry());
-            this->state.metrics.sample(
-                "wigeonsill_timer_delay_ms", {}, static_cast<double>(delay.count()));
+            this->recordTimerDelay(std::chrono::duration_cast<Duration>(
+                asio::steady_timer::clock_type::now() - this->usageTimer.expiry()));
             this->reportUsage();
             this->scheduleUsageReport();
         }
     });
 }
 
+void ForwardEntry::Private::recordTimerDelay(Duration delay)
+{
+    this->state.metrics.sample(
+        "wigeonsill_timer_delay_ms", {}, static_cast<double>(delay.count()) / 1'000);
+    if (delay >= notableTimerDelay) {
+        this->state.log.decision(
+            DecisionLine("entry", "behind")
+                .ms("delay_ms", delay)
+                .number("requests", static_cast<double>(this->state.flows.size())));
+    }
+}
+
 void ForwardEntry::Private::reportUsage()
 {
     std::vector<const Target *> engines = this->state.engines();
