--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -47,6 +47,7 @@
 
     void receive();
     void handle(const GrantMessage &message);
+    void reserve(const ReservationProfile &profile, int slots);
     void replyToUsage(const GrantMessage &message);
     void replyToPermitRequest(const GrantMessage &request);
     void replyToStreamQuery(const GrantMessage &query);
@@ -134,26 +135,9 @@
         }
     }
     switch (message.kind) {
-    case GrantKind::Reserve: {
-        if (this->admission.isClosed(now)) {
-            // Also when it was granted: the entry still waits, so it has not used the grant.
-            this->admission.release(profile.reservationId, 0, true, now);
-            this->decline({ profile });
-            return;
-        }
-        if (this->admission.isGranted(profile.reservationId)) {
-            this->reply(GrantKind::Granted, profile);
-            return;
-        }
-        this->admission.reserve(profile, message.slots, now);
-        this->sendGrants();
-        this->decline(this->admission.expire(now));
-        if (this->admission.isWaiting(profile.reservationId)) {
-            this->reply(GrantKind::Queued, profile);
-            this->scheduleExpiry();
-        }
+    case GrantKind::Reserve:
+        this->reserve(profile, message.slots);
         return;
-    }
     case GrantKind::Release:
         this->admission.release(profile.reservationId, message.generated, message.unused, now);
         this->sendGrants();
@@ -185,6 +169,28 @@
     }
 }
 
+void GrantAgent::Private::reserve(const ReservationProfile &profile, int slots)
+{
+    const TimePoint now = currentTime();
+    if (this->admission.isClosed(now)) {
+        // Also when it was granted: the entry still waits, so it has not used the grant.
+        this->admission.release(profile.reservationId, 0, true, now);
+        this->decline({ profile });
+        return;
+    }
+    if (this->admission.isGranted(profile.reservationId)) {
+        this->reply(GrantKind::Granted, profile);
+        return;
+    }
+    this->admission.reserve(profile, slots, now);
+    this->sendGrants();
+    this->decline(this->admission.expire(now));
+    if (this->admission.isWaiting(profile.reservationId)) {
+        this->reply(GrantKind::Queued, profile);
+        this->scheduleExpiry();
+    }
+}
+
 void GrantAgent::Private::replyToUsage(const GrantMessage &message)
 {
     const TimePoint now = currentTime();
