Joined versions: failing tests of entries that are out of step

What callers saw: streams that began at engines of a new version and were taken up at an entry that had not learned of it went on at the old version (reported for runs of real processes, ORDER, and by other operators).

Tests: testsuite/joined-versions gets three cases. Heads cut at each byte, the other report, were never taken for an answer (headCutAtAnyByteIsNoAnswer passes).

--- a/src/libforward/connections_test.cpp
+++ b/src/libforward/connections_test.cpp
@@ -203,6 +203,26 @@
     EXPECT_EQ(second.failure, TargetFailure::Malformed);
 }
 
+/// MIXED, ORDER: a target closes in the middle of its answer's head. Read as the end of the head,
+/// it would leave a success with an empty body.
+TEST_F(TargetConnections, headCutAtAnyByteIsNoAnswer)
+{
+    for (const std::string framing :
+        { "Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", "" }) {
+        const std::string head = "HTTP/1.1 200 OK\r\nId: r\r\n" + framing + "\r\n";
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            const Exchange &exchange = this->send("r");
+            ASSERT_TRUE(this->acceptNew());
+            asio::write(this->connection, asio::buffer(head, cut));
+            this->connection.shutdown(asio::ip::tcp::socket::shutdown_send);
+            this->runFor(milliseconds(10));
+            EXPECT_EQ(exchange.status, 0) << head.substr(0, cut);
+            EXPECT_FALSE(exchange.complete) << head.substr(0, cut);
+            EXPECT_EQ(exchange.failure, TargetFailure::ClosedWithoutAnswer) << head.substr(0, cut);
+        }
+    }
+}
+
 /// As above, where the status line of the second answer is lost as well.
 TEST_F(TargetConnections, headThatNamesTwoRequestsIsNotTaken)
 {
--- a/testsuite/joined-versions/run.py
+++ b/testsuite/joined-versions/run.py
@@ -2,17 +2,24 @@
 
 import http.client
 import pathlib
+import random
+import signal
+import sys
 import tempfile
 import threading
 import time
 
-from harness import check, wait_until
-from platformdeployment import Client, Deployment
+sys.path.append(str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
+
+from harness import check, wait_until  # noqa: E402
+from link import Link, Proxies  # noqa: E402
+from platformdeployment import Client, Deployment  # noqa: E402
 
 SERVICE = "engines"
 EVENT_COUNT = 12
 CALLERS = 12
 READ_S = 5.0  # Until the entry has read the targets' records, and written their versions.
+SHARED_S = 1.0  # Until agents know the streams that began.
 
 
 class Stream:
@@ -61,6 +68,15 @@
     time.sleep(READ_S)
 
 
+def release(deployment, engines, version):
+    """Replaces engines by others of another version at the same addresses."""
+    for engine in engines:
+        former, engine.instance = engine.instance, engine.instance + "-" + version
+        engine.version = version
+        deployment.store.put("servers/" + engine.instance, engine.instance_record(SERVICE))
+        deployment.store.remove("servers/" + former)
+
+
 def kill(node):
     node.popen.kill()
     node.popen.wait()
@@ -84,6 +100,27 @@
     return list(zip(streams, taken_up))
 
 
+def join_unseen(deployment, other, hide, show):
+    """Three engines of a new version join while hide keeps the other entry from learning of it.
+
+    Streams begin at the first entry, which then ends; the other one is shown, and they are taken up there."""
+    set_versions(deployment, ["v1"] * 6)
+    hide()
+    release(deployment, deployment.engines[3:], "v2")
+    time.sleep(READ_S)
+    streams = [Stream(deployment.entry, "/ask/slow") for _ in range(CALLERS)]
+    wait_until(lambda: all(stream.last_event() >= 2 for stream in streams), "all streams have begun")
+    time.sleep(SHARED_S)
+    kill(deployment.entry)
+    for stream in streams:
+        stream.thread.join()
+    taken_up = [stream.take_up(other, stream.request) for stream in streams]
+    show()
+    for stream in taken_up:
+        stream.thread.join()
+    return list(zip(streams, taken_up))
+
+
 def joined(deployment, pairs):
     return [
         (first.request, again.request) for first, again in pairs
@@ -148,7 +185,51 @@
     check(not both, "no stream of an unknown version is joined (%d of %d joined)" % (len(both), CALLERS))
 
 
-for case in (check_one_answer, check_two_versions, check_old_version_gone, check_one_version, check_all_killed):
+def check_joining_unseen_by_a_stopped_entry(deployment):
+    """An entry stands still while a version joins, and is asked to go on with its streams as it runs again."""
+    deployment.entry_settings["strictRevocation"] = False
+    other = deployment.start_entry("stopped", "127.0.0.2")
+    pairs = join_unseen(
+        deployment, other,
+        lambda: other.popen.send_signal(signal.SIGSTOP), lambda: other.popen.send_signal(signal.SIGCONT))
+    both = joined(deployment, pairs)
+    check(not both, "no stream goes on at another version (%d of %d joined)" % (len(both), CALLERS))
+    check(went_on(pairs) >= CALLERS // 2, "most of them go on (%d of %d)" % (went_on(pairs), CALLERS))
+
+
+def check_joining_unseen_without_the_store(deployment):
+    """An entry doesn't reach the store while a version joins, and reaches everything else."""
+    link = Link(Proxies(), "127.0.0.1", deployment.store.address, random.Random(1))
+    deployment.entry_settings.update(store=link.address, strictRevocation=False)
+    other = deployment.start_entry("cut-off", "127.0.0.2")
+    pairs = join_unseen(deployment, other, lambda: link.blocked.update({"up", "down"}), lambda: None)
+    both = joined(deployment, pairs)
+    check(not both, "no stream goes on at another version (%d of %d joined)" % (len(both), CALLERS))
+    old = [pair for pair in pairs if versions_of(deployment, pair[0].request) == {"v1"}]
+    check(went_on(old) >= len(old) // 2, "streams of the version that it knows go on (%d of %d)" % (went_on(old), len(old)))
+    others = [again for first, again in pairs if versions_of(deployment, first.request) == {"v2"}]
+    check(others and all(again.status == 503 for again in others), "the others are refused as not run")
+
+
+def check_one_version_without_the_store(deployment):
+    """One version serves, and the store is away: what the agents know suffices."""
+    set_versions(deployment, ["v1"] * 6)
+    other = deployment.start_entry("other", "127.0.0.2")
+    streams = [Stream(deployment.entry, "/ask/slow") for _ in range(CALLERS)]
+    wait_until(lambda: all(stream.last_event() >= 2 for stream in streams), "all streams have begun")
+    deployment.store.mode = "silent"
+    kill(deployment.entry)
+    for stream in streams:
+        stream.thread.join()
+    pairs = [(stream, stream.take_up(other, stream.request)) for stream in streams]
+    for _, again in pairs:
+        again.thread.join()
+    check(went_on(pairs) == CALLERS, "streams go on while the store is away (%d of %d)" % (went_on(pairs), CALLERS))
+
+
+for case in (check_one_answer, check_two_versions, check_old_version_gone, check_one_version, check_all_killed,
+             check_joining_unseen_by_a_stopped_entry, check_joining_unseen_without_the_store,
+             check_one_version_without_the_store):
     print(case.__name__)
     with tempfile.TemporaryDirectory() as folder:
         with Deployment(pathlib.Path(folder)) as running:
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -13,6 +13,7 @@
 
 from harness import BIN, wait_until
 from link import Link, Proxies
+from plan import Fault
 from standins import Journal, SoakEngine, SoakStore
 
 HOST = "camp.example"
@@ -29,7 +30,9 @@
 QUOTA_RATES = (2000, 3200)  # tokens per second of the organisation with a quota
 HEARTBEAT_S = 1.2
 PADDING_STEP, PADDING_LIMIT = 400, 1500  # routes; the most make half a megabyte in the store's answers
-SOFTWARE_VERSIONS = ("v1", "v2")  # side by side in each service
+SOFTWARE_VERSIONS = ("v1", "v2")  # side by side in each service, in every other seed; in the others the second joins
+RELEASED_SHARE = 0.34  # of the engines, that one release replaces
+RELEASE_GAP_S = 0.3
 STORE_BYTES_PER_S = 800_000  # to each entry
 ENGINES_PER_HEARTBEAT = 24  # more engines write less often, which bounds the writes to the store
 UNLISTED_DRAIN_SHARE = 0.25  # of the drains, that the store never learns
@@ -205,6 +208,7 @@
         self.store = SoakStore()
         self.operator = Operator(self.store)
         self.stopping = threading.Event()
+        self.released_versions = 0
         self.send_crashing_request = None  # set by the callers: sends one request again and again for a time
         self.send_crashing = None  # set by the callers: sends requests with a part for a time
         self.rotation = set()
@@ -217,7 +221,7 @@
                 name = "%s-%d" % (sort, number)
                 engine = SoakEngine(name, service, self.journal, seed)
                 engine.crash = self.end_by_part
-                engine.version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
+                engine.version = engine.next_version = SOFTWARE_VERSIONS[number * (seed % 2) % len(SOFTWARE_VERSIONS)]
                 host = "127.0.%d.%d" % (1 + number // 250, 1 + number % 250) if sort == "engine" else "127.0.0.1"
                 self.engines[name] = engine
                 self.links[name] = self.link(host, engine.address)
@@ -349,14 +353,14 @@
             "crash": self.crash, "drain": self.drain, "replace": self.replace, "forget": self.forget_history,
             "back": self.go_back, "config": self.change_configuration, "revoke": self.change_configuration,
             "quota": self.change_configuration, "grow": self.change_configuration, "crashing-part": self.add_crashing_part,
-            "limit": self.limit_engine, "crashing-request": self.add_crashing_request,
+            "limit": self.limit_engine, "crashing-request": self.add_crashing_request, "release": self.release,
         }
         if fault.kind in methods:
             methods[fault.kind](fault)
         elif sort == "store":
             self.change_store(fault)
         elif fault.kind in ("pause", "torn", "twice", "garbage", "endless", "unframed", "error",
-                            "refuse", "half-event", "half-unframed"):
+                            "refuse", "half-event", "half-unframed", "half-head"):
             self.change_engine(fault)
         elif fault.kind.startswith("store-"):
             self.harm_link(self.links["store of " + fault.subject], fault.kind[6:], fault)
@@ -500,6 +504,18 @@
             self.links[fault.subject].reset_all()
             self.begin_engine(engine, engine.instance, fault.amount)
 
+    def release(self, fault):
+        """Replaces some engines by a version that none had before."""
+        with self.operator.lock:
+            self.released_versions += 1
+            version = "v%d" % (len(SOFTWARE_VERSIONS) + self.released_versions)
+        names = [name for name in self.engines if name.startswith("engine")]
+        first = names.index(fault.subject)
+        for step in range(max(1, round(RELEASED_SHARE * len(names)))):
+            name = names[(first + step) % len(names)]
+            self.engines[name].next_version = version
+            self.replace(Fault(fault.at_s, "replace", name, 0.0, RELEASE_GAP_S))
+
     def drain(self, fault):
         engine, link = self.engines[fault.subject], self.links[fault.subject]
         if engine.state != "ready" or engine.dark:
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -47,6 +47,8 @@
     "requests": (0.1, {"callers": {"crashing-request": (1, 8, 14)}}),
     "sizes": (0.08, {"operator": {"grow": (1, 0, 0)}}),
     "limits": (0.15, {"engine": {"limit": (2, 7, 14)}, "plain": {"limit": (1, 7, 14)}}),
+    "releases": (0.12, {"engine": {"release": (1, 0, 0)}}),
+    "heads": (0.15, {"engine": {"half-head": (2, 1, 4)}, "plain": {"half-head": (1, 1, 4)}}),
 }
 SORT_WEIGHTS = {"entry": 5, "agent": 3, "engine": 6, "plain": 3, "store": 2, "operator": 4}
 
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -53,11 +53,11 @@
 class Run:
     """One run of a request at an engine, with all that the engine sent of its answer."""
 
-    def __init__(self, engine, stamp, headers, method, target, body):
+    def __init__(self, engine, version, headers, method, target, body):
         self.at = time.monotonic()
         self.engine = engine
-        self.stamp = stamp
-        self.version = engine.version
+        self.stamp = ""
+        self.version = version
         self.headers = headers
         self.attempt = headers.get("Attempt-Id", "")
         self.request = (method, target, body)
@@ -99,11 +99,13 @@
         self.sequence = 0
         self.crash = None  # called with the engine when a prompt part or a request ends it
         super().__init__(name, slots=2 if service == "engines" else self.slots_of_plain)
+        self.next_version = self.version
         self.begin_incarnation()
 
     def begin_incarnation(self):
         self.incarnation += 1
         self.instance = "%s.%d" % (self.name, self.incarnation)
+        self.version = self.next_version  # after the instance, see handle_request()
         self.load = Load(self.slots)
         self.state = self.listed_state = "ready"
         self.dark = False
@@ -130,6 +132,7 @@
 
     def handle_request(self, connection, method, target, headers, body):
         now = time.monotonic()
+        version = self.version  # never newer than the instance
         instance, load = self.instance, self.load
         self.running = load.present
         if self.dark:
@@ -158,7 +161,7 @@
         load.present += 1
         try:
             with load.slots:
-                return self.run(connection, fault, Run(self, "", headers, method, target, body), echo)
+                return self.run(connection, fault, Run(self, version, headers, method, target, body), echo)
         finally:
             load.present -= 1
 
@@ -170,6 +173,10 @@
             self.crash(self)
             return False
         headers = echo + [("Server-Stamp", run.stamp)]
+        if fault == "half-head":
+            head = format_answer(200, headers, b"")
+            connection.sendall(head[:self.rng.randrange(1, len(head) - 1)])
+            return False
         if fault == "garbage":
             connection.sendall(b"\x00\x01 this is no answer\r\n\r\n")
             return False
