Entry: logs at which version a stream is taken up

Change: entry taken-up has the request, the one that began the stream, the version and the age of the list.

--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -61,6 +61,8 @@
     /// not known yet, or the request was refused.
     bool settleStreamVersion();
     void askStreamOrigin();
+    /// Logs at which version a stream goes on that the caller takes up.
+    void logTakenUp();
     void onOriginTimer();
     void onStreamOrigin(const std::optional<std::string> &version) override;
     void refuseUnknownStream();
--- a/src/libforward/requestversions.cpp
+++ b/src/libforward/requestversions.cpp
@@ -39,6 +39,7 @@
     this->streamVersion
         = this->state.streamVersions.find(stream.value_or(0), this->service->name, now);
     if (this->streamVersion) {
+        this->logTakenUp();
         return true;
     }
     if (stream) {
@@ -49,6 +50,17 @@
     return false;
 }
 
+void RequestFlow::logTakenUp()
+{
+    DecisionLine line("entry", "taken-up");
+    line.text("request", this->request.id)
+        .text("resumes", this->request.resumedRequest)
+        .text("version", *this->streamVersion)
+        .ms("waited_ms", this->elapsed())
+        .ms("targets_age_ms", timeSinceBoot() - this->state.targetsReadAt);
+    this->state.log.decision(line);
+}
+
 void RequestFlow::askStreamOrigin()
 {
     this->startTimer(originAskInterval);
@@ -69,6 +81,7 @@
     const auto self = this->shared_from_this();
     this->streamVersion = version;
     if (version) {
+        this->logTakenUp();
         this->place();
     } else {
         this->refuseUnknownStream();
