Streams that are taken up: an entry out of step asks before it goes on with one

What callers saw: streams that had begun at engines of a version that just joined were taken up at another entry and went on at the old version, with nothing in the answer to show it (ORDER).

Cause: an entry that knew one version of a service went on there without asking, and its list may be older than the stream: up to a second in calm, longer after it stood still or while it doesn't reach the store. Class: the absence of a fact in a copy is taken for its absence.

Change: a stream that the entry doesn't know is asked for at agents always, and the list is read by a call that begins then; decideOrigin() decides. Where the store doesn't answer, agents tell whether they were told of any stream lately, as entries do that know several versions. Versions count that joined and left between two lists. Streams are also shared with the agents of targets that leave, which an entry with an older list asks. An answer with a new version in it leads to questions at the agents of that list.

Why it works: a target is in the store before any entry can send to it, so a read that begins after the take-up shows the version that began it.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -277,6 +277,12 @@
     /// Sets the handler that re-reads the list of targets. It is called each time a target turns
     /// out to have been replaced at its address.
     void setTargetsOutdatedHandler(std::function<void()> refresh);
+    /// Sets the handler that reads the list of targets and the recent versions by calls that begin
+    /// from now on. It is called when a caller takes up a stream that this entry doesn't know.
+    void setTargetsConfirmationHandler(std::function<void()> read);
+    /// Records that the list of targets and the recent versions, as set last, are complete as of a
+    /// moment. \param calledAt When the first of the calls was sent that returned them.
+    void confirmTargets(TimePoint calledAt);
     /// Whether new connections are welcome: targets are known, and a configuration that was
     /// confirmed at least once where keys need that.
     bool isReady() const;
--- a/src/include/wigeonsill/versions.h
+++ b/src/include/wigeonsill/versions.h
@@ -32,6 +32,11 @@
     /// tries of their callers.
     static constexpr Duration memory = seconds(60);
 
+    /// Records that a target was listed, which may have left the list since.
+    void recordSeen(ServiceVersion version, TimePoint now)
+    {
+        this->lastSeenAt[std::move(version)] = now;
+    }
     /// Records the targets that are listed now.
     void recordListed(const std::vector<Target> &targets, TimePoint now);
     /// Records which versions the store names now.
@@ -47,7 +52,8 @@
 private:
     std::set<ServiceVersion> listed;
     std::set<ServiceVersion> stored;
-    std::map<ServiceVersion, TimePoint> lastSeenAt; ///< Listed, or first known from the store.
+    /// Listed, or first known from the store.
+    std::map<ServiceVersion, TimePoint> lastSeenAt;
 };
 
 /// The only version in a set that serves or served a service lately; empty with none or several.
@@ -66,6 +72,11 @@
     /// Forgets a stream that has ended whole.
     void forget(std::uint64_t stream) { this->origins.erase(stream); }
     std::optional<std::string> find(std::uint64_t stream, TimePoint now) const;
+    /// Whether any stream was recorded within the time for which records are kept.
+    bool wasRecordedLately(TimePoint now) const
+    {
+        return !this->order.empty() && now - this->order.back().first <= memory;
+    }
     /// All streams with their versions.
     std::vector<std::pair<std::uint64_t, std::string>> all(TimePoint now) const;
 
@@ -81,6 +92,47 @@
     std::deque<std::pair<TimePoint, std::uint64_t>> order; ///< Of the records, oldest first.
 };
 
+/// What a process knows of a stream that a caller takes up.
+struct OriginEvidence
+{
+    std::optional<std::string> version; ///< At which it began, as an agent keeps it.
+    std::optional<std::string> onlyVersion; ///< That served lately, as far as the process knows.
+    bool isListConfirmed = false; ///< The versions were read since the stream was taken up.
+    /// An agent was told of streams lately, as entries do that know several versions.
+    bool areStreamsShared = false;
+    std::size_t askedAgents = 0;
+    std::size_t answeredAgents = 0;
+    bool isTimeOver = false; ///< No further answer is waited for.
+};
+
+enum class OriginVerdict : std::uint8_t { Pending, Known, Unknown };
+
+/// By what the version of a stream is known.
+enum class OriginSource : std::uint8_t {
+    OwnRecord, ///< The process saw the stream begin, or go on.
+    Agent, ///< An agent keeps it.
+    List, ///< No other version served, by what was read since the stream was taken up.
+    AgentsUnaware, ///< The store doesn't answer, and no agent knows of a second version.
+};
+inline constexpr std::array originSourceNames = {
+    EnumName<OriginSource>{ OriginSource::OwnRecord, "own-record" },
+    EnumName<OriginSource>{ OriginSource::Agent, "agent" },
+    EnumName<OriginSource>{ OriginSource::List, "list" },
+    EnumName<OriginSource>{ OriginSource::AgentsUnaware, "agents-unaware" },
+};
+
+struct OriginDecision
+{
+    OriginVerdict verdict = OriginVerdict::Pending;
+    std::string version = {}; ///< If it is known.
+    OriginSource source = OriginSource::OwnRecord;
+};
+
+/// Decides whether a stream can go on, and where. A list that was read before the stream was taken
+/// up may lack the version that began it, so a process that knows one version only must not trust
+/// it. Always decides once the time is over.
+OriginDecision decideOrigin(const OriginEvidence &evidence);
+
 /// Hash of the id of a request, under which a stream that it began is known.
 std::uint64_t streamHash(std::string_view requestId);
 
--- a/src/libforward/entrystate.cpp
+++ b/src/libforward/entrystate.cpp
@@ -38,7 +38,13 @@
     , readAhead(std::make_shared<ReadAheadPacer>(context))
     , grantClient(context, metricsIn, settingsIn, this->statedRates)
     , rates(metricsIn, logIn, this->grantClient, this->statedRates)
-    , streamVersions(metricsIn, this->grantClient, [this] { return this->engines(); })
+    , streamVersions(
+          metricsIn, this->grantClient, [this] { return this->engines(); },
+          [this] {
+              if (this->confirmTargets) {
+                  this->confirmTargets();
+              }
+          })
     , crashes(metricsIn, logIn, this->pool, this->grantClient)
     , retryBudget(settingsIn.retryBudget)
     , quotas(settingsIn.quotas)
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -313,6 +313,16 @@
     this->d->state.refreshTargets = std::move(refresh);
 }
 
+void ForwardEntry::setTargetsConfirmationHandler(std::function<void()> read)
+{
+    this->d->state.confirmTargets = std::move(read);
+}
+
+void ForwardEntry::confirmTargets(TimePoint calledAt)
+{
+    this->d->state.streamVersions.confirm(calledAt);
+}
+
 bool ForwardEntry::isReady() const
 {
     const EntryState &state = this->d->state;
--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -123,4 +123,5 @@
   stream @34 :UInt64;         # in streamBegan, streamQuery, streamOrigin: hash of the id of the request that began it
   version @35 :Text;          # in streamBegan, streamOrigin: of the targets' software
   streamKnown @36 :Bool;      # in streamOrigin
+  streamsShared @37 :Bool;    # in streamOrigin: the agent was told of streams lately
 }
--- a/src/libforward/grant.capnp.h
+++ b/src/libforward/grant.capnp.h
@@ -1078,6 +1078,8 @@
 
     inline bool getStreamKnown() const;
 
+    inline bool getStreamsShared() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1269,6 +1271,9 @@
     inline bool getStreamKnown();
     inline void setStreamKnown(bool value);
 
+    inline bool getStreamsShared();
+    inline void setStreamsShared(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2930,6 +2935,20 @@
     _builder.setDataField<bool>(::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GrantMessage::Reader::getStreamsShared() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+
+inline bool GrantMessage::Builder::getStreamsShared()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setStreamsShared(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
+}
+
 } // namespace schema
 } // namespace wigeonsill
 
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -228,11 +228,13 @@
 
 void GrantAgent::Private::replyToStreamQuery(const GrantMessage &query)
 {
-    const auto version = this->streams.find(query.stream, currentTime());
+    const TimePoint now = currentTime();
+    const auto version = this->streams.find(query.stream, now);
     GrantMessage answer;
     answer.kind = GrantKind::StreamOrigin;
     answer.stream = query.stream;
     answer.isStreamKnown = version.has_value();
+    answer.areStreamsShared = this->streams.wasRecordedLately(now);
     answer.version = version.value_or("");
     this->sendTo(this->sender, std::move(answer));
 }
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -177,6 +177,7 @@
     root.setStream(message.stream);
     root.setVersion(message.version.c_str());
     root.setStreamKnown(message.isStreamKnown);
+    root.setStreamsShared(message.areStreamsShared);
     encodeReports(message.crashReports,
         root.initCrashReports(static_cast<unsigned>(message.crashReports.size())));
     if (message.rolloutReport) {
@@ -251,6 +252,7 @@
         message.stream = root.getStream();
         message.version = root.getVersion().cStr();
         message.isStreamKnown = root.getStreamKnown();
+        message.areStreamsShared = root.getStreamsShared();
         message.crashReports = decodeReports(root.getCrashReports());
         if (message.kind == GrantKind::RolloutReport) {
             message.rolloutReport = decodeReportPart(root.getRollout());
--- a/src/libforward/grantmessage.h
+++ b/src/libforward/grantmessage.h
@@ -55,6 +55,7 @@
     std::uint64_t stream = 0; ///< In StreamBegan, StreamQuery and StreamOrigin: see streamHash().
     std::string version; ///< In StreamBegan and StreamOrigin: of the targets' software.
     bool isStreamKnown = false; ///< In StreamOrigin.
+    bool areStreamsShared = false; ///< In StreamOrigin: the agent was told of streams lately.
     std::optional<RolloutReportPart> rolloutReport; ///< In RolloutReport, and always there.
     std::optional<RolloutDirective> rolloutDirective; ///< In RolloutDirective, and always there.
 };
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -58,14 +58,13 @@
 
     void placeRequest();
     /// Finds the version at which a stream began that the caller takes up. Returns false when it is
-    /// not known yet, or the request was refused.
+    /// not known yet.
     bool settleStreamVersion();
     void askStreamOrigin();
-    /// Logs at which version a stream goes on that the caller takes up.
-    void logTakenUp();
+    /// Counts and logs at which version a stream goes on that the caller takes up.
+    void recordTakenUp(OriginSource source);
     void onOriginTimer();
-    void onStreamOrigin(const std::optional<std::string> &version) override;
-    void refuseUnknownStream();
+    void onStreamOrigin(const OriginDecision &decision) override;
     /// Hash of the id of the request that began the stream; empty when the caller doesn't name it.
     std::optional<std::uint64_t> streamId() const;
     void recordStreamBegan();
--- a/src/libforward/requestversions.cpp
+++ b/src/libforward/requestversions.cpp
@@ -1,5 +1,6 @@
 /// \file requestversions.cpp
-/// The version that a request is sent to during a rollout, and what its answers tell about it.
+/// The version that a request may be sent to: that which began its stream, or the side of a
+/// rollout; and what its answers tell about a version.
 #include "requestflow.h"
 
 #include <algorithm>
@@ -13,8 +14,9 @@
 constexpr double referenceTokensPerMs = 60;
 constexpr Duration engineOverhead = milliseconds(10);
 constexpr Duration plainReferenceLatency = milliseconds(20);
-/// Interval at which agents are asked again at which version a stream began, and how long. Several
-/// round trips between regions, within the latency objective of most routes.
+/// Interval at which agents are asked again at which version a stream began, and how long they and
+/// the store are waited for. Several round trips between regions, within the latency objective of
+/// most routes.
 constexpr Duration originAskInterval = milliseconds(80);
 constexpr Duration originWait = milliseconds(300);
 
@@ -33,29 +35,25 @@
     if (!takesUp) {
         return true;
     }
-    const auto stream = this->streamId();
-    const TimePoint now = currentTime();
-    // Without the id, nothing but a single version tells where the stream began.
     this->streamVersion
-        = this->state.streamVersions.find(stream.value_or(0), this->service->name, now);
+        = this->state.streamVersions.find(this->streamId().value_or(0), currentTime());
     if (this->streamVersion) {
-        this->logTakenUp();
+        this->recordTakenUp(OriginSource::OwnRecord);
         return true;
     }
-    if (stream) {
-        this->askStreamOrigin();
-    } else {
-        this->refuseUnknownStream();
-    }
+    this->askStreamOrigin();
     return false;
 }
 
-void RequestFlow::logTakenUp()
+void RequestFlow::recordTakenUp(OriginSource source)
 {
+    const std::string by(enumName(originSourceNames, source));
+    this->state.metrics.count("wigeonsill_streams_taken_up_total", "by=\"" + by + "\"");
     DecisionLine line("entry", "taken-up");
     line.text("request", this->request.id)
         .text("resumes", this->request.resumedRequest)
         .text("version", *this->streamVersion)
+        .text("by", by)
         .ms("waited_ms", this->elapsed())
         .ms("targets_age_ms", timeSinceBoot() - this->state.targetsReadAt);
     this->state.log.decision(line);
@@ -64,35 +62,30 @@
 void RequestFlow::askStreamOrigin()
 {
     this->startTimer(originAskInterval);
-    this->state.streamVersions.ask(*this->streamId(), *this);
+    this->state.streamVersions.ask(this->streamId().value_or(0), this->service->name, *this);
 }
 
 void RequestFlow::onOriginTimer()
 {
     if (this->elapsed() >= originWait) {
-        this->refuseUnknownStream();
+        this->state.streamVersions.endWait(*this);
     } else {
         this->askStreamOrigin(); // Datagrams may be lost.
     }
 }
 
-void RequestFlow::onStreamOrigin(const std::optional<std::string> &version)
+void RequestFlow::onStreamOrigin(const OriginDecision &decision)
 {
     const auto self = this->shared_from_this();
-    this->streamVersion = version;
-    if (version) {
-        this->logTakenUp();
+    if (decision.verdict == OriginVerdict::Known) {
+        this->streamVersion = decision.version;
+        this->recordTakenUp(decision.source);
         this->place();
-    } else {
-        this->refuseUnknownStream();
+        return;
     }
-}
-
-void RequestFlow::refuseUnknownStream()
-{
     this->state.metrics.count("wigeonsill_streams_of_unknown_version_total");
     this->refuse(ResultCode::NoTargetAvailable,
-        "the version at which the stream began is not known, and several serve");
+        "the version at which the stream began is not known, and several may serve");
 }
 
 std::optional<std::uint64_t> RequestFlow::streamId() const
--- a/src/libforward/streamversions.cpp
+++ b/src/libforward/streamversions.cpp
@@ -15,10 +15,20 @@
 /// Shortest time between two rounds that share all streams.
 constexpr Duration shareInterval = seconds(2);
 
-std::vector<const Target *> staying(std::vector<const Target *> targets)
+/// The targets whose agents keep a stream: of those that stay, and of all, since an entry that has
+/// an older list doesn't know which of them leave.
+std::vector<const Target *> keepersOf(
+    std::uint64_t stream, const std::vector<const Target *> &targets, std::size_t stayingCount)
 {
-    std::erase_if(targets, [](const Target *target) { return target->leaving; });
-    return targets;
+    std::vector<const Target *> result = chooseOriginKeepers(targets, stream, keeperCount);
+    std::vector<const Target *> staying = targets;
+    std::erase_if(staying, [](const Target *target) { return target->leaving; });
+    for (const Target *target : chooseOriginKeepers(std::move(staying), stream, stayingCount)) {
+        if (std::find(result.begin(), result.end(), target) == result.end()) {
+            result.push_back(target);
+        }
+    }
+    return result;
 }
 
 } // namespace
@@ -46,9 +56,9 @@
     }
     this->sharedTargetsVersion = targetsVersion;
     this->sharedAt = now;
-    const std::vector<const Target *> candidates = staying(this->engines());
+    const std::vector<const Target *> targets = this->engines();
     for (const auto &[stream, version] : this->origins.all(now)) {
-        this->share(stream, version, candidates);
+        this->share(stream, version, targets);
     }
 }
 
@@ -56,66 +66,116 @@
 {
     this->origins.record(stream, version.version, now);
     if (this->isShared(version.service)) {
-        this->share(stream, version.version, staying(this->engines()));
+        this->share(stream, version.version, this->engines());
     }
 }
 
 void StreamVersions::share(
-    std::uint64_t stream, const std::string &version, const std::vector<const Target *> &candidates)
+    std::uint64_t stream, const std::string &version, const std::vector<const Target *> &targets)
 {
     this->metrics.count("wigeonsill_stream_versions_shared_total");
-    for (const Target *keeper : chooseOriginKeepers(candidates, stream, keeperCount)) {
+    for (const Target *keeper : keepersOf(stream, targets, keeperCount)) {
         this->grants.shareStreamVersion(*keeper, stream, version);
     }
 }
 
-std::optional<std::string> StreamVersions::find(
-    std::uint64_t stream, const std::string &service, TimePoint now) const
+void StreamVersions::ask(
+    std::uint64_t stream, const std::string &service, StreamOriginListener &listener)
 {
-    const auto own = this->origins.find(stream, now);
-    return own ? own : onlyVersion(this->recent, service);
+    const auto [found, isNew] = this->questions.try_emplace(&listener);
+    Question &question = found->second;
+    if (isNew) {
+        question.stream = stream;
+        question.service = service;
+        question.askedAt = currentTime();
+    }
+    this->queryAgents(question);
+    if (isNew && this->requestConfirmation) {
+        this->requestConfirmation();
+    }
 }
 
-void StreamVersions::ask(std::uint64_t stream, StreamOriginListener &listener)
+void StreamVersions::queryAgents(Question &question)
 {
-    const std::vector<const Target *> all = this->engines();
-    // Targets that leave now may have stayed when the stream began.
-    std::vector<const Target *> asked = chooseOriginKeepers(all, stream, keeperCount);
-    const std::vector<const Target *> stay = chooseOriginKeepers(staying(all), stream, askedCount);
-    asked.insert(asked.end(), stay.begin(), stay.end());
-    Question &question = this->questions[&listener];
-    question.stream = stream;
     question.unanswered.clear();
-    for (const Target *target : asked) {
+    for (const Target *target : keepersOf(question.stream, this->engines(), askedCount)) {
         const auto endpoint = parseEndpoint(target->address);
         if (endpoint && question.unanswered.insert(endpoint.value().address()).second) {
             this->metrics.count("wigeonsill_stream_versions_asked_total");
-            this->grants.queryStreamVersion(*target, stream);
+            this->grants.queryStreamVersion(*target, question.stream);
+        }
+    }
+    question.evidence.askedAgents = question.unanswered.size();
+}
+
+OriginDecision StreamVersions::decide(const Question &question) const
+{
+    OriginEvidence evidence = question.evidence;
+    evidence.answeredAgents = evidence.askedAgents - question.unanswered.size();
+    evidence.onlyVersion = onlyVersion(this->recent, question.service);
+    return decideOrigin(evidence);
+}
+
+void StreamVersions::answerDecided()
+{
+    std::vector<std::pair<StreamOriginListener *, OriginDecision>> decided;
+    for (const auto &[listener, question] : this->questions) {
+        OriginDecision decision = this->decide(question);
+        if (decision.verdict != OriginVerdict::Pending) {
+            decided.emplace_back(listener, std::move(decision));
+        }
+    }
+    for (const auto &[listener, decision] : decided) {
+        // An earlier listener may have ended this one.
+        if (this->questions.erase(listener) > 0) {
+            listener->onStreamOrigin(decision);
         }
     }
 }
 
+void StreamVersions::endWait(StreamOriginListener &listener)
+{
+    const auto found = this->questions.find(&listener);
+    if (found != this->questions.end()) {
+        found->second.evidence.isTimeOver = true;
+        this->answerDecided();
+    }
+}
+
+void StreamVersions::confirm(TimePoint calledAt)
+{
+    for (auto &[listener, question] : this->questions) {
+        if (!question.evidence.isListConfirmed && question.askedAt <= calledAt) {
+            question.evidence.isListConfirmed = true;
+            if (this->isShared(question.service)) {
+                this->queryAgents(question);
+            }
+        }
+    }
+    this->answerDecided();
+}
+
 void StreamVersions::onAnswer(const GrantMessage &message, const boost::asio::ip::address &agent)
 {
-    std::vector<StreamOriginListener *> answered;
+    bool isExpected = false;
     for (auto &[listener, question] : this->questions) {
         if (question.stream != message.stream || question.unanswered.erase(agent) == 0) {
             continue;
         }
-        if (message.isStreamKnown || question.unanswered.empty()) {
-            answered.push_back(listener);
+        isExpected = true;
+        OriginEvidence &evidence = question.evidence;
+        evidence.areStreamsShared = evidence.areStreamsShared || message.areStreamsShared;
+        if (message.isStreamKnown) {
+            evidence.version = message.version;
         }
     }
-    if (message.isStreamKnown && !answered.empty()) {
-        this->origins.record(message.stream, message.version, currentTime());
+    if (!isExpected) {
+        return;
     }
-    for (StreamOriginListener *listener : answered) {
-        // An earlier listener may have ended this one.
-        if (this->questions.erase(listener) > 0) {
-            listener->onStreamOrigin(
-                message.isStreamKnown ? std::optional(message.version) : std::nullopt);
-        }
+    if (message.isStreamKnown) {
+        this->origins.record(message.stream, message.version, currentTime());
     }
+    this->answerDecided();
 }
 
 } // namespace wigeonsill
--- a/src/libforward/streamversions.h
+++ b/src/libforward/streamversions.h
@@ -12,8 +12,8 @@
 {
 public:
     virtual ~StreamOriginListener() = default;
-    /// \param version At which the stream began; empty when no agent knows it.
-    virtual void onStreamOrigin(const std::optional<std::string> &version) = 0;
+    /// \param decision That the version is known, or that it can't be.
+    virtual void onStreamOrigin(const OriginDecision &decision) = 0;
 };
 
 /// Keeps the version of each stream that this entry began, and shares it with some agents while a
@@ -25,11 +25,14 @@
     /// Returns all targets with agents.
     using EngineList = std::function<std::vector<const Target *>()>;
 
+    /// \param requestList Reads the list of targets; confirm() follows if that succeeds.
     /// \pre grantClient outlives this object.
-    StreamVersions(Metrics &counters, GrantClient &grantClient, EngineList listEngines)
+    StreamVersions(Metrics &counters, GrantClient &grantClient, EngineList listEngines,
+        std::function<void()> requestList)
         : metrics(counters)
         , grants(grantClient)
         , engines(std::move(listEngines))
+        , requestConfirmation(std::move(requestList))
     {
     }
 
@@ -43,30 +46,45 @@
     void recordBegan(std::uint64_t stream, const ServiceVersion &version, TimePoint now);
     /// Records that a stream has ended whole.
     void recordEnded(std::uint64_t stream) { this->origins.forget(stream); }
-    /// The version at which a stream began; empty when this entry doesn't know it and several
-    /// versions served lately.
-    std::optional<std::string> find(
-        std::uint64_t stream, const std::string &service, TimePoint now) const;
-    /// Asks the agents that may know a stream, also when they were asked before. The listener is
-    /// called until stopAsking() when one of them knows it, or all have answered that they don't.
-    void ask(std::uint64_t stream, StreamOriginListener &listener);
+    /// The version at which a stream began, if this entry saw it.
+    std::optional<std::string> find(std::uint64_t stream, TimePoint now) const
+    {
+        return this->origins.find(stream, now);
+    }
+    /// Asks the agents that may know a stream, also when they were asked before, and for the list
+    /// of targets. The listener is called once, unless stopAsking() is called before.
+    /// \param stream 0 when the caller doesn't name it; then only the list can tell.
+    void ask(std::uint64_t stream, const std::string &service, StreamOriginListener &listener);
+    /// Waits for no further answer: the listener is called.
+    void endWait(StreamOriginListener &listener);
     void stopAsking(StreamOriginListener &listener) { this->questions.erase(&listener); }
     /// Handles an agent's answer.
     void onAnswer(const GrantMessage &message, const boost::asio::ip::address &agent);
+    /// Records that the recent versions were set from answers to calls sent since a moment.
+    void confirm(TimePoint calledAt);
 
 private:
     struct Question
     {
         std::uint64_t stream = 0;
+        std::string service;
+        TimePoint askedAt;
         std::set<boost::asio::ip::address> unanswered;
+        OriginEvidence evidence; ///< But for answeredAgents and onlyVersion.
     };
     bool isShared(const std::string &service) const;
     void share(std::uint64_t stream, const std::string &version,
-        const std::vector<const Target *> &candidates);
+        const std::vector<const Target *> &targets);
+    /// Sends the question to all agents that may know the stream by the current list.
+    void queryAgents(Question &question);
+    OriginDecision decide(const Question &question) const;
+    /// Calls the listeners of the questions that can be decided.
+    void answerDecided();
 
     Metrics &metrics;
     GrantClient &grants;
     EngineList engines;
+    std::function<void()> requestConfirmation;
     std::set<ServiceVersion> recent;
     bool anyShared = false; ///< A service has several recent versions.
     std::optional<std::uint64_t> sharedTargetsVersion; ///< When all streams were shared last.
--- a/src/libversions/streamorigins.cpp
+++ b/src/libversions/streamorigins.cpp
@@ -47,6 +47,36 @@
     return result;
 }
 
+OriginDecision decideOrigin(const OriginEvidence &evidence)
+{
+    const auto known = [](const std::string &version, OriginSource source) {
+        return OriginDecision{ OriginVerdict::Known, version, source };
+    };
+    if (evidence.version) {
+        return known(*evidence.version, OriginSource::Agent);
+    }
+    const bool allAnswered = evidence.answeredAgents >= evidence.askedAgents;
+    if (!evidence.onlyVersion) {
+        // An older list names other agents than those that were told.
+        const bool isAnswered = allAnswered && evidence.isListConfirmed;
+        return { isAnswered || evidence.isTimeOver ? OriginVerdict::Unknown
+                                                   : OriginVerdict::Pending };
+    }
+    if (evidence.isListConfirmed) {
+        // Streams are shared for a time after the other versions have left.
+        const bool mayBeKept = evidence.areStreamsShared && !allAnswered && !evidence.isTimeOver;
+        return mayBeKept ? OriginDecision{} : known(*evidence.onlyVersion, OriginSource::List);
+    }
+    if (!evidence.isTimeOver) {
+        return {};
+    }
+    const bool mostAnswered
+        = evidence.answeredAgents > 0 && 2 * evidence.answeredAgents >= evidence.askedAgents;
+    return mostAnswered && !evidence.areStreamsShared
+        ? known(*evidence.onlyVersion, OriginSource::AgentsUnaware)
+        : OriginDecision{ OriginVerdict::Unknown };
+}
+
 std::uint64_t streamHash(std::string_view requestId)
 {
     return stableHash(requestId);
--- a/src/libversions/versionhistory_test.cpp
+++ b/src/libversions/versionhistory_test.cpp
@@ -54,6 +54,87 @@
     EXPECT_TRUE(history.outdated(later).empty());
 }
 
+/// Its target may join and end between two lists.
+TEST(VersionHistory, aVersionThatWasSeenBrieflyCounts)
+{
+    VersionHistory history;
+    history.recordListed({ makeTarget("1", "v1") }, start);
+    history.recordSeen(newVersion, start + seconds(1));
+    history.recordListed({ makeTarget("1", "v1") }, start + seconds(1));
+    EXPECT_EQ(onlyVersion(history.recent(start + seconds(2)), "engines"), std::nullopt);
+}
+
+/// What a process with one known version has learned of a stream that is taken up.
+OriginEvidence evidenceOfOneVersion(std::size_t answeredAgents)
+{
+    OriginEvidence result;
+    result.onlyVersion = "v1";
+    result.askedAgents = 4;
+    result.answeredAgents = answeredAgents;
+    return result;
+}
+
+/// ORDER: a process out of step trusted the only version of its older list.
+TEST(StreamOrigin, anOlderListIsNotTrusted)
+{
+    OriginEvidence evidence = evidenceOfOneVersion(4);
+    EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Pending);
+    evidence.isListConfirmed = true;
+    EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Known);
+    EXPECT_EQ(decideOrigin(evidence).version, "v1");
+    EXPECT_EQ(decideOrigin(evidence).source, OriginSource::List);
+}
+
+TEST(StreamOrigin, whatAnAgentKeepsGoesBeforeTheList)
+{
+    OriginEvidence evidence = evidenceOfOneVersion(1);
+    evidence.isListConfirmed = true;
+    evidence.version = "v2";
+    EXPECT_EQ(decideOrigin(evidence).version, "v2");
+    EXPECT_EQ(decideOrigin(evidence).source, OriginSource::Agent);
+}
+
+/// Other versions have left for longer than they count, or an agent still has to answer.
+TEST(StreamOrigin, agentsThatKeepStreamsAreWaitedForBesideAList)
+{
+    OriginEvidence evidence = evidenceOfOneVersion(3);
+    evidence.isListConfirmed = true;
+    evidence.areStreamsShared = true;
+    EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Pending);
+    evidence.answeredAgents = 4;
+    EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Known);
+}
+
+TEST(StreamOrigin, withoutTheStoreAgentsMustBeUnawareOfOtherVersions)
+{
+    OriginEvidence evidence = evidenceOfOneVersion(2);
+    evidence.isTimeOver = true;
+    EXPECT_EQ(decideOrigin(evidence).source, OriginSource::AgentsUnaware);
+    EXPECT_EQ(decideOrigin(evidence).version, "v1");
+    evidence.areStreamsShared = true;
+    EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Unknown);
+    for (const std::size_t answered : { 0U, 1U }) {
+        evidence = evidenceOfOneVersion(answered);
+        evidence.isTimeOver = true;
+        EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Unknown);
+    }
+}
+
+/// Agents of an older list may not be those that were told.
+TEST(StreamOrigin, isUnknownOnceTheAgentsOfANewListHaveAnswered)
+{
+    OriginEvidence evidence;
+    evidence.askedAgents = 4;
+    evidence.answeredAgents = 4;
+    EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Pending);
+    evidence.isListConfirmed = true;
+    EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Unknown);
+    evidence.answeredAgents = 3;
+    EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Pending);
+    evidence.isTimeOver = true;
+    EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Unknown);
+}
+
 TEST(StreamOrigins, areBoundedInTimeAndNumber)
 {
     StreamOrigins origins;
--- a/testsuite/joined-versions/run.py
+++ b/testsuite/joined-versions/run.py
@@ -20,6 +20,7 @@
 CALLERS = 12
 READ_S = 5.0  # Until the entry has read the targets' records, and written their versions.
 SHARED_S = 1.0  # Until agents know the streams that began.
+REPORT_S = 1.0  # Until an agent has read its engine's report.
 
 
 class Stream:
@@ -77,6 +78,15 @@
         deployment.store.remove("servers/" + former)
 
 
+def release_in_place(deployment, engines, version):
+    """Starts engines again under their ids, with another version."""
+    for engine in engines:
+        engine.born += 1000
+        engine.version = version
+        deployment.store.put("servers/" + engine.instance, dict(engine.instance_record(SERVICE), born=engine.born))
+    time.sleep(REPORT_S)
+
+
 def kill(node):
     node.popen.kill()
     node.popen.wait()
@@ -101,12 +111,17 @@
 
 
 def join_unseen(deployment, other, hide, show):
+    """As take_up_elsewhere(), where all engines have one version until then."""
+    set_versions(deployment, ["v1"] * 6)
+    return take_up_elsewhere(deployment, other, hide, show, release)
+
+
+def take_up_elsewhere(deployment, other, hide, show, replace):
     """Three engines of a new version join while hide keeps the other entry from learning of it.
 
     Streams begin at the first entry, which then ends; the other one is shown, and they are taken up there."""
-    set_versions(deployment, ["v1"] * 6)
     hide()
-    release(deployment, deployment.engines[3:], "v2")
+    replace(deployment, deployment.engines[3:], "v2")
     time.sleep(READ_S)
     streams = [Stream(deployment.entry, "/ask/slow") for _ in range(CALLERS)]
     wait_until(lambda: all(stream.last_event() >= 2 for stream in streams), "all streams have begun")
@@ -211,6 +226,20 @@
     check(others and all(again.status == 503 for again in others), "the others are refused as not run")
 
 
+def check_version_changed_under_an_id(deployment):
+    """As above; engines start again under their ids, with another version."""
+    set_versions(deployment, ["v1"] * 6)
+    release_in_place(deployment, deployment.engines, "v1")  # From now on the records name the start.
+    link = Link(Proxies(), "127.0.0.1", deployment.store.address, random.Random(1))
+    deployment.entry_settings.update(store=link.address, strictRevocation=False)
+    other = deployment.start_entry("cut-off", "127.0.0.2")
+    time.sleep(READ_S)
+    pairs = take_up_elsewhere(
+        deployment, other, lambda: link.blocked.update({"up", "down"}), lambda: None, release_in_place)
+    both = joined(deployment, pairs)
+    check(not both, "no stream goes on at another version (%d of %d joined)" % (len(both), CALLERS))
+
+
 def check_one_version_without_the_store(deployment):
     """One version serves, and the store is away: what the agents know suffices."""
     set_versions(deployment, ["v1"] * 6)
@@ -229,6 +258,7 @@
 
 for case in (check_one_answer, check_two_versions, check_old_version_gone, check_one_version, check_all_killed,
              check_joining_unseen_by_a_stopped_entry, check_joining_unseen_without_the_store,
+             check_version_changed_under_an_id,
              check_one_version_without_the_store):
     print(case.__name__)
     with tempfile.TemporaryDirectory() as folder:
