Engine signals: keys don't lapse while the case's store goes back twice

Seen: the case failed once in a run of all tests, with refusals 'API keys cannot be checked'. Played by hand, six at a time, 7 of 48 failed alike.

Cause: the store goes back twice within four seconds, and nobody writes the configuration again. An entry can confirm no configuration for two seconds after each, and with revocationMs 3000 it rightly refuses keys then; which of the two moments the entry's calls meet decided. Ruled out: streams that are taken up (none are), delayed timers (no line of one).

Change: this case, which is about signals of engines, has revocationMs 10000. What it checks stays; refusal of keys has cases of its own.

--- a/testsuite/engine-signals/run.py
+++ b/testsuite/engine-signals/run.py
@@ -10,6 +10,8 @@
 from platformdeployment import Client, Deployment
 
 DRAIN_S = 1.0  # drainMs of the entry: no request reaches a leaving engine later.
+# The store goes back twice within four seconds and its operator writes nothing again; keys must not lapse meanwhile.
+ENTRY_SETTINGS = {"revocationMs": 10_000}
 
 
 class Load:
@@ -221,7 +223,7 @@
 
 
 with tempfile.TemporaryDirectory() as folder_name:
-    with Deployment(pathlib.Path(folder_name)) as deployment:
+    with Deployment(pathlib.Path(folder_name), ENTRY_SETTINGS) as deployment:
         for case in (
             plain_service_leaves, engine_leaves, successor_is_used, store_says_leaving, quiet_service, all_quiet,
             quiet_engine,
