Answers without length: whole only if their target's process has not ended

Cause: an answer with neither length nor chunks ends with its connection, and the system of a process that is killed closes its connections in order. Behind an event nothing told that end from a whole one. Class: the end of a frame is taken for the end of what it holds.

Change: before such an answer of status 2xx ends, the entry connects to the target's address; where the machine refuses, the answer was broken off, and goes on elsewhere or fails. Targets that are known to leave are believed. Other answers are not touched.

Evidence: two tests of brokenstreams_test.cpp failed before.

--- a/src/libforward/brokenstreams_test.cpp
+++ b/src/libforward/brokenstreams_test.cpp
@@ -13,6 +13,12 @@
         : SentRequest(options)
     {
     }
+    /// The target's process ends. Its system closes the connection in order and refuses new ones.
+    void endTarget()
+    {
+        this->firstAgent->target.close();
+        this->closeInOrder();
+    }
     /// The target ends its answer by closing the connection, without a reset.
     void closeInOrder()
     {
@@ -80,6 +86,34 @@
     EXPECT_TRUE(this->received().starts_with("HTTP/1.1 502")) << this->receivedBytes;
 }
 
+/// A stream without length, of a process that was killed behind an event.
+TEST_F(ResumableStream, ofATargetThatEndedBehindAnEventIsResumed)
+{
+    this->write("HTTP/1.1 200 OK\r\n\r\n" + event(1));
+    this->endTarget();
+    ASSERT_NO_FATAL_FAILURE(this->resumeElsewhere());
+    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+    EXPECT_TRUE(this->complete);
+}
+
+TEST_F(StreamOfOneRun, ofATargetThatEndedBehindAnEventIsNotComplete)
+{
+    this->write("HTTP/1.1 200 OK\r\n\r\n" + event(1));
+    this->endTarget();
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+    EXPECT_TRUE(this->closed);
+}
+
+/// A target that is known to leave ends its process once it has answered.
+TEST_F(StreamOfOneRun, ofATargetThatLeavesAndEndsIsWhole)
+{
+    this->write("HTTP/1.1 200 OK\r\nTest-Leaving: 1\r\n\r\n" + event(1));
+    this->endTarget();
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_TRUE(this->complete);
+}
+
 /// A stream of another writer, whose lines end with CRLF.
 TEST_F(ResumableStream, withoutLengthAndWithCarriageReturnsIsWhole)
 {
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -174,6 +174,13 @@
     void onQueued(std::uint64_t reservation, const std::string &targetId) override;
     void onDeclined(std::uint64_t reservation, const std::string &targetId) override;
 
+    /// Whether the end of the answer may be that of the target's process: without length and
+    /// chunks, its system closes the connection as after a whole answer.
+    bool mayHaveBeenKilled() const;
+    /// Finishes the answer unless the target's machine refuses a connection.
+    void confirmEnd();
+    /// Gives the caller the end of a whole answer.
+    void finishAnswer();
     /// Relays a piece of the body that is no stream of events.
     void forwardBody(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -305,46 +305,6 @@
     return true;
 }
 
-void RequestFlow::onAnswerEnd()
-{
-    const auto self = this->shared_from_this();
-    if (this->attempt->endedWithinAnEvent()) {
-        this->onAnswerFailed(TargetFailure::Truncated);
-        return;
-    }
-    this->attempt->connection.reset();
-    this->state.closeIdleIfUnusable(this->attempt->target.id);
-    if (this->attempt->head.status < 400) {
-        this->recordLatencySample(); // A refused request tells nothing of the time of others.
-    }
-    if (this->attempt->head.status < 500) {
-        this->state.recordSuccess(this->attempt->target.id);
-    }
-    if (this->attempt->head.status < 300
-        && (!this->attempt->streaming || this->attempt->events.count() > 0)) {
-        this->recordAnswering();
-    } else if (this->attempt->head.status >= 300) {
-        this->state.crashes.recordRejected(this->suspect);
-    }
-    CallerConnection *answeredCaller = this->caller;
-    const std::string remainder
-        = this->attempt->streaming ? this->attempt->events.remainder() : this->attempt->body;
-    if (this->headSentToCaller) {
-        this->finish("answered", this->relayedHead.status, {});
-        answeredCaller->writeBody(remainder);
-        answeredCaller->endAnswer();
-        return;
-    }
-    this->relayedHead = this->attempt->head;
-    this->finish("answered", this->relayedHead.status, {});
-    HttpFields fields = this->relayedFields();
-    const std::string length(fieldValue(this->relayedHead.fields, "Content-Length"));
-    if (this->head.method == "HEAD" && !length.empty()) {
-        fields.push_back({ "Content-Length", length });
-    }
-    answeredCaller->respond(this->relayedHead.status, this->relayedHead.reason, fields, remainder);
-}
-
 void RequestFlow::onAnswerFailed(TargetFailure failure)
 {
     const auto self = this->shared_from_this();
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -33,6 +33,7 @@
 SOFTWARE_VERSIONS = ("v1", "v2")  # side by side in each service, in every other seed; in the others the second joins
 RELEASED_SHARE = 0.34  # of the engines, that one release replaces
 RELEASE_GAP_S = 0.3
+UNFRAMED_S = 0.4  # for which an engine answers without length before it is killed
 STORE_BYTES_PER_S = 800_000  # to each entry
 ENGINES_PER_HEARTBEAT = 24  # more engines write less often, which bounds the writes to the store
 UNLISTED_DRAIN_SHARE = 0.25  # of the drains, that the store never learns
@@ -354,6 +355,7 @@
             "back": self.go_back, "config": self.change_configuration, "revoke": self.change_configuration,
             "quota": self.change_configuration, "grow": self.change_configuration, "crashing-part": self.add_crashing_part,
             "limit": self.limit_engine, "crashing-request": self.add_crashing_request, "release": self.release,
+            "killed": self.kill_engine,
         }
         if fault.kind in methods:
             methods[fault.kind](fault)
@@ -462,6 +464,22 @@
             time.sleep(fault.for_s)
             self.begin_engine(engine, engine.instance, 0.5 * fault.amount)
 
+    def kill_engine(self, fault):
+        """Ends an engine in the middle of answers without length; its system closes the connections in order."""
+        engine, link = self.engines[fault.subject], self.links[fault.subject]
+        if engine.dark:
+            return
+        with self.disturbances.span(fault.subject, "killed"):
+            engine.fault, engine.fault_share = "unframed", 1.0
+            time.sleep(UNFRAMED_S)
+            engine.fault = None
+            link.refuse()
+            engine.dark = True
+            link.end_all()
+            time.sleep(fault.for_s)
+            link.listen_again()
+            self.begin_engine(engine, engine.instance, 0.5 * fault.amount)
+
     def end_by_part(self, engine):
         """Ends an engine that began to answer on a crashing part, and starts it again later."""
         engine.dark = True
--- a/testsuite/soak/link.py
+++ b/testsuite/soak/link.py
@@ -28,6 +28,10 @@
         self.writers = writers
         self.silenced = False
 
+    def end(self):
+        for writer in self.writers:
+            writer.close()
+
     def reset(self):
         for writer in self.writers:
             connected = writer.get_extra_info("socket")
@@ -111,6 +115,10 @@
     def reset_all(self):
         self.proxies.loop.call_soon_threadsafe(lambda: [each.reset() for each in list(self.connections)])
 
+    def end_all(self):
+        """The target's process ends: its system closes its connections in order, as far as they were sent."""
+        self.proxies.loop.call_soon_threadsafe(lambda: [each.end() for each in list(self.connections)])
+
     def silence_all(self):
         """Nothing passes on the connections of this moment any more; new ones work."""
         for connection in list(self.connections):
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -48,6 +48,7 @@
     "sizes": (0.08, {"operator": {"grow": (1, 0, 0)}}),
     "limits": (0.15, {"engine": {"limit": (2, 7, 14)}, "plain": {"limit": (1, 7, 14)}}),
     "releases": (0.12, {"engine": {"release": (1, 0, 0)}}),
+    "ends": (0.3, {"engine": {"killed": (2, 0.5, 2)}, "plain": {"killed": (1, 0.5, 2)}}),
     "heads": (0.15, {"engine": {"half-head": (2, 1, 4)}, "plain": {"half-head": (1, 1, 4)}}),
 }
 SORT_WEIGHTS = {"entry": 5, "agent": 3, "engine": 6, "plain": 3, "store": 2, "operator": 4}
