Taken-up streams are placed as the rest of a begun answer

Cause: a stream that is taken up can go on at the engines of one version only, and its request waited behind new ones: its worth fell once it was late, and it was refused after the wait of its route, a few hundred milliseconds. Within one answer the rest of a stream is placed otherwise.

Change: such a request keeps its worth when it is late, and waits for room for two seconds at least, which callers of a stream allow.

--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -24,6 +24,8 @@
         request.id = id.empty() ? "request-1" : id;
         request.promptTokens = 100;
         request.hasCondition = !fieldValue(head.fields, "Test-Condition").empty();
+        request.lastEventId = fieldValue(head.fields, "Test-Last-Event");
+        request.resumedRequest = fieldValue(head.fields, "Test-Resumes");
         const std::string deadline(fieldValue(head.fields, "Test-Deadline-Ms"));
         if (!deadline.empty()) {
             request.deadline = milliseconds(std::stoi(deadline));
--- a/src/libforward/requestflow.cpp
+++ b/src/libforward/requestflow.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// For which callers wait at least for the rest of a stream of which they have a part.
+constexpr Duration callersPatience = seconds(2);
+
 std::string fractionalSeconds(Duration duration)
 {
     const auto ms = std::chrono::duration_cast<milliseconds>(duration).count();
@@ -213,6 +216,16 @@
     }
 }
 
+Duration RequestFlow::waitEnd(Duration start) const
+{
+    const WaitPolicy &policy = this->state.settings.wait;
+    const auto byObjective = std::chrono::duration_cast<Duration>(
+        this->route->latencyObjective * policy.objectiveShare);
+    const auto byLimit = std::chrono::duration_cast<Duration>(this->timeLimit * policy.limitShare);
+    const Duration byCaller = this->takesUpStream() ? callersPatience : Duration::zero();
+    return std::min(this->timeLimit, start + std::max({ byObjective, byLimit, byCaller }));
+}
+
 void RequestFlow::place()
 {
     if (this->refuseIfHeld()) {
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -57,6 +57,8 @@
     bool checkQuota();
 
     void placeRequest();
+    /// Whether the caller asks for the rest of a stream that another answer began.
+    bool takesUpStream() const;
     /// Finds the version at which a stream began that the caller takes up. Returns false when it is
     /// not known yet.
     bool settleStreamVersion();
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -25,15 +25,6 @@
 
 } // namespace
 
-Duration RequestFlow::waitEnd(Duration start) const
-{
-    const WaitPolicy &policy = this->state.settings.wait;
-    const auto byObjective = std::chrono::duration_cast<Duration>(
-        this->route->latencyObjective * policy.objectiveShare);
-    const auto byLimit = std::chrono::duration_cast<Duration>(this->timeLimit * policy.limitShare);
-    return std::min(this->timeLimit, start + std::max(byObjective, byLimit));
-}
-
 double RequestFlow::requestSize() const
 {
     return generationSize(this->request.promptTokens, this->request.estimatedOutputTokens());
@@ -66,6 +57,10 @@
         result.outputTokens = std::max(result.outputTokens, generated + 1) - generated;
         result.lateShare = 1;
         result.latencyLeft = this->route->eventGapObjective - (currentTime() - this->lastEventAt);
+    } else if (this->takesUpStream()) {
+        // As above; the caller has a part of it from an earlier answer.
+        result.lateShare = 1;
+        result.latencyLeft = this->route->eventGapObjective - this->elapsed();
     }
     result.waitLeft = this->maximumWait - this->elapsed();
     result.timeLeft = this->timeLeft();
--- a/src/libforward/requestversions.cpp
+++ b/src/libforward/requestversions.cpp
@@ -28,11 +28,15 @@
 
 } // namespace
 
-bool RequestFlow::settleStreamVersion()
+bool RequestFlow::takesUpStream() const
 {
-    const bool takesUp = this->service->isEngine && this->route->routeType == RouteType::Stream
+    return this->service->isEngine && this->route->routeType == RouteType::Stream
         && !this->request.lastEventId.empty();
-    if (!takesUp) {
+}
+
+bool RequestFlow::settleStreamVersion()
+{
+    if (!this->takesUpStream()) {
         return true;
     }
     this->streamVersion
--- /dev/null
+++ b/src/libforward/takenupstreams_test.cpp
@@ -0,0 +1,66 @@
+/// \file takenupstreams_test.cpp
+/// Tests of streams whose callers have a part of them, with agents that act only when told to.
+#include "entryfixture.h"
+
+namespace wigeonsill {
+namespace {
+
+class TakenUpStream : public Reservations
+{
+protected:
+    TakenUpStream()
+        : Reservations({ .waitShare = 0.2, .resumable = true })
+        , caller(this->io)
+    {
+        this->entry->setTargetsConfirmationHandler([this] { ++this->readsWanted; });
+    }
+    void takeUp()
+    {
+        this->sendRequest(
+            this->caller, "HTTP/1.1", "Test-Last-Event: 3\r\nTest-Resumes: request-0\r\n");
+        this->runFor(milliseconds(50));
+    }
+    /// Takes a stream up, and has the list of targets read since.
+    ReservationProfile reserve()
+    {
+        this->takeUp();
+        this->entry->confirmTargets(currentTime());
+        return this->nextMessage(GrantKind::Reserve).second.profile;
+    }
+
+    asio::ip::tcp::socket caller;
+    int readsWanted = 0;
+};
+
+/// ORDER: an entry with an older list went on at the only version that it knew.
+TEST_F(TakenUpStream, isNotSentByAListFromBeforeItCame)
+{
+    const TimePoint before = currentTime();
+    this->takeUp();
+    EXPECT_EQ(this->readsWanted, 1);
+    this->entry->confirmTargets(before);
+    this->runFor(milliseconds(50));
+    for (const auto &agent : this->agents) {
+        EXPECT_FALSE(agent->receive(GrantKind::Reserve));
+    }
+    this->entry->confirmTargets(currentTime());
+    this->nextMessage(GrantKind::Reserve);
+}
+
+/// LOST: callers that had a part of their stream waited behind those that had nothing.
+TEST_F(TakenUpStream, isWaitedForAsTheRestOfAnAnswer)
+{
+    const ReservationProfile profile = this->reserve();
+    EXPECT_EQ(profile.lateShare, 1) << "its caller would lose what it has";
+    EXPECT_GT(profile.waitLeft, milliseconds(1'500));
+}
+
+TEST_F(Reservations, ofANewStreamWaitAsLongAsItsRouteSays)
+{
+    asio::ip::tcp::socket caller(this->io);
+    this->sendRequest(caller);
+    EXPECT_LT(this->nextMessage(GrantKind::Reserve).second.profile.lateShare, 1);
+}
+
+} // namespace
+} // namespace wigeonsill
