Taken-up streams wait for the list that names their version

Cause: an agent names a version that the entry has not listed yet, and the request was placed at once: no target of the service is known, although the list with them is being read.

Change: such a version counts as known once the list was read, or the time is over. Besides, an agent's answer decides the questions that it belongs to only; each used to decide all, whose cost grows with their square.

The new case of versionhistory_test is aVersionThatIsNotListedYetIsWaitedFor.

--- a/src/include/wigeonsill/versions.h
+++ b/src/include/wigeonsill/versions.h
@@ -96,6 +96,7 @@
 struct OriginEvidence
 {
     std::optional<std::string> version; ///< At which it began, as an agent keeps it.
+    bool isVersionListed = false; ///< The process knows that version.
     std::optional<std::string> onlyVersion; ///< That served lately, as far as the process knows.
     bool isListConfirmed = false; ///< The versions were read since the stream was taken up.
     /// An agent was told of streams lately, as entries do that know several versions.
--- a/src/libforward/streamversions.cpp
+++ b/src/libforward/streamversions.cpp
@@ -113,21 +113,22 @@
     OriginEvidence evidence = question.evidence;
     evidence.answeredAgents = evidence.askedAgents - question.unanswered.size();
     evidence.onlyVersion = onlyVersion(this->recent, question.service);
+    evidence.isVersionListed
+        = evidence.version && this->recent.contains({ question.service, *evidence.version });
     return decideOrigin(evidence);
 }
 
-void StreamVersions::answerDecided()
+void StreamVersions::answerDecided(const Listeners &listeners)
 {
-    std::vector<std::pair<StreamOriginListener *, OriginDecision>> decided;
-    for (const auto &[listener, question] : this->questions) {
-        OriginDecision decision = this->decide(question);
-        if (decision.verdict != OriginVerdict::Pending) {
-            decided.emplace_back(listener, std::move(decision));
-        }
-    }
-    for (const auto &[listener, decision] : decided) {
+    for (StreamOriginListener *listener : listeners) {
         // An earlier listener may have ended this one.
-        if (this->questions.erase(listener) > 0) {
+        const auto found = this->questions.find(listener);
+        if (found == this->questions.end()) {
+            continue;
+        }
+        const OriginDecision decision = this->decide(found->second);
+        if (decision.verdict != OriginVerdict::Pending) {
+            this->questions.erase(found);
             listener->onStreamOrigin(decision);
         }
     }
@@ -138,44 +139,44 @@
     const auto found = this->questions.find(&listener);
     if (found != this->questions.end()) {
         found->second.evidence.isTimeOver = true;
-        this->answerDecided();
+        this->answerDecided({ &listener });
     }
 }
 
 void StreamVersions::confirm(TimePoint calledAt)
 {
+    Listeners confirmed;
     for (auto &[listener, question] : this->questions) {
-        if (!question.evidence.isListConfirmed && question.askedAt <= calledAt) {
-            question.evidence.isListConfirmed = true;
-            if (this->isShared(question.service)) {
-                this->queryAgents(question);
-            }
+        if (question.evidence.isListConfirmed || question.askedAt > calledAt) {
+            continue;
+        }
+        confirmed.push_back(listener);
+        question.evidence.isListConfirmed = true;
+        if (this->isShared(question.service)) {
+            this->queryAgents(question);
         }
     }
-    this->answerDecided();
+    this->answerDecided(confirmed);
 }
 
 void StreamVersions::onAnswer(const GrantMessage &message, const boost::asio::ip::address &agent)
 {
-    bool isExpected = false;
+    Listeners answered;
     for (auto &[listener, question] : this->questions) {
         if (question.stream != message.stream || question.unanswered.erase(agent) == 0) {
             continue;
         }
-        isExpected = true;
+        answered.push_back(listener);
         OriginEvidence &evidence = question.evidence;
         evidence.areStreamsShared = evidence.areStreamsShared || message.areStreamsShared;
         if (message.isStreamKnown) {
             evidence.version = message.version;
         }
     }
-    if (!isExpected) {
-        return;
-    }
-    if (message.isStreamKnown) {
+    if (message.isStreamKnown && !answered.empty()) {
         this->origins.record(message.stream, message.version, currentTime());
     }
-    this->answerDecided();
+    this->answerDecided(answered);
 }
 
 } // namespace wigeonsill
--- a/src/libforward/streamversions.h
+++ b/src/libforward/streamversions.h
@@ -70,7 +70,7 @@
         std::string service;
         TimePoint askedAt;
         std::set<boost::asio::ip::address> unanswered;
-        OriginEvidence evidence; ///< But for answeredAgents and onlyVersion.
+        OriginEvidence evidence; ///< But for what follows from other members.
     };
     bool isShared(const std::string &service) const;
     void share(std::uint64_t stream, const std::string &version,
@@ -78,8 +78,9 @@
     /// Sends the question to all agents that may know the stream by the current list.
     void queryAgents(Question &question);
     OriginDecision decide(const Question &question) const;
-    /// Calls the listeners of the questions that can be decided.
-    void answerDecided();
+    using Listeners = std::vector<StreamOriginListener *>;
+    /// Calls those whose questions can be decided.
+    void answerDecided(const Listeners &listeners);
 
     Metrics &metrics;
     GrantClient &grants;
--- a/src/libversions/streamorigins.cpp
+++ b/src/libversions/streamorigins.cpp
@@ -53,7 +53,10 @@
         return OriginDecision{ OriginVerdict::Known, version, source };
     };
     if (evidence.version) {
-        return known(*evidence.version, OriginSource::Agent);
+        // The targets of a version that joined just now are in the list that is being read.
+        const bool isUsable
+            = evidence.isVersionListed || evidence.isListConfirmed || evidence.isTimeOver;
+        return isUsable ? known(*evidence.version, OriginSource::Agent) : OriginDecision{};
     }
     const bool allAnswered = evidence.answeredAgents >= evidence.askedAgents;
     if (!evidence.onlyVersion) {
--- a/src/libversions/versionhistory_test.cpp
+++ b/src/libversions/versionhistory_test.cpp
@@ -85,6 +85,19 @@
     EXPECT_EQ(decideOrigin(evidence).source, OriginSource::List);
 }
 
+/// Its targets are in the list that is being read.
+TEST(StreamOrigin, aVersionThatIsNotListedYetIsWaitedFor)
+{
+    OriginEvidence evidence = evidenceOfOneVersion(4);
+    evidence.version = "v2";
+    EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Pending);
+    evidence.isVersionListed = true;
+    EXPECT_EQ(decideOrigin(evidence).version, "v2");
+    evidence.isVersionListed = false;
+    evidence.isTimeOver = true;
+    EXPECT_EQ(decideOrigin(evidence).version, "v2");
+}
+
 TEST(StreamOrigin, whatAnAgentKeepsGoesBeforeTheList)
 {
     OriginEvidence evidence = evidenceOfOneVersion(1);
