--- a/testsuite/soak/link.py
+++ b/testsuite/soak/link.py
@@ -57,6 +57,8 @@
         self.bytes_per_s = None  # of each connection, down from the target; None without a limit
         self.split = False
         self.dark = False
+        self.refusals = 0  # faults of this moment that refuse connections
+        self.lock = threading.Lock()
         self.connections = set()
         self.server = proxies.call(asyncio.start_server(self.accept, host, 0))
         self.address = "%s:%d" % self.server.sockets[0].getsockname()
@@ -106,11 +108,18 @@
 
     def refuse(self):
         """Connections are refused from now on, as by a machine whose process has ended."""
-        self.proxies.loop.call_soon_threadsafe(self.server.close)
+        with self.lock:
+            self.refusals += 1
+            if self.refusals == 1:
+                self.proxies.loop.call_soon_threadsafe(self.server.close)
 
     def listen_again(self):
+        """Ends one refuse(); connections are accepted once all have ended."""
         host, port = self.address.split(":")
-        self.server = self.proxies.call(asyncio.start_server(self.accept, host, int(port)))
+        with self.lock:
+            self.refusals -= 1
+            if self.refusals == 0:
+                self.server = self.proxies.call(asyncio.start_server(self.accept, host, int(port)))
 
     def reset_all(self):
         self.proxies.loop.call_soon_threadsafe(lambda: [each.reset() for each in list(self.connections)])
