Broken streams: the test of an ended target answers reservations at once

Cause: the test let 50 ms pass before its agents answered, and an entry that gets no answer for 60 ms sends past the silent agents, to another target than the test waits at. Change: the target's end no longer takes that time; the two tests without a resumption run on for 100 ms instead. What they check is the same.

--- a/src/libforward/brokenstreams_test.cpp
+++ b/src/libforward/brokenstreams_test.cpp
@@ -17,7 +17,7 @@
     void endTarget()
     {
         this->firstAgent->target.close();
-        this->closeInOrder();
+        this->connection.shutdown(asio::ip::tcp::socket::shutdown_send);
     }
     /// The target ends its answer by closing the connection, without a reset.
     void closeInOrder()
@@ -100,6 +100,7 @@
 {
     this->write("HTTP/1.1 200 OK\r\n\r\n" + event(1));
     this->endTarget();
+    this->runFor(milliseconds(100));
     EXPECT_EQ(this->receivedBody(), event(1));
     EXPECT_FALSE(this->complete);
     EXPECT_TRUE(this->closed);
@@ -110,6 +111,7 @@
 {
     this->write("HTTP/1.1 200 OK\r\nTest-Leaving: 1\r\n\r\n" + event(1));
     this->endTarget();
+    this->runFor(milliseconds(100));
     EXPECT_EQ(this->receivedBody(), event(1));
     EXPECT_TRUE(this->complete);
 }
