Names and one place for a counter: reads of the list, probes of targets

Cause: EntryState::confirmTargets asked for a read, while the public method of that name records one; the parameter and the member for it in StreamVersions had two more names. Both callers of TargetPool::probe() counted the same metric.

Behaviour stays as it is, and the metric still counts each probe once.

--- a/src/libforward/answerend.cpp
+++ b/src/libforward/answerend.cpp
@@ -31,7 +31,6 @@
 void RequestFlow::confirmEnd()
 {
     this->attempt->readingPaused = false;
-    this->state.metrics.count("wigeonsill_target_probes_total");
     this->state.pool.probe(this->attempt->target,
         [weak = this->weak_from_this(), sentAt = this->attempt->sentAt](bool refused) {
             const std::shared_ptr<RequestFlow> flow = weak.lock();
--- a/src/libforward/crashwatch.cpp
+++ b/src/libforward/crashwatch.cpp
@@ -119,7 +119,6 @@
     if (!this->probedTargets.insert(target.id).second) {
         return;
     }
-    this->metrics.count("wigeonsill_target_probes_total");
     this->grantClient.queryTarget(target);
     this->queries[target.id] = { target, currentTime() };
     this->pool.probe(target, [this, id = target.id](bool refused) {
--- a/src/libforward/entrystate.cpp
+++ b/src/libforward/entrystate.cpp
@@ -41,8 +41,8 @@
     , streamVersions(
           metricsIn, this->grantClient, [this] { return this->engines(); },
           [this] {
-              if (this->confirmTargets) {
-                  this->confirmTargets();
+              if (this->readTargetsFromNow) {
+                  this->readTargetsFromNow();
               }
           })
     , crashes(metricsIn, logIn, this->pool, this->grantClient)
--- a/src/libforward/entrystate.h
+++ b/src/libforward/entrystate.h
@@ -82,7 +82,7 @@
     /// Incremented when a target is added or starts or stops being usable.
     std::uint64_t targetsVersion = 0;
     std::function<void()> refreshTargets; ///< Re-reads the list of targets.
-    std::function<void()> confirmTargets; ///< As above, by a call that begins from now on.
+    std::function<void()> readTargetsFromNow; ///< As above, by a call that begins from now on.
     std::shared_ptr<const ServingConfiguration> configuration;
     std::optional<Duration> configurationConfirmedAt; ///< On the boot clock.
     Duration targetsReadAt = {}; ///< On the boot clock.
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -315,7 +315,7 @@
 
 void ForwardEntry::setTargetsConfirmationHandler(std::function<void()> read)
 {
-    this->d->state.confirmTargets = std::move(read);
+    this->d->state.readTargetsFromNow = std::move(read);
 }
 
 void ForwardEntry::confirmTargets(TimePoint calledAt)
--- a/src/libforward/streamversions.cpp
+++ b/src/libforward/streamversions.cpp
@@ -90,8 +90,8 @@
         question.askedAt = currentTime();
     }
     this->queryAgents(question);
-    if (isNew && this->requestConfirmation) {
-        this->requestConfirmation();
+    if (isNew) {
+        this->readList();
     }
 }
 
--- a/src/libforward/streamversions.h
+++ b/src/libforward/streamversions.h
@@ -25,14 +25,14 @@
     /// Returns all targets with agents.
     using EngineList = std::function<std::vector<const Target *>()>;
 
-    /// \param requestList Reads the list of targets; confirm() follows if that succeeds.
+    /// \param readListFromNow Reads the list of targets; confirm() follows if that succeeds.
     /// \pre grantClient outlives this object.
     StreamVersions(Metrics &counters, GrantClient &grantClient, EngineList listEngines,
-        std::function<void()> requestList)
+        std::function<void()> readListFromNow)
         : metrics(counters)
         , grants(grantClient)
         , engines(std::move(listEngines))
-        , requestConfirmation(std::move(requestList))
+        , readList(std::move(readListFromNow))
     {
     }
 
@@ -85,7 +85,7 @@
     Metrics &metrics;
     GrantClient &grants;
     EngineList engines;
-    std::function<void()> requestConfirmation;
+    std::function<void()> readList;
     std::set<ServiceVersion> recent;
     bool anyShared = false; ///< A service has several recent versions.
     std::optional<std::uint64_t> sharedTargetsVersion; ///< When all streams were shared last.
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -90,6 +90,7 @@
 
 void TargetPool::probe(const Target &target, std::function<void(bool refused)> handler)
 {
+    this->d->metrics.count("wigeonsill_target_probes_total");
     const auto endpoint = parseEndpoint(target.address);
     const auto socket = std::make_shared<asio::ip::tcp::socket>(this->d->io);
     const auto timeout = std::make_shared<asio::steady_timer>(this->d->io, connectTimeout);
