HTTP: one reader of messages for entry, agent and calls

The entry read answers with its own parser class and HttpExchange, which agents, wigeonsillctl and the load program use, with another one; each had to decide by itself what is an answer and when its body is complete. MessageReader is now part of libhttp with its tests and its fuzz target, and HttpExchange reads by it. AnswerReader::consumeEnd() is told how the connection ended. Callers report an orderly end as before, so that nothing changes but that a malformed answer to HttpExchange is MessageMalformed instead of ConnectionClosed, and that its chunk headers are bounded.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -73,21 +73,6 @@
 // ---------------------------------------------------------------------------------------------
 // Wire format
 
-/// Head of a received HTTP/1.1 message.
-struct MessageHead
-{
-    std::string method; ///< Requests only.
-    std::string target; ///< Path and query; requests only.
-    int status = 0; ///< Answers only.
-    std::string reason;
-    int httpVersion = 11; ///< 10 or 11.
-    HttpFields fields;
-    bool chunked = false;
-    std::optional<std::uint64_t> length;
-    bool endsAtClose = false; ///< The answer's body ends when the connection is closed.
-    bool keepAlive = true;
-};
-
 /// What an answer states of the requests a second that its target takes from all processes
 /// together.
 struct StatedRate
--- a/src/include/wigeonsill/http.h
+++ b/src/include/wigeonsill/http.h
@@ -71,6 +71,88 @@
 Result<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
 std::string toString(const boost::asio::ip::tcp::endpoint &endpoint);
 
+// ---------------------------------------------------------------------------------------------
+// Messages
+
+/// Head of a received HTTP/1.1 message.
+struct MessageHead
+{
+    std::string method; ///< Requests only.
+    std::string target; ///< Path and query; requests only.
+    int status = 0; ///< Answers only.
+    std::string reason;
+    int httpVersion = 11; ///< 10 or 11.
+    HttpFields fields;
+    bool chunked = false;
+    std::optional<std::uint64_t> length;
+    bool endsAtClose = false; ///< The answer's body ends when the connection is closed.
+    bool keepAlive = true;
+};
+
+/// How a connection ended.
+enum class ConnectionEnd : std::uint8_t {
+    Orderly, ///< The peer closed its side, and no operation failed before.
+    Broken, ///< An operation failed, for instance because of a reset.
+};
+/// Classifies the end that a read has found. The system reports the failure of a connection to one
+/// operation only: behind a failed write, a read of a connection that was reset finds an orderly
+/// end. Thread-safe.
+/// \param writeError Of the last write on the connection; no error if none failed.
+ConnectionEnd classifyEnd(
+    const boost::system::error_code &readError, const boost::system::error_code &writeError);
+
+/// Reads one HTTP/1.1 message from pieces of any size. Body bytes accumulate in body() until the
+/// owner removes them. Not thread-safe.
+class MessageReader
+{
+public:
+    /// Largest chunk header with its extensions, and largest trailers, in bytes. Both are waited
+    /// for whole; targets send a few hundred bytes at most.
+    static constexpr std::size_t chunkFramingLimit = 16'384;
+
+    MessageReader(const MessageReader &) = delete;
+    MessageReader &operator=(const MessageReader &) = delete;
+
+    /// Parses as much as possible and returns the number of bytes consumed. Those of an incomplete
+    /// line of a head, or chunk header, are not consumed and have to be passed again together with
+    /// further bytes. Errors: those of Beast's http::error; header_limit and body_limit are those
+    /// of the constructor, buffer_overflow that of chunkFramingLimit.
+    std::size_t consume(std::string_view bytes, boost::system::error_code &error);
+    bool isHeadComplete() const;
+    bool isComplete() const;
+    /// \pre isHeadComplete().
+    const MessageHead &head() const;
+    std::string &body();
+
+    struct Parser;
+
+protected:
+    explicit MessageReader(std::unique_ptr<Parser> messageParser);
+    ~MessageReader();
+
+    std::unique_ptr<Parser> parser;
+};
+
+class RequestReader : public MessageReader
+{
+public:
+    /// \param headerLimit Largest head. \param bodyLimit Largest body. Both in bytes.
+    RequestReader(std::uint32_t headerLimit, std::uint64_t bodyLimit);
+};
+
+class AnswerReader : public MessageReader
+{
+public:
+    /// \param headerLimit Largest head. \param bodyLimit Largest body. Both in bytes.
+    AnswerReader(std::uint32_t headerLimit, std::uint64_t bodyLimit);
+
+    /// States that the answer has no body whatever its fields say. \pre nothing was consumed.
+    void expectNoBody();
+    /// Reports the end of the connection. A body with neither length nor chunks is complete after
+    /// an orderly end, and only then. Errors: partial_message when the answer is not complete.
+    void consumeEnd(ConnectionEnd end, boost::system::error_code &error);
+};
+
 // ---------------------------------------------------------------------------------------------
 // Server
 
@@ -222,11 +304,11 @@
     /// \pre connect() succeeded.
     boost::asio::awaitable<Result<void>> send(HttpRequest request, Duration timeout);
     /// Reads the status and the header fields. Interim heads (1xx) are skipped. Errors:
-    /// ConnectionClosed; MessageMalformed after too many interim heads or an unasked switch of
+    /// ConnectionClosed; MessageMalformed also after too many interim heads or an unasked switch of
     /// protocols. \pre send() succeeded.
     boost::asio::awaitable<Result<HttpHead>> readHead(Duration timeout);
     /// Reads the next part of the body; empty at its end. Errors: ConnectionClosed, also when the
-    /// connection ends before the body is complete. \pre readHead() succeeded.
+    /// connection ends before the body is complete; MessageMalformed. \pre readHead() succeeded.
     boost::asio::awaitable<Result<std::string>> readSome(Duration timeout);
     /// Closes the connection; a pending operation fails.
     void close();
--- a/src/libforward/answerbytes_test.cpp
+++ b/src/libforward/answerbytes_test.cpp
@@ -1132,7 +1132,7 @@
     }
     if (error == asio::error::eof) {
         error_code endError;
-        this->reader->consumeEnd(endError);
+        this->reader->consumeEnd(ConnectionEnd::Orderly, endError);
     }
     this->noteProgress();
     this->finishAnswer();
--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "grantmessage.h"
-#include "messagereader.h"
 #include "wigeonsill/forward.h"
 
 #include <gtest/gtest.h>
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -264,7 +264,7 @@
     error_code endError;
     const bool cleanEnd = error == asio::error::eof;
     if (cleanEnd && this->headReceived && !this->skippingAnswer) {
-        this->reader->consumeEnd(endError);
+        this->reader->consumeEnd(ConnectionEnd::Orderly, endError);
         if (!endError && this->reader->isComplete()) {
             this->reusable = false;
             this->finish(false);
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -2,7 +2,7 @@
 /// Persistent connections to targets. Each carries one request and its answer at a time.
 #pragma once
 
-#include "messagereader.h"
+#include "wigeonsill/forward.h"
 
 namespace wigeonsill {
 
--- a/src/libhttp/httpexchange.cpp
+++ b/src/libhttp/httpexchange.cpp
@@ -4,10 +4,11 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <limits>
+
 namespace wigeonsill {
 
 namespace asio = boost::asio;
@@ -18,8 +19,9 @@
 namespace {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t bodyPartSize = 65'536;
+constexpr std::size_t readSize = 65'536;
 constexpr std::uint32_t maximumHeaderBytes = 65'536;
+constexpr std::uint64_t unlimited = std::numeric_limits<std::uint64_t>::max();
 /// Number of interim (1xx) heads that are skipped before the answer's own.
 constexpr int maximumInterimHeads = 16;
 constexpr int firstFinalStatus = 200;
@@ -43,18 +45,45 @@
     /// Forgets the head that was read, if any.
     void beginAnswer()
     {
-        this->parser.emplace();
-        this->parser->header_limit(maximumHeaderBytes);
-        this->parser->body_limit(boost::none);
-        this->parser->skip(this->isHeadRequest);
+        this->reader = std::make_unique<AnswerReader>(maximumHeaderBytes, unlimited);
+        if (this->isHeadRequest) {
+            this->reader->expectNoBody();
+        }
+    }
+    /// Parses what was received. Errors: MessageMalformed.
+    Result<void> parse()
+    {
+        error_code error;
+        this->received.erase(0, this->reader->consume(this->received, error));
+        if (error) {
+            return Error{ ResultCode::MessageMalformed, error.message() };
+        }
+        return boost::outcome_v2::success();
+    }
+    /// Receives and parses further bytes, or the end of the connection. Errors: ConnectionClosed
+    /// when the answer cannot be completed; MessageMalformed.
+    asio::awaitable<Result<void>> receive()
+    {
+        auto [error, size] = co_await this->stream.async_read_some(
+            asio::buffer(this->readBuffer.get(), readSize), useTuple);
+        if (!error) {
+            this->received.append(this->readBuffer.get(), size);
+            co_return this->parse();
+        }
+        error_code endError;
+        this->reader->consumeEnd(classifyEnd(error, {}), endError);
+        if (endError) {
+            co_return closedError(error == asio::error::eof ? endError : error);
+        }
+        co_return boost::outcome_v2::success();
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::string received; ///< Not parsed yet.
+    std::unique_ptr<AnswerReader> reader;
     bool isHeadRequest = false;
-    /// Read buffer for the body. Not initialised: most reads return a few hundred bytes only.
-    std::unique_ptr<char[]> bodyPart = std::make_unique_for_overwrite<char[]>(bodyPartSize);
+    /// Not initialised: most reads return a few hundred bytes only.
+    std::unique_ptr<char[]> readBuffer = std::make_unique_for_overwrite<char[]>(readSize);
 };
 
 HttpExchange::HttpExchange(asio::io_context &context)
@@ -82,7 +111,7 @@
     http::request<http::string_body> message;
     message.method_string(request.method);
     this->d->isHeadRequest = message.method() == http::verb::head;
-    this->d->parser->skip(this->d->isHeadRequest);
+    this->d->beginAnswer();
     message.target(request.target);
     message.version(11);
     for (const HttpField &field : request.fields) {
@@ -107,22 +136,19 @@
 {
     this->d->stream.expires_after(timeout);
     for (int heads = 0; heads <= maximumInterimHeads; ++heads) {
-        auto [error, size] = co_await http::async_read_header(
-            this->d->stream, this->d->buffer, *this->d->parser, useTuple);
-        if (error) {
-            co_return closedError(error);
+        Result<void> received = this->d->parse();
+        while (received && !this->d->reader->isHeadComplete()) {
+            received = co_await this->d->receive();
+        }
+        if (!received) {
+            co_return received.error();
         }
-        HttpHead head;
-        head.status = static_cast<int>(this->d->parser->get().result_int());
+        const MessageHead &head = this->d->reader->head();
         if (head.status == statusSwitchingProtocols) {
             co_return Error{ ResultCode::MessageMalformed, "the protocol was switched unasked" };
         }
         if (head.status >= firstFinalStatus) {
-            for (const auto &field : this->d->parser->get()) {
-                head.fields.push_back(
-                    { std::string(field.name_string()), std::string(field.value()) });
-            }
-            co_return head;
+            co_return HttpHead{ head.status, head.fields };
         }
         this->d->beginAnswer();
     }
@@ -131,19 +157,14 @@
 
 asio::awaitable<Result<std::string>> HttpExchange::readSome(Duration timeout)
 {
-    std::size_t size = 0;
-    while (size == 0 && !this->d->parser->is_done()) {
-        this->d->parser->get().body().data = this->d->bodyPart.get();
-        this->d->parser->get().body().size = bodyPartSize;
+    while (this->d->reader->body().empty() && !this->d->reader->isComplete()) {
         this->d->stream.expires_after(timeout);
-        auto [error, consumed] = co_await http::async_read_some(
-            this->d->stream, this->d->buffer, *this->d->parser, useTuple);
-        size = bodyPartSize - this->d->parser->get().body().size;
-        if (error && error != http::error::need_buffer) {
-            co_return closedError(error);
+        const Result<void> received = co_await this->d->receive();
+        if (!received) {
+            co_return received.error();
         }
     }
-    co_return std::string(this->d->bodyPart.get(), size);
+    co_return std::exchange(this->d->reader->body(), {});
 }
 
 void HttpExchange::close()
--- a/src/libforward/messagereader_fuzz.cpp
+++ b/src/libhttp/messagereader_fuzz.cpp
@@ -1,7 +1,7 @@
 /// \file messagereader_fuzz.cpp
 /// Fuzz target: HTTP messages of callers and targets. A whole message must not depend on the pieces
 /// in which the bytes come.
-#include "messagereader.h"
+#include "wigeonsill/http.h"
 
 #include "fuzz/fuzztarget.h"
 
--- a/src/libforward/messagereader_test.cpp
+++ b/src/libhttp/messagereader_test.cpp
@@ -1,7 +1,8 @@
 /// \file messagereader_test.cpp
 /// Tests of the limits on what is read of a message.
-#include "messagereader.h"
+#include "wigeonsill/http.h"
 
+#include <boost/beast/http/error.hpp>
 #include <gtest/gtest.h>
 
 #include <functional>
@@ -10,7 +11,7 @@
 namespace {
 
 using boost::beast::http::error;
-using ErrorCode = boost::beast::error_code;
+using ErrorCode = boost::system::error_code;
 
 constexpr std::size_t headLimit = 65'536;
 constexpr std::size_t bodyLimit = 1'048'576;
