Answers whose status is none of the protocol reach no caller

What callers saw: an engine in trouble answered with status 000; its caller got "HTTP/1.1 0" with the body, which its own parser may refuse or not. With a second head behind it, a status below 100 was dropped like an interim head on the product's own interface, and the answer behind it was relayed.

Cause: the parser takes any three digits as a status, and nothing after it says which ones are an answer. The entry asked for a target's signature from 200 on and skipped 100 to 199; everything below was relayed. HttpExchange skipped all below 200. A switch of protocols was refused by HttpExchange only.

Change: checkAnswerHead() in libhttp says what a sound head is, as a table of rules, for all readers of answers. A status is 100 to 599 (RFC 9110, 15), and not 101. A head that breaks a rule is never complete, and fails the attempt as malformed: another try where the route allows it, else 502.

Why it works: the status is checked where the head is read, before the entry, the agent or a call sees it, and all of them read by this one parser.

--- a/src/include/wigeonsill/http.h
+++ b/src/include/wigeonsill/http.h
@@ -118,6 +118,7 @@
     /// further bytes. Errors: those of Beast's http::error; header_limit and body_limit are those
     /// of the constructor, buffer_overflow that of chunkFramingLimit.
     std::size_t consume(std::string_view bytes, boost::system::error_code &error);
+    /// Whether the head was read. That of an answer is sound then, see checkAnswerHead().
     bool isHeadComplete() const;
     bool isComplete() const;
     /// \pre isHeadComplete().
@@ -304,8 +305,8 @@
     /// \pre connect() succeeded.
     boost::asio::awaitable<Result<void>> send(HttpRequest request, Duration timeout);
     /// Reads the status and the header fields. Interim heads (1xx) are skipped. Errors:
-    /// ConnectionClosed; MessageMalformed also after too many interim heads or an unasked switch of
-    /// protocols. \pre send() succeeded.
+    /// ConnectionClosed; MessageMalformed when the head is not sound, or after too many interim
+    /// heads. \pre send() succeeded.
     boost::asio::awaitable<Result<HttpHead>> readHead(Duration timeout);
     /// Reads the next part of the body; empty at its end. Errors: ConnectionClosed, also when the
     /// connection ends before the body is complete; MessageMalformed. \pre readHead() succeeded.
--- /dev/null
+++ b/src/libforward/brokenanswers_test.cpp
@@ -0,0 +1,77 @@
+/// \file brokenanswers_test.cpp
+/// Regression tests of MIXED: what a target in trouble sends must not reach a caller as an answer.
+#include "onetargetfixture.h"
+
+namespace wigeonsill {
+namespace {
+
+constexpr std::size_t shortUpload = 10;
+
+struct BrokenBytes
+{
+    std::string name;
+    std::string bytes; ///< That the target sends before it closes the connection in order.
+};
+std::ostream &operator<<(std::ostream &out, const BrokenBytes &sent)
+{
+    return out << testing::PrintToString(sent.bytes);
+}
+
+class BrokenAnswer
+    : public OneTarget,
+      public testing::WithParamInterface<std::tuple<RouteToTarget, BrokenBytes, std::size_t>>
+{
+public:
+    BrokenAnswer()
+        : OneTarget(std::get<0>(GetParam()))
+    {
+    }
+    static std::string nameOf(const testing::TestParamInfo<ParamType> &info)
+    {
+        const auto &[route, sent, pieceSize] = info.param;
+        return route.name + sent.name + (pieceSize == 0 ? "" : "InPieces");
+    }
+};
+
+TEST_P(BrokenAnswer, reachesNoCaller)
+{
+    const auto &[route, sent, pieceSize] = GetParam();
+    ASSERT_NO_FATAL_FAILURE(this->sendUpload(shortUpload));
+    this->readUpload();
+    this->write(sent.bytes, pieceSize);
+    this->connection.close();
+    const CallerOutcome outcome = this->outcome();
+    EXPECT_EQ(outcome.status, 502) << "with the body \"" << outcome.body << "\"";
+    EXPECT_TRUE(outcome.complete);
+    EXPECT_EQ(outcome.body, "");
+}
+
+/// Combines bytes with all routes, at once and in single bytes.
+auto onAllRoutes(const std::vector<BrokenBytes> &sent)
+{
+    return testing::Combine(testing::ValuesIn(allRoutesToTargets), testing::ValuesIn(sent),
+        testing::Values(std::size_t{ 0 }, std::size_t{ 1 }));
+}
+
+const std::string sizedBody = "Content-Length: 5\r\n\r\nwhole";
+const std::string wholeAnswer = "HTTP/1.1 200 OK\r\n" + sizedBody;
+const std::string interimHead = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(Status, BrokenAnswer,
+    onAllRoutes({
+        { "Sized000", "HTTP/1.1 000 Trouble\r\n" + sizedBody },
+        { "Sized042", "HTTP/1.1 042 Trouble\r\n" + sizedBody },
+        { "Sized099", "HTTP/1.0 099 Trouble\r\n" + sizedBody },
+        { "UntilClose000", "HTTP/1.1 000 Trouble\r\n\r\nwhole" },
+        { "Chunked001", "HTTP/1.1 001 Trouble\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+        { "BehindInterim000", interimHead + "HTTP/1.1 000 Trouble\r\n" + sizedBody },
+        { "BeforeAnswer000", "HTTP/1.1 000 Trouble\r\n\r\n" + wholeAnswer },
+        { "BeforeInterim099", "HTTP/1.1 099 Trouble\r\n\r\n" + interimHead + wholeAnswer },
+        { "Sized600", "HTTP/1.1 600 Trouble\r\n" + sizedBody },
+        { "Sized999", "HTTP/1.1 999 Trouble\r\n" + sizedBody },
+        { "SwitchedProtocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + wholeAnswer },
+    }),
+    BrokenAnswer::nameOf);
+
+} // namespace
+} // namespace wigeonsill
--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -115,6 +115,7 @@
         Duration gracePeriod = seconds(8);
         std::optional<RolloutLimits> rollouts = {};
         std::string callerFields = {}; ///< Further header lines of the request, each with its end.
+        bool isEngine = true; ///< Otherwise the targets are plain servers, without agents.
     };
     Reservations()
         : Reservations(Options{})
@@ -155,7 +156,7 @@
         route.maximumAttempts = 3;
         ServiceProfile service;
         service.name = "engines";
-        service.isEngine = true;
+        service.isEngine = options.isEngine;
         ServingConfiguration::Builder builder;
         this->entry->setConfiguration(
             builder.version(1).addRoute(route).addService(service).build().value());
--- a/src/libhttp/exchange_test.cpp
+++ b/src/libhttp/exchange_test.cpp
@@ -25,6 +25,7 @@
         });
         Result<HttpResponse> result = Error{ ResultCode::ConnectionClosed, "not ended" };
         spawn(this->io, this->run(acceptor.local_endpoint(), method, result));
+        this->io.restart();
         this->io.run_for(seconds(3));
         return result;
     }
@@ -75,5 +76,19 @@
     EXPECT_FALSE(this->fetchFrom("HTTP/1.1 101 Switching Protocols\r\n\r\n" + finalAnswer));
 }
 
+/// An answer of status 000 was skipped as an interim head, and what followed was taken for its own.
+TEST_F(Exchange, statusBelow100IsAnError)
+{
+    for (const char *status : { "000", "042", "099" }) {
+        const std::string line = "HTTP/1.1 " + std::string(status) + " Trouble\r\n";
+        for (const std::string &bytes : { line + "Content-Length: 3\r\n\r\nabc",
+                 line + "\r\n" + finalAnswer, interimHead + line + "\r\n" + finalAnswer }) {
+            const Result<HttpResponse> response = this->fetchFrom(bytes);
+            ASSERT_FALSE(response) << bytes;
+            EXPECT_EQ(response.error().code, ResultCode::MessageMalformed);
+        }
+    }
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libhttp/httpexchange.cpp
+++ b/src/libhttp/httpexchange.cpp
@@ -25,7 +25,6 @@
 /// Number of interim (1xx) heads that are skipped before the answer's own.
 constexpr int maximumInterimHeads = 16;
 constexpr int firstFinalStatus = 200;
-constexpr int statusSwitchingProtocols = 101;
 
 Error closedError(const error_code &error)
 {
@@ -144,9 +143,6 @@
             co_return received.error();
         }
         const MessageHead &head = this->d->reader->head();
-        if (head.status == statusSwitchingProtocols) {
-            co_return Error{ ResultCode::MessageMalformed, "the protocol was switched unasked" };
-        }
         if (head.status >= firstFinalStatus) {
             co_return HttpHead{ head.status, head.fields };
         }
--- a/src/libhttp/messagereader.cpp
+++ b/src/libhttp/messagereader.cpp
@@ -1,6 +1,6 @@
 /// \file messagereader.cpp
 /// Incremental reading of HTTP/1.1 messages with Beast's parser.
-#include "wigeonsill/http.h"
+#include "answerhead.h"
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -80,7 +80,7 @@
     }
     void consumeEnd(error_code &error) override { this->put_eof(error); }
     void expectNoBody() override { this->skip(true); }
-    bool isHeadComplete() const override { return this->is_header_done(); }
+    bool isHeadComplete() const override { return this->headComplete; }
     bool isComplete() const override { return this->is_done(); }
 
 private:
@@ -91,39 +91,33 @@
         this->head.target = toStd(target);
         this->head.httpVersion = version;
     }
-    void on_response_impl(int status, View reason, int version, error_code &error) override
+    void on_response_impl(int status, View reason, int version, error_code & /*error*/) override
     {
-        // The rest of a status line that was broken off, with another head behind it.
-        if (reason.find("HTTP/1.") != View::npos) {
-            error = http::error::bad_reason;
-            return;
-        }
         this->head.status = status;
         this->head.reason = toStd(reason);
         this->head.httpVersion = version;
     }
-    void on_field_impl(http::field /*field*/, View name, View value, error_code &error) override
+    void on_field_impl(
+        http::field /*field*/, View name, View value, error_code & /*error*/) override
     {
-        if (this->headEnded) {
+        if (this->headComplete) {
             return; // A trailer, which is not forwarded.
         }
-        // A head that was broken off within a field's value, with another head behind it.
-        if (!isRequest && findStatusLine(toStd(value)) != std::string_view::npos) {
-            error = http::error::bad_value;
-            return;
-        }
         this->head.fields.push_back(
             { { name.data(), name.size() }, { value.data(), value.size() } });
     }
-    void on_header_impl(error_code & /*error*/) override
+    void on_header_impl(error_code &error) override
     {
-        this->headEnded = true;
         this->head.chunked = this->chunked();
         if (const auto length = this->content_length()) {
             this->head.length = *length;
         }
         this->head.keepAlive = this->keep_alive();
         this->head.endsAtClose = !isRequest && this->need_eof();
+        if (!isRequest) {
+            error = checkAnswerHead(this->head);
+        }
+        this->headComplete = !error;
     }
     void on_body_init_impl(
         const boost::optional<std::uint64_t> & /*length*/, error_code & /*error*/) override
@@ -146,7 +140,7 @@
     }
     void on_finish_impl(error_code & /*error*/) override { }
 
-    bool headEnded = false;
+    bool headComplete = false; ///< And sound.
 };
 
 } // namespace
