A part of an answer that is reset behind its upload is not complete

What callers saw: an engine answered a long upload at once with a 200 without length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a whole answer.

Cause: the system reports the failure of a connection to one operation only. While the upload is being written, that is the write; its handler noted only that the connection could not be reused. The read behind it found an orderly end, as after a whole answer without length. A trace of the system calls of the test shows it: sendto fails with ECONNRESET, then recvfrom returns 0. With a length or chunks the part is too short, and without a pending write the read gets the error.

An end that is found while the upload is being written waits for the write: a reset fails it, a target that reads on lets it end. If neither comes, the request's time limit ends the wait.

HttpExchange held before: it sends all of a request before it reads, and a failed write ends the exchange; its two tests stay.

Why it works: a success of the write or its failure is known before the answer ends, whichever of the two the system reports the reset to.

--- a/src/libforward/onetargetfixture.h
+++ b/src/libforward/onetargetfixture.h
@@ -51,11 +51,11 @@
     }
 
     /// Sends a request with a body of this size, which reaches the target. The target has read
-    /// nothing of it.
-    void sendUpload(std::size_t size)
+    /// nothing of it. \param fields Further header lines, each with its end.
+    void sendUpload(std::size_t size, const std::string &fields = {})
     {
-        this->outgoing = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(size)
-            + "\r\n\r\n" + std::string(size, 'u');
+        this->outgoing = "POST /x HTTP/1.1\r\nHost: h\r\n" + fields
+            + "Content-Length: " + std::to_string(size) + "\r\n\r\n" + std::string(size, 'u');
         this->caller.connect({ asio::ip::make_address("127.0.0.1"), this->entry->port() });
         this->caller.non_blocking(true);
         asio::async_write(this->caller, asio::buffer(this->outgoing),
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -149,6 +149,8 @@
     this->skippedBytes = 0;
     this->headReceived = false;
     this->sent = false;
+    this->writeError = {};
+    this->endedWhileWriting = false;
     this->readingPaused = false;
     if (this->connected) {
         this->write();
@@ -192,17 +194,20 @@
     ++this->requestsCarried;
     this->writing = true;
     asio::async_write(this->socket, asio::buffer(this->request.bytes),
-        [self](const error_code &error, std::size_t) {
-            self->writing = false;
-            // The read reports the failure as well, and may still receive an early answer.
-            if (error) {
-                self->reusable = false;
-            }
-            self->request.bytes.clear();
-        });
+        [self](const error_code &error, std::size_t) { self->onWritten(error); });
     this->read();
 }
 
+void TargetConnection::onWritten(const error_code &error)
+{
+    this->writing = false;
+    this->request.bytes.clear();
+    this->writeError = error; // A read may still receive an early answer, and then its end.
+    if (this->endedWhileWriting && this->handler != nullptr) {
+        this->onEnd(asio::error::eof);
+    }
+}
+
 void TargetConnection::read()
 {
     if (this->reading || this->readingPaused || !this->socket.is_open()) {
@@ -261,15 +266,24 @@
         }
         return;
     }
+    this->onEnd(error);
+}
+
+void TargetConnection::onEnd(const error_code &error)
+{
+    const bool isAnswer = this->headReceived && !this->skippingAnswer;
+    if (isAnswer && this->reader->head().endsAtClose && error == asio::error::eof
+        && this->writing) {
+        // A reset behind the upload shows in the write, and a target that reads on lets it end.
+        this->endedWhileWriting = true;
+        return;
+    }
     error_code endError;
-    const bool cleanEnd = error == asio::error::eof;
-    if (cleanEnd && this->headReceived && !this->skippingAnswer) {
-        this->reader->consumeEnd(ConnectionEnd::Orderly, endError);
-        if (!endError && this->reader->isComplete()) {
-            this->reusable = false;
-            this->finish(false);
-            return;
-        }
+    this->reader->consumeEnd(classifyEnd(error, this->writeError), endError);
+    if (isAnswer && !endError) {
+        this->reusable = false;
+        this->finish(false);
+        return;
     }
     this->fail(this->headReceived ? TargetFailure::Truncated : TargetFailure::ClosedWithoutAnswer);
 }
@@ -457,7 +471,8 @@
     this->handler = nullptr;
     // Bytes after a complete answer belong to no request, and a target that answered before it had
     // read the complete body would read the next request as the rest of that body.
-    if (!this->reusable || this->boreForeignAnswer || bytesFollow || this->writing) {
+    if (!this->reusable || this->boreForeignAnswer || bytesFollow || this->writing
+        || this->writeError) {
         this->close();
     } else {
         auto &idleConnections = this->pool.idle[this->targetId];
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -133,6 +133,7 @@
     void begin(OutgoingRequest request, AnswerHandler &handler);
     void connect();
     void write();
+    void onWritten(const boost::system::error_code &error);
     void read();
     /// Notices that the target ends the idle connection or sends bytes. They stay unread, so that
     /// hasUnexpectedInput() finds them until then.
@@ -141,6 +142,9 @@
     bool hasUnexpectedInput();
     void closeIdle();
     void onReadable(const boost::system::error_code &error, std::size_t bytes);
+    /// Decides whether the answer is complete at the end of the connection that a read has found.
+    /// The end of an answer without length and chunks counts only after the end of the upload.
+    void onEnd(const boost::system::error_code &error);
     /// Returns false when the answer ended and the connection was closed or returned to the pool.
     bool parse();
     /// \param pending Received bytes; those that were parsed are removed from its beginning.
@@ -175,6 +179,8 @@
     bool reading = false;
     bool readingPaused = false;
     bool writing = false;
+    boost::system::error_code writeError; ///< Of the request's write, if it failed.
+    bool endedWhileWriting = false; ///< The target has closed its side; see onEnd().
     bool sent = false;
     bool headReceived = false;
     bool skippingAnswer = false; ///< The answer being read is informational or another request's.
--- a/src/libhttp/exchange_test.cpp
+++ b/src/libhttp/exchange_test.cpp
@@ -90,5 +90,77 @@
     }
 }
 
+/// A server that answers an upload before it has read it.
+class EarlyAnsweredUpload : public Exchange
+{
+public:
+    static constexpr std::size_t uploadSize = 4'000'000;
+    using ServerEnd = void (EarlyAnsweredUpload::*)();
+
+    EarlyAnsweredUpload()
+        : acceptor(this->io, { asio::ip::make_address("127.0.0.1"), 0 })
+        , served(this->io)
+    {
+    }
+    Result<HttpResponse> upload(const std::string &answer, ServerEnd end)
+    {
+        this->acceptor.async_accept(
+            this->served, [&answer, end, this](const boost::system::error_code &) {
+                asio::write(this->served, asio::buffer(answer));
+                (this->*end)();
+            });
+        Result<HttpResponse> result = Error{ ResultCode::ConnectionClosed, "not ended" };
+        spawn(this->io, this->runUpload(result));
+        this->io.run_for(seconds(3));
+        return result;
+    }
+    asio::awaitable<void> runUpload(Result<HttpResponse> &result)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.body = std::string(uploadSize, 'u');
+        result = co_await fetch(
+            this->io, this->acceptor.local_endpoint(), std::move(request), seconds(1));
+    }
+    void reset()
+    {
+        this->served.set_option(asio::socket_base::linger(true, 0));
+        this->served.close();
+    }
+    void readAndClose()
+    {
+        this->served.async_read_some(asio::buffer(this->buffer),
+            [this](const boost::system::error_code &error, std::size_t size) {
+                this->received.append(this->buffer.data(), size);
+                const std::size_t bodyAt = this->received.find("\r\n\r\n") + 4;
+                if (error || this->received.size() == bodyAt + uploadSize) {
+                    this->served.close();
+                } else {
+                    this->readAndClose();
+                }
+            });
+    }
+
+    tcp::acceptor acceptor;
+    tcp::socket served;
+    std::array<char, 65'536> buffer = {};
+    std::string received;
+};
+
+const std::string unframedAnswer = "HTTP/1.1 200 OK\r\n\r\nabc";
+
+TEST_F(EarlyAnsweredUpload, isNotCompleteWhenTheConnectionIsReset)
+{
+    EXPECT_FALSE(this->upload(unframedAnswer, &EarlyAnsweredUpload::reset));
+}
+
+TEST_F(EarlyAnsweredUpload, isCompleteWhenItsUploadIsReadAndTheConnectionClosed)
+{
+    const Result<HttpResponse> response
+        = this->upload(unframedAnswer, &EarlyAnsweredUpload::readAndClose);
+    ASSERT_TRUE(response) << response.error().detail;
+    EXPECT_EQ(response.value().body, "abc");
+}
+
 } // namespace
 } // namespace wigeonsill
