Answers with a line that begins with a blank reach no caller

What callers saw: an engine's head had a line whose field name begins with a blank or a tab. The caller got the answer with that line as a part of the field before it; where the line was the length or the coding, the body lasted until the end of the connection, which is not the engine's body.

Cause: such a line continues the one before it (RFC 9112, 5.2), and the parser joins the two. Requests with folded lines were refused already, answers were not.

Change: AnswerReader refuses a head in which a line continues another one, as that section asks of a gateway. The lines are checked as they arrive, before the parser joins them.

Evidence: the heads "FieldName" of BrokenAnswer.reachesNoCaller, on seven routes, at once and in single bytes: 50 of 252 failed before, all with a blank or tab at the begin of a line behind another field; none does now. AnswerHead.nameConsistsOfTokenCharacters puts each of 255 bytes at the begin, within and at the end of a name: before, only a blank and a tab at the begin were accepted. All other blanks and control bytes in names were refused before, as were names that are empty or without a colon; these cases stay as tests.

--- a/src/libforward/brokenanswers_test.cpp
+++ b/src/libforward/brokenanswers_test.cpp
@@ -73,5 +73,41 @@
     }),
     BrokenAnswer::nameOf);
 
+/// The codings of a body that is sent in one chunk.
+std::string coded(const std::string &fields)
+{
+    return "HTTP/1.1 200 OK\r\n" + fields + "\r\n5\r\nwhole\r\n0\r\n\r\n";
+}
+
+/// An answer whose head has this line before its other fields.
+std::string withLine(const std::string &line)
+{
+    return "HTTP/1.1 200 OK\r\nServer: x\r\n" + line + "\r\n" + sizedBody;
+}
+
+INSTANTIATE_TEST_SUITE_P(FieldName, BrokenAnswer,
+    onAllRoutes({
+        { "BlankWithin", withLine("Retry After: 1") },
+        { "BlankBeforeColon", withLine("Retry-After : 1") },
+        { "TabBeforeColon", withLine("Retry-After\t: 1") },
+        { "BlankBeforeLength", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nwhole" },
+        { "BlankBeforeCoding", coded("Transfer-Encoding : chunked\r\n") },
+        { "ControlByte", withLine("Retry\x01-After: 1") },
+        { "ZeroByte", withLine(std::string("Retry\0After: 1", 14)) },
+        { "Delete", withLine("Retry-After\x7f: 1") },
+        { "Empty", withLine(": 1") },
+        { "NoColon", withLine("Retry-After") },
+        { "LeadingBlank", withLine(" Retry-After: 1") },
+        { "LeadingTab", withLine("\tRetry-After: 1") },
+        { "LeadingBlankInFirstLine", "HTTP/1.1 200 OK\r\n Server: x\r\n" + sizedBody },
+        { "LeadingBlankBeforeLength",
+            "HTTP/1.1 200 OK\r\nServer: x\r\n Content-Length: 2\r\n\r\nwhole" },
+        { "LeadingBlankBeforeCoding", coded("Server: x\r\n Transfer-Encoding: chunked\r\n") },
+        { "BareLineFeed", "HTTP/1.1 200 OK\nServer: x\r\n" + sizedBody },
+        { "BareLineFeedInField", withLine("Server: x\nRetry-After: 1") },
+        { "BareCarriageReturn", withLine("Server: x\rRetry-After: 1") },
+    }),
+    BrokenAnswer::nameOf);
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libhttp/answerhead.cpp
+++ b/src/libhttp/answerhead.cpp
@@ -62,4 +62,15 @@
     return {};
 }
 
+bool FoldedLineFinder::feed(std::string_view bytes)
+{
+    for (auto byte = bytes.begin(); byte != bytes.end() && !this->headEnded && !this->found;
+         ++byte) {
+        this->found = this->atLineStart && (*byte == ' ' || *byte == '\t');
+        this->headEnded = this->atLineStart && *byte == '\r';
+        this->atLineStart = *byte == '\n';
+    }
+    return this->found;
+}
+
 } // namespace wigeonsill
--- a/src/libhttp/answerhead.h
+++ b/src/libhttp/answerhead.h
@@ -11,4 +11,19 @@
 /// bad_value of Beast's http::error.
 boost::system::error_code checkAnswerHead(const MessageHead &head);
 
+/// Finds lines of a head that continue the line before them. The parser joins the two, so that a
+/// field in such a line would be lost, or be passed on as part of another one. Not thread-safe.
+class FoldedLineFinder
+{
+public:
+    /// Reads the next bytes of a message; those behind its head are ignored.
+    /// \returns Whether a line of the head that was read so far continues another one.
+    bool feed(std::string_view bytes);
+
+private:
+    bool atLineStart = false;
+    bool headEnded = false;
+    bool found = false;
+};
+
 } // namespace wigeonsill
--- a/src/libhttp/answerhead_test.cpp
+++ b/src/libhttp/answerhead_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cctype>
+
 namespace wigeonsill {
 namespace {
 
@@ -29,6 +31,11 @@
     return *result;
 }
 
+std::string headWith(const std::string &line)
+{
+    return "HTTP/1.1 200 OK\r\nServer: x\r\n" + line + "\r\nContent-Length: 0\r\n\r\n";
+}
+
 TEST(AnswerHead, statusIsOneOfTheProtocol)
 {
     for (int status = 0; status < 1'000; ++status) {
@@ -40,5 +47,44 @@
     }
 }
 
+TEST(AnswerHead, nameConsistsOfTokenCharacters)
+{
+    const std::string otherTokenCharacters = "!#$%&'*+-.^_`|~";
+    for (int code = 0; code < 256; ++code) {
+        const char byte = static_cast<char>(code);
+        const bool isToken = (code < 128 && std::isalnum(code) != 0)
+            || (code != 0 && otherTokenCharacters.find(byte) != std::string::npos);
+        if (byte == ':') {
+            continue; // Ends the name, so that the rest belongs to the value.
+        }
+        const std::string odd(1, byte);
+        EXPECT_EQ(isAccepted(headWith(odd + "Name: 1")), isToken) << code << " at the begin";
+        EXPECT_EQ(isAccepted(headWith("Na" + odd + "me: 1")), isToken) << code << " within";
+        EXPECT_EQ(isAccepted(headWith("Name" + odd + ": 1")), isToken) << code << " at the end";
+    }
+}
+
+TEST(AnswerHead, lineMayNotContinueTheOneBeforeIt)
+{
+    EXPECT_FALSE(isAccepted(headWith(" Content-Length: 5")));
+    EXPECT_FALSE(isAccepted(headWith("\tfolded")));
+    EXPECT_FALSE(isAccepted(headWith("Name: a\r\n b")));
+    EXPECT_FALSE(isAccepted("HTTP/1.1 200 OK\r\n Server: x\r\n\r\n"));
+    EXPECT_TRUE(isAccepted(headWith("Name: \t a \t b")));
+    EXPECT_TRUE(isAccepted(headWith("Name:")));
+}
+
+TEST(AnswerHead, lengthIsOneNumber)
+{
+    for (const char *value :
+        { "", "-1", "+1", "0x5", "5 5", "5, 6", "5;", "99999999999999999999" }) {
+        EXPECT_FALSE(
+            isAccepted("HTTP/1.1 200 OK\r\nContent-Length: " + std::string(value) + "\r\n\r\n"))
+            << value;
+    }
+    EXPECT_FALSE(isAccepted("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n"));
+    EXPECT_TRUE(isAccepted("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"));
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/src/libhttp/exchange_test.cpp
+++ b/src/libhttp/exchange_test.cpp
@@ -79,10 +79,13 @@
 /// An answer of status 000 was skipped as an interim head, and what followed was taken for its own.
 TEST_F(Exchange, statusBelow100IsAnError)
 {
+    const std::string anotherAnswer = "\r\n" + finalAnswer;
     for (const char *status : { "000", "042", "099" }) {
-        const std::string line = "HTTP/1.1 " + std::string(status) + " Trouble\r\n";
-        for (const std::string &bytes : { line + "Content-Length: 3\r\n\r\nabc",
-                 line + "\r\n" + finalAnswer, interimHead + line + "\r\n" + finalAnswer }) {
+        std::string line = "HTTP/1.1 ";
+        line.append(status).append(" Trouble\r\n");
+        const std::string beforeAnother = line + anotherAnswer;
+        for (const std::string &bytes :
+            { line + "Content-Length: 3\r\n\r\nabc", beforeAnother, interimHead + beforeAnother }) {
             const Result<HttpResponse> response = this->fetchFrom(bytes);
             ASSERT_FALSE(response) << bytes;
             EXPECT_EQ(response.error().code, ResultCode::MessageMalformed);
--- a/src/libhttp/messagereader.cpp
+++ b/src/libhttp/messagereader.cpp
@@ -53,9 +53,9 @@
 
     std::size_t consume(std::string_view bytes, error_code &error) override
     {
-        error = {};
+        error = this->checkNewBytes(bytes);
         std::size_t consumed = 0;
-        while (consumed < bytes.size() && !this->is_done()) {
+        while (!error && consumed < bytes.size() && !this->is_done()) {
             const boost::asio::const_buffer remaining(
                 bytes.data() + consumed, bytes.size() - consumed);
             const std::size_t step = this->put(remaining, error);
@@ -67,10 +67,11 @@
                 }
                 continue;
             }
-            if (error || step == 0) {
+            if (step == 0) {
                 break;
             }
         }
+        this->checkedBytes = bytes.size() - consumed;
         // The parser waits for chunk headers and trailers of any size.
         if (!error && this->is_header_done() && !this->is_done()
             && bytes.size() - consumed > MessageReader::chunkFramingLimit) {
@@ -84,6 +85,15 @@
     bool isComplete() const override { return this->is_done(); }
 
 private:
+    /// Checks what consume() gets for the first time.
+    error_code checkNewBytes(std::string_view bytes)
+    {
+        if (isRequest || this->headComplete
+            || !this->foldedLines.feed(bytes.substr(std::min(this->checkedBytes, bytes.size())))) {
+            return {};
+        }
+        return http::error::bad_obs_fold;
+    }
     void on_request_impl(
         http::verb /*verb*/, View method, View target, int version, error_code & /*error*/) override
     {
@@ -140,6 +150,8 @@
     }
     void on_finish_impl(error_code & /*error*/) override { }
 
+    FoldedLineFinder foldedLines;
+    std::size_t checkedBytes = 0; ///< At the begin of what consume() gets next.
     bool headComplete = false; ///< And sound.
 };
 
