Answers with a coding that is not chunked alone reach no caller

What callers saw: an engine's answer with the transfer coding gzip, xchunked, "chunked, gzip" or none by name came with the framing of its chunks as its body, until the end of the connection; one with "gzip, chunked" came without its chunks, but coded, and without the field that says so.

Cause: the parser knows chunked as the last coding of one field and ignores the field otherwise. The field concerns one connection only and is not forwarded, so that nobody behind the entry can undo the coding.

Change: one more rule of a sound head: the only coding is chunked, named once, in an answer of HTTP/1.1. No request that is sent offers another one.

Evidence: the heads "Coding" of BrokenAnswer.reachesNoCaller, on seven routes, at once and in single bytes: 130 of 168 failed before, none does now. AnswerHead.onlyCodingIsChunked failed before.

--- a/src/libforward/brokenanswers_test.cpp
+++ b/src/libforward/brokenanswers_test.cpp
@@ -79,6 +79,25 @@
     return "HTTP/1.1 200 OK\r\n" + fields + "\r\n5\r\nwhole\r\n0\r\n\r\n";
 }
 
+INSTANTIATE_TEST_SUITE_P(Coding, BrokenAnswer,
+    onAllRoutes({
+        { "Gzip", coded("Transfer-Encoding: gzip\r\n") },
+        { "Xchunked", coded("Transfer-Encoding: xchunked\r\n") },
+        { "GzipThenChunked", coded("Transfer-Encoding: gzip, chunked\r\n") },
+        { "ChunkedThenGzip", coded("Transfer-Encoding: chunked, gzip\r\n") },
+        { "ChunkedTwice", coded("Transfer-Encoding: chunked, chunked\r\n") },
+        { "ChunkedWithParameter", coded("Transfer-Encoding: chunked;a=b\r\n") },
+        { "TwoFields", coded("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n") },
+        { "Identity", coded("Transfer-Encoding: identity\r\n") },
+        { "NoCoding", coded("Transfer-Encoding:\r\n") },
+        { "GzipWithLength", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" + sizedBody },
+        { "LengthThenGzip",
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: gzip\r\n\r\nwhole" },
+        { "ChunkedBeforeVersion11",
+            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n" },
+    }),
+    BrokenAnswer::nameOf);
+
 /// An answer whose head has this line before its other fields.
 std::string withLine(const std::string &line)
 {
--- a/src/libhttp/answerhead.cpp
+++ b/src/libhttp/answerhead.cpp
@@ -38,6 +38,19 @@
     });
 }
 
+/// RFC 9112, section 6.1: no request offers another coding than `chunked`, and HTTP/1.0 has none.
+/// The parser takes a body with any other coding as it is sent, with the coding and its framing.
+bool hasKnownCoding(const MessageHead &head)
+{
+    const auto isCoding = [](const HttpField &field) {
+        return equalsIgnoringCase(field.name, "Transfer-Encoding");
+    };
+    const auto codings = std::count_if(head.fields.begin(), head.fields.end(), isCoding);
+    return codings == 0
+        || (codings == 1 && head.httpVersion == 11
+            && equalsIgnoringCase(fieldValue(head.fields, "Transfer-Encoding"), "chunked"));
+}
+
 struct HeadRule
 {
     bool (*holds)(const MessageHead &head);
@@ -48,6 +61,7 @@
     HeadRule{ keepsProtocol, error::bad_status },
     HeadRule{ hasOwnReason, error::bad_reason },
     HeadRule{ hasOwnValues, error::bad_value },
+    HeadRule{ hasKnownCoding, error::bad_transfer_encoding },
 };
 
 } // namespace
--- a/src/libhttp/answerhead.h
+++ b/src/libhttp/answerhead.h
@@ -7,8 +7,8 @@
 namespace wigeonsill {
 
 /// Checks a head that the parser accepts. What breaks a rule is not an answer: neither its status
-/// nor the end of its body can be relied on. Thread-safe. Errors: bad_status, bad_reason and
-/// bad_value of Beast's http::error.
+/// nor the end of its body can be relied on. Thread-safe. Errors: bad_status, bad_reason,
+/// bad_value and bad_transfer_encoding of Beast's http::error.
 boost::system::error_code checkAnswerHead(const MessageHead &head);
 
 /// Finds lines of a head that continue the line before them. The parser joins the two, so that a
--- a/src/libhttp/answerhead_test.cpp
+++ b/src/libhttp/answerhead_test.cpp
@@ -74,6 +74,25 @@
     EXPECT_TRUE(isAccepted(headWith("Name:")));
 }
 
+TEST(AnswerHead, onlyCodingIsChunked)
+{
+    for (const char *value : { "gzip", "xchunked", "gzip, chunked", "chunked, gzip", "identity",
+             "chunked, chunked", "chunked;a=b", "", "chunked,", "\"chunked\"" }) {
+        EXPECT_FALSE(
+            isAccepted("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(value) + "\r\n\r\n"))
+            << value;
+    }
+    const std::string field = "Transfer-Encoding: chunked\r\n";
+    EXPECT_TRUE(isAccepted("HTTP/1.1 200 OK\r\n" + field + "\r\n"));
+    EXPECT_TRUE(isAccepted("HTTP/1.1 200 OK\r\ntransfer-encoding:  Chunked \r\n\r\n"));
+    EXPECT_FALSE(isAccepted("HTTP/1.0 200 OK\r\n" + field + "\r\n"));
+    EXPECT_FALSE(isAccepted("HTTP/1.1 200 OK\r\n" + field + field + "\r\n"));
+    EXPECT_FALSE(isAccepted("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" + field + "\r\n"));
+    EXPECT_FALSE(isAccepted("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + field + "\r\n"));
+    EXPECT_FALSE(
+        isAccepted("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\n"));
+}
+
 TEST(AnswerHead, lengthIsOneNumber)
 {
     for (const char *value :
