A stream is not gone on with by a document that begins it anew

What callers saw: a stream that was broken off behind its first event was resumed at a target that began it anew, in an answer with a length and without a type. The caller got the first event twice, from two runs (MIXED, ORDER).

Cause: the body of an answer with a length and without a type counted as a document, also where it was to follow events that the caller has, so that the ids of its events were not compared.

Change: what follows events that the caller has is read as events.

BegunStream.eventsThatTheCallerHasAreNotRelayedAgainAsADocument failed before.

--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -74,8 +74,9 @@
         return;
     }
     this->attempt->head = received;
-    // A body of known length and unknown type may as well be a document.
-    const bool mayBeEvents = isEventStream(received.fields)
+    // A body of known length and unknown type may as well be a document, unless it is to go on with
+    // the events that the caller has.
+    const bool mayBeEvents = isEventStream(received.fields) || this->headSentToCaller
         || (fieldValue(received.fields, "Content-Type").empty() && !received.length);
     this->attempt->streaming
         = this->route->routeType == RouteType::Stream && received.status < 300 && mayBeEvents;
