Generators of answers: unsound heads, uploads, and answers before their end

answerbytes_test drew valid heads and requests without a body only, and one answer in ten without length. It draws now a status below 100, odd field names, folded lines and codings, uploads that do not fit into the system's buffers, and answers that begin before they are read, three in twelve of them without length.

The model takes one case out, that a trace shows is allowed: another request's answer of more than 256 KiB before the own one is not skipped, but closes the connection (bound skipped-bytes).

--- a/src/libforward/answerbytes_test.cpp
+++ b/src/libforward/answerbytes_test.cpp
@@ -32,6 +32,15 @@
 };
 enum class Outcome : std::uint8_t { Success, Refusal, ServerError };
 enum class EndKind : std::uint8_t { Keep, Close, Reset, Silence };
+/// What makes a head unsound. An answer with such a head is nobody's.
+enum class HeadFault : std::uint8_t {
+    None,
+    Status, ///< Below 100.
+    BlankInName,
+    ControlByteInName,
+    FoldedLine,
+    UnknownCoding, ///< Of a body in chunks.
+};
 
 template <class T, std::size_t count>
 using NameList = std::array<const char *, count>;
@@ -40,6 +49,8 @@
     = { "own", "repeat", "elsewhere", "interim", "garbage" };
 constexpr NameList<Outcome, 3> outcomeNames = { "success", "refusal", "server-error" };
 constexpr NameList<EndKind, 4> endNames = { "keep", "close", "reset", "silence" };
+constexpr NameList<HeadFault, 6> headFaultNames = { "sound", "status", "blank-in-name",
+    "control-byte-in-name", "folded-line", "unknown-coding" };
 
 template <class T, std::size_t count>
 const char *nameOf(const std::array<const char *, count> &names, T value)
@@ -52,6 +63,7 @@
 {
     MessageKind kind = MessageKind::Own;
     Framing framing = Framing::Sized;
+    HeadFault headFault = HeadFault::None;
     bool hasId = true;
     bool late = false; ///< Sent when the connection's next request arrives, before its answer.
     int lengthError = 0; ///< Added to the stated length.
@@ -73,6 +85,9 @@
     Message own;
     std::vector<Message> after;
     bool startsAnew = false; ///< A resumed stream begins with the first event.
+    /// An answer to a long upload begins behind the request's head, and the target reads on after
+    /// it if the connection is kept.
+    bool isEarly = false;
     int bodySize = 20;
     std::vector<Pause> pauses;
     EndKind end = EndKind::Keep;
@@ -88,6 +103,7 @@
     RouteKind route = RouteKind::Idempotent;
     bool atEngines = false;
     bool isHead = false;
+    int uploadSize = 0; ///< In bytes.
     int gapMs = 0; ///< From the end of the previous answer.
     int leavesAfterMs = 0; ///< The caller closes its connection then; 0 for never.
     int eventCount = 3; ///< Of the whole stream.
@@ -106,6 +122,14 @@
     return plan.route == RouteKind::Stream || plan.route == RouteKind::Resumable;
 }
 
+/// Uploads of this size and more do not fit into the system's buffers.
+constexpr int longUpload = 3'000'000;
+
+bool isAnsweredEarly(const RequestPlan &plan, const Script &script)
+{
+    return script.isEarly && plan.uploadSize >= longUpload;
+}
+
 struct CallerPlan
 {
     bool isOldVersion = false; ///< HTTP/1.0
@@ -131,6 +155,9 @@
 {
     out << nameOf(kindNames, message.kind) << "/" << nameOf(framingNames, message.framing);
     out << (message.hasId ? "" : "/no-id") << (message.late ? "/late" : "");
+    if (message.headFault != HeadFault::None) {
+        out << "/" << nameOf(headFaultNames, message.headFault);
+    }
     if (message.lengthError != 0) {
         out << "/length" << std::showpos << message.lengthError << std::noshowpos;
     }
@@ -146,7 +173,7 @@
     for (const Message &message : script.before) {
         out << " " << message;
     }
-    out << (script.startsAnew ? " anew " : " ") << script.own;
+    out << (script.startsAnew ? " anew " : " ") << (script.isEarly ? "early " : "") << script.own;
     for (const Message &message : script.after) {
         out << " " << message;
     }
@@ -159,8 +186,8 @@
 std::ostream &operator<<(std::ostream &out, const RequestPlan &plan)
 {
     out << "\n    " << (plan.isHead ? "HEAD " : "GET ") << nameOf(routeNames, plan.route)
-        << (plan.atEngines ? " engines" : " plain") << " gap " << plan.gapMs << " leaves "
-        << plan.leavesAfterMs << " events " << plan.eventCount;
+        << " upload " << plan.uploadSize << (plan.atEngines ? " engines" : " plain") << " gap "
+        << plan.gapMs << " leaves " << plan.leavesAfterMs << " events " << plan.eventCount;
     for (const Script &script : plan.scripts) {
         out << "\n      " << script;
     }
@@ -194,7 +221,7 @@
 rc::Gen<Framing> anyFraming()
 {
     return weighted<Framing>(
-        { { 5, Framing::Sized }, { 4, Framing::Chunked }, { 1, Framing::UntilClose } });
+        { { 5, Framing::Sized }, { 4, Framing::Chunked }, { 3, Framing::UntilClose } });
 }
 
 /// Mostly whole, else cut anywhere.
@@ -209,6 +236,13 @@
     return weighted<int>({ { 8, 0 }, { 1, 7 }, { 1, -5 } });
 }
 
+rc::Gen<HeadFault> anyHeadFault()
+{
+    return weighted<HeadFault>({ { 40, HeadFault::None }, { 1, HeadFault::Status },
+        { 1, HeadFault::BlankInName }, { 1, HeadFault::ControlByteInName },
+        { 1, HeadFault::FoldedLine }, { 1, HeadFault::UnknownCoding } });
+}
+
 rc::Gen<Message> anyMessageBefore()
 {
     return rc::gen::build<Message>(
@@ -216,6 +250,7 @@
             weighted<MessageKind>({ { 4, MessageKind::Elsewhere }, { 3, MessageKind::Interim },
                 { 1, MessageKind::Garbage } })),
         rc::gen::set(&Message::framing, anyFraming()),
+        rc::gen::set(&Message::headFault, anyHeadFault()),
         rc::gen::set(&Message::bodyPerMille, anyCut()),
         rc::gen::set(&Message::lengthError, anyLengthError()));
 }
@@ -227,6 +262,7 @@
             weighted<MessageKind>({ { 5, MessageKind::Repeat }, { 1, MessageKind::Elsewhere },
                 { 1, MessageKind::Garbage } })),
         rc::gen::set(&Message::framing, anyFraming()),
+        rc::gen::set(&Message::headFault, anyHeadFault()),
         rc::gen::set(&Message::hasId, weighted<bool>({ { 2, true }, { 1, false } })),
         rc::gen::set(&Message::late, weighted<bool>({ { 2, true }, { 1, false } })),
         rc::gen::set(&Message::bodyPerMille, anyCut()),
@@ -236,6 +272,7 @@
 rc::Gen<Message> anyOwnAnswer()
 {
     return rc::gen::build<Message>(rc::gen::set(&Message::framing, anyFraming()),
+        rc::gen::set(&Message::headFault, anyHeadFault()),
         rc::gen::set(&Message::hasId, weighted<bool>({ { 12, true }, { 1, false } })));
 }
 
@@ -287,6 +324,7 @@
                         { 1, shortList(2, anyMessageBefore()) } })),
             rc::gen::set(&Script::own, anyOwnAnswer()),
             rc::gen::set(&Script::startsAnew, weighted<bool>({ { 9, false }, { 1, true } })),
+            rc::gen::set(&Script::isEarly),
             rc::gen::set(&Script::after,
                 rc::gen::weightedOneOf<std::vector<Message>>(
                     { { 2, rc::gen::just(std::vector<Message>()) },
@@ -308,6 +346,8 @@
                 RouteKind::Resumable, RouteKind::Resumable)),
         rc::gen::set(&RequestPlan::atEngines),
         rc::gen::set(&RequestPlan::isHead, weighted<bool>({ { 7, false }, { 1, true } })),
+        rc::gen::set(
+            &RequestPlan::uploadSize, weighted<int>({ { 6, 0 }, { 1, 2'000 }, { 2, longUpload } })),
         rc::gen::set(&RequestPlan::gapMs, weighted<int>({ { 3, 0 }, { 1, 2 }, { 1, 15 } })),
         rc::gen::set(&RequestPlan::leavesAfterMs,
             weighted<int>({ { 15, 0 }, { 1, 1 }, { 1, 30 }, { 1, 120 } })),
@@ -342,6 +382,7 @@
 {
     std::string stamp; ///< Unique; marks the answer's head and its body.
     int status = 200;
+    bool isSound = true; ///< The head.
     bool mayHaveRun = true;
     Framing framing = Framing::Sized;
     bool endedByClose = false; ///< An answer without length was ended so.
@@ -415,20 +456,44 @@
     std::size_t bodyAt = 0;
 };
 
+/// The lines that make a head unsound, with the framing of its body unless that is the fault.
+std::string faultyLines(HeadFault fault)
+{
+    switch (fault) {
+    case HeadFault::BlankInName:
+        return "Retry After: 1\r\n";
+    case HeadFault::ControlByteInName:
+        return "Retry\x02"
+               "After: 1\r\n";
+    case HeadFault::FoldedLine:
+        return " Retry-After: 1\r\n";
+    case HeadFault::UnknownCoding:
+        return "Transfer-Encoding: gzip\r\n";
+    case HeadFault::None:
+    case HeadFault::Status:
+        break;
+    }
+    return "";
+}
+
 Serialized serialize(const Message &message, const AnswerParts &parts)
 {
-    std::string head = "HTTP/1.1 " + std::to_string(parts.status) + " Status\r\n";
+    const std::string status
+        = message.headFault == HeadFault::Status ? "042" : std::to_string(parts.status);
+    std::string head = "HTTP/1.1 " + status + " Status\r\n";
     if (message.hasId && !parts.requestId.empty()) {
         head += "Request-Id: " + parts.requestId + "\r\n";
     }
-    head += "Stamp: " + parts.stamp + "\r\n";
+    head += "Stamp: " + parts.stamp + "\r\n" + faultyLines(message.headFault);
     if (parts.notRun) {
         head += "Not-Run: 1\r\n";
     }
-    if (message.framing == Framing::Sized) {
+    const bool isChunked
+        = message.framing == Framing::Chunked || message.headFault == HeadFault::UnknownCoding;
+    if (message.framing == Framing::Sized && !isChunked) {
         const auto length = static_cast<int>(parts.body.size()) + message.lengthError;
         head += "Content-Length: " + std::to_string(std::max(length, 0)) + "\r\n";
-    } else if (message.framing == Framing::Chunked) {
+    } else if (isChunked && message.headFault != HeadFault::UnknownCoding) {
         head += "Transfer-Encoding: chunked\r\n";
     }
     head += "\r\n";
@@ -438,8 +503,7 @@
     }
     const std::size_t sent
         = parts.body.size() * static_cast<std::size_t>(message.bodyPerMille) / 1'000;
-    result.bytes += message.framing == Framing::Chunked ? formatChunks(parts.body, sent)
-                                                        : parts.body.substr(0, sent);
+    result.bytes += isChunked ? formatChunks(parts.body, sent) : parts.body.substr(0, sent);
     return result;
 }
 
@@ -509,15 +573,19 @@
     }
 
     Performance compose(const ReceivedRequest &request);
+    /// Whether the target answers the request before it has read its body.
+    bool answersEarly(const std::string &requestId) const;
 
 private:
+    const Script &scriptOf(const std::string &requestId) const;
     AnswerParts ownParts(const ReceivedRequest &request, const RequestPlan &plan,
         const Script &script, const std::string &stamp) const;
     AnswerParts partsOf(const Message &message, const AnswerParts &own);
     std::string bytesOf(const Message &message, const AnswerParts &own);
     void addBefore(Performance &performance, const Script &script, const AnswerParts &own);
     void addAfter(Performance &performance, const Script &script, const AnswerParts &own);
-    static bool isSkippable(const Message &message, bool answersHead);
+    /// Whether the entry skips a message that is not the answer it waits for.
+    static bool isSkippable(const Message &message, const AnswerParts &own);
     static void place(Performance &performance, const Script &script);
     /// An answer without length is as long as what was sent of it.
     static void limitToSentBody(
@@ -572,21 +640,24 @@
     return serialize(message, this->partsOf(message, own)).bytes;
 }
 
-bool Composer::isSkippable(const Message &message, bool answersHead)
+bool Composer::isSkippable(const Message &message, const AnswerParts &own)
 {
+    constexpr std::size_t skippedBytesLimit = 262'144; // As in OPERATIONS.md, bound skipped-bytes.
     if (message.kind == MessageKind::Interim) {
         return true;
     }
-    return message.kind != MessageKind::Garbage && message.hasId && message.lengthError == 0
-        && message.bodyPerMille == 1'000 && message.framing != Framing::UntilClose
-        && !(message.kind == MessageKind::Repeat && answersHead);
+    return message.kind != MessageKind::Garbage && message.headFault == HeadFault::None
+        && message.hasId && message.lengthError == 0 && message.bodyPerMille == 1'000
+        && message.framing != Framing::UntilClose
+        && !(message.kind == MessageKind::Repeat
+            && (own.isHead || own.body.size() > skippedBytesLimit));
 }
 
 void Composer::addBefore(Performance &performance, const Script &script, const AnswerParts &own)
 {
     performance.bytes += std::exchange(this->held, {});
     for (const Message &message : script.before) {
-        this->followable = this->followable && isSkippable(message, own.isHead);
+        this->followable = this->followable && isSkippable(message, own);
         performance.bytes += this->bytesOf(message, own);
     }
 }
@@ -594,7 +665,7 @@
 void Composer::addAfter(Performance &performance, const Script &script, const AnswerParts &own)
 {
     for (const Message &message : script.after) {
-        this->followable = this->followable && message.late && isSkippable(message, own.isHead);
+        this->followable = this->followable && message.late && isSkippable(message, own);
         std::string &place = message.late ? this->held : performance.bytes;
         place += this->bytesOf(message, own);
     }
@@ -623,11 +694,22 @@
     }
 }
 
+const Script &Composer::scriptOf(const std::string &requestId) const
+{
+    const std::vector<Script> &scripts = this->ledger.plans.at(requestId)->scripts;
+    return scripts[std::min(this->ledger.attempts[requestId].size(), scripts.size() - 1)];
+}
+
+bool Composer::answersEarly(const std::string &requestId) const
+{
+    return isAnsweredEarly(*this->ledger.plans.at(requestId), this->scriptOf(requestId));
+}
+
 Performance Composer::compose(const ReceivedRequest &request)
 {
     const RequestPlan &plan = *this->ledger.plans.at(request.id);
+    const Script &script = this->scriptOf(request.id);
     std::vector<Attempt> &attempts = this->ledger.attempts[request.id];
-    const Script &script = plan.scripts[std::min(attempts.size(), plan.scripts.size() - 1)];
     const std::string stamp
         = request.id + "." + this->targetName + "." + std::to_string(attempts.size());
     const AnswerParts own = this->ownParts(request, plan, script, stamp);
@@ -639,6 +721,7 @@
     Attempt attempt;
     attempt.stamp = stamp;
     attempt.status = own.status;
+    attempt.isSound = script.own.headFault == HeadFault::None;
     attempt.mayHaveRun = !own.notRun;
     attempt.framing = script.own.framing;
     attempt.body = own.body;
@@ -651,8 +734,13 @@
     const bool isSent = performance.endAt >= answerEnd && (!isPaused || !mayMove(plan))
         && script.end != EndKind::Reset
         && (script.own.framing != Framing::UntilClose || script.end == EndKind::Close);
-    attempt.isDeliverable = wasFollowable && isSent && script.own.hasId && own.status == 200;
-    limitToSentBody(attempt, performance, bodyAt);
+    // What is unread of an upload resets the connection that is closed.
+    const bool endsByReset = isAnsweredEarly(plan, script) && script.end != EndKind::Keep;
+    attempt.isDeliverable = wasFollowable && isSent && !endsByReset && attempt.isSound
+        && script.own.hasId && own.status == 200;
+    if (!endsByReset) {
+        limitToSentBody(attempt, performance, bodyAt);
+    }
     attempts.push_back(std::move(attempt));
     return performance;
 }
@@ -681,6 +769,8 @@
     static constexpr Duration silence = milliseconds(300);
 
     void read();
+    /// Whether the rest of an upload stays unread while it is answered.
+    bool isReadingPaused() const { return this->answersEarly && this->performing; }
     void parse();
     void performNext();
     void proceed();
@@ -699,6 +789,7 @@
     std::size_t position = 0;
     std::size_t nextPause = 0;
     bool performing = false;
+    bool answersEarly = false; ///< The request whose body is not read yet.
     std::unique_ptr<RequestReader> reader;
 };
 
@@ -713,7 +804,9 @@
             }
             self->received.append(self->buffer.data(), size);
             self->parse();
-            self->read();
+            if (!self->isReadingPaused()) {
+                self->read();
+            }
         });
 }
 
@@ -721,16 +814,28 @@
 {
     while (!this->received.empty()) {
         if (!this->reader) {
-            this->reader = std::make_unique<RequestReader>(65'536, 65'536);
+            this->reader = std::make_unique<RequestReader>(65'536, 2 * longUpload);
         }
         error_code error;
         this->received.erase(0, this->reader->consume(this->received, error));
-        if (error || !this->reader->isComplete()) {
+        if (error || !this->reader->isHeadComplete()) {
             return;
         }
         const HttpFields &fields = this->reader->head().fields;
-        this->waiting.push_back({ std::string(fieldValue(fields, "Request-Id")),
-            std::atoi(std::string(fieldValue(fields, "Last-Event")).c_str()) });
+        const ReceivedRequest request{ std::string(fieldValue(fields, "Request-Id")),
+            std::atoi(std::string(fieldValue(fields, "Last-Event")).c_str()) };
+        if (!this->reader->isComplete()) {
+            if (!this->answersEarly && !this->performing
+                && this->composer.answersEarly(request.id)) {
+                this->answersEarly = true;
+                this->waiting.push_back(request);
+                this->performNext();
+            }
+            return;
+        }
+        if (!std::exchange(this->answersEarly, false)) {
+            this->waiting.push_back(request);
+        }
         this->reader.reset();
     }
     this->performNext();
@@ -805,8 +910,13 @@
 void TargetConversation::end()
 {
     if (this->performance.end == EndKind::Keep) {
+        const bool wasPaused = this->isReadingPaused();
         this->performing = false;
-        this->performNext();
+        if (wasPaused) {
+            this->read();
+        } else {
+            this->performNext();
+        }
     } else if (this->performance.end == EndKind::Silence) {
         this->performance.end = EndKind::Close;
         this->pauseFor(silence);
@@ -1054,10 +1164,19 @@
     if (request.isHead) {
         this->reader->expectNoBody();
     }
-    this->outgoing = std::string(request.isHead ? "HEAD" : "GET")
+    const bool hasUpload = !request.isHead && request.uploadSize > 0;
+    this->outgoing = std::string(request.isHead ? "HEAD"
+                             : hasUpload        ? "POST"
+                                                : "GET")
         + (request.atEngines ? " /engines/" : " /plain/") + nameOf(routeNames, request.route)
         + "/x HTTP/1." + (this->plan.isOldVersion ? "0" : "1")
-        + "\r\nHost: h\r\nRequest-Id: " + this->requestId(index) + "\r\n\r\n";
+        + "\r\nHost: h\r\nRequest-Id: " + this->requestId(index) + "\r\n";
+    if (hasUpload) {
+        this->outgoing += "Content-Length: " + std::to_string(request.uploadSize) + "\r\n\r\n"
+            + std::string(static_cast<std::size_t>(request.uploadSize), 'u');
+    } else {
+        this->outgoing += "\r\n";
+    }
     if (!this->connected) {
         this->finishAnswer();
         return;
@@ -1252,6 +1371,9 @@
     if (attempt == nullptr) {
         return "the head of an answer to another request";
     }
+    if (!attempt->isSound) {
+        return "an answer with an unsound head";
+    }
     return attempt->status == this->answer.status ? "" : "a status that the target did not send";
 }
 
--- a/src/libhttp/messagereader_fuzz.cpp
+++ b/src/libhttp/messagereader_fuzz.cpp
@@ -5,6 +5,8 @@
 
 #include "fuzz/fuzztarget.h"
 
+#include <algorithm>
+
 namespace wigeonsill {
 namespace {
 
@@ -57,6 +59,29 @@
     }
 }
 
+/// What holds for each head that is taken for an answer's.
+void checkSoundHead(std::string_view bytes)
+{
+    AnswerReader reader(headLimit, bodyLimit);
+    boost::system::error_code error;
+    reader.consume(bytes, error);
+    if (!reader.isHeadComplete()) {
+        return;
+    }
+    const MessageHead &head = reader.head();
+    fuzzRequire(head.status >= 100 && head.status < 600, "a status is none of the protocol");
+    fuzzRequire(!isAmbiguousHead(bytes.substr(0, bytes.find("\r\n\r\n") + 4)),
+        "a line of a sound head continues another one, or ends without CRLF");
+    for (const HttpField &field : head.fields) {
+        const bool hasBlank = field.name.empty()
+            || std::any_of(field.name.begin(), field.name.end(),
+                [](char byte) { return byte <= ' ' || byte == '\x7f'; });
+        fuzzRequire(!hasBlank, "the name of a field is empty, or holds a blank or a control byte");
+        fuzzRequire(head.chunked || !equalsIgnoringCase(field.name, "Transfer-Encoding"),
+            "a coding is ignored");
+    }
+}
+
 } // namespace
 
 std::vector<std::string> fuzzSeeds()
@@ -70,6 +95,11 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nKeep-Alive: timeout=3\r\n\r\nhello",
         chunkedAnswer + "\r\n\r\na\r\nid: 1\ndata\r\n2\r\n\n\n\r\n0\r\n\r\n",
         "HTTP/1.1 503 Busy\r\nRetry-After: 0.5\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 000 Trouble\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 099 Trouble\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nRetry After: 1\r\nRetry\x01: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nServer: x\r\n Content-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
     };
 }
 
@@ -82,6 +112,7 @@
         const std::string_view bytes = fuzzText(data, size);
         checkPieces<RequestReader>(bytes);
         checkPieces<AnswerReader>(bytes);
+        checkSoundHead(bytes);
         isAmbiguousHead(bytes);
     }
     return 0;
