Soak: answers with unsound heads, and answers that are reset behind an upload

The soak's callers sent bodies of some bytes only, and its engines' heads were sound wherever they were whole. A tenth of the requests with a body send now 1.5 MB; engines and plain services send heads with a status below 100, odd field names, a folded line or an unknown coding, or answer an upload before it is read, without length, and reset the connection.

--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -113,12 +113,16 @@
             "slots": self.slots, "state": state, "coldLeftMs": 0, "seq": 1,
         }
 
+    def read_request(self, connection, data):
+        """As standinserver.read_request(); a stand-in may answer before it has read the whole request."""
+        return read_request(connection, data)
+
     def serve(self, connection):
         data = b""
         if self.crashes and not self.crashes.up:
             return
         while True:
-            request = read_request(connection, data)
+            request = self.read_request(connection, data)
             if request is None:
                 return
             method, target, headers, body, data = request
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -18,6 +18,8 @@
 PROBE_PAUSE_S = 0.15
 METERED_FACTOR = 3
 VERSION_1_0_SHARE = 0.06  # of the requests
+UPLOAD_SHARE = 0.1  # of the requests with a body, whose body is UPLOAD_SIZE
+UPLOAD_SIZE = 1_500_000  # more than links and systems hold of an upload that is not read
 LEAVING_SHARE = 0.04  # of the requests, whose callers leave within LEAVING_S
 LEAVING_S = 0.4
 FIRST_PART = "f0"  # that all prompts share
@@ -77,6 +79,7 @@
         self.deployment, self.key, self.pause_s = deployment, key, pause_s
         self.attempts = attempts
         self.rng = random.Random("%s-%d" % (name, deployment.seed))
+        self.upload_rng = random.Random("uploads of %s-%d" % (name, deployment.seed))
         self.connection = None
         self.entry = None
 
@@ -192,6 +195,8 @@
         method, body = "POST", attempt.fixed_body or b"prompt of " + attempt.id.encode()
         if attempt.kind in ("look", "probe"):
             method, body = "GET", b""
+        elif not attempt.fixed_body and self.upload_rng.random() < UPLOAD_SHARE:
+            body += UPLOAD_SIZE * b"."
         lines = [
             "%s %s HTTP/1.%d" % (method, attempt.target, 0 if attempt.version_1_0 else 1), "Host: " + HOST,
             "Attempt-Id: " + attempt.id, "Deadline-Ms: %d" % max(1, 1000 * (deadline - time.monotonic())),
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -101,7 +101,7 @@
                  "engine": {"slots": 2, "stride": 7}},
                 {"name": "plain", "healthPath": "/health", "maxConnections": 100},
             ],
-            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 100000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 4000000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
             "tenants": [
                 dict(tenant, name="ganga", apiKeys=list(self.keys)),
                 dict(tenant, name="metered", apiKeys=["key-metered"], ratePerS=self.rate, burst=self.rate),
@@ -362,7 +362,7 @@
         elif sort == "store":
             self.change_store(fault)
         elif fault.kind in ("pause", "torn", "twice", "garbage", "endless", "unframed", "error",
-                            "refuse", "half-event", "half-unframed", "half-head"):
+                            "refuse", "half-event", "half-unframed", "half-head", "unsound-head", "early-reset"):
             self.change_engine(fault)
         elif fault.kind.startswith("store-"):
             self.harm_link(self.links["store of " + fault.subject], fault.kind[6:], fault)
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -49,6 +49,10 @@
     "limits": (0.15, {"engine": {"limit": (2, 7, 14)}, "plain": {"limit": (1, 7, 14)}}),
     "releases": (0.12, {"engine": {"release": (1, 0, 0)}}),
     "ends": (0.3, {"engine": {"killed": (2, 0.5, 2)}, "plain": {"killed": (1, 0.5, 2)}}),
+    "answers": (0.3, {
+        "engine": {"unsound-head": (2, 1, 4), "early-reset": (2, 1, 4)},
+        "plain": {"unsound-head": (1, 1, 4), "early-reset": (1, 1, 4)},
+    }),
     "heads": (0.15, {"engine": {"half-head": (2, 1, 4)}, "plain": {"half-head": (1, 1, 4)}}),
 }
 SORT_WEIGHTS = {"entry": 5, "agent": 3, "engine": 6, "plain": 3, "store": 2, "operator": 4}
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -77,7 +77,8 @@
             if runs and attempt.complete and attempt.status in PROMISES:
                 self.add("REFUSED", attempt.id, "answered %d, but ran at %s", attempt.status, runs[0].stamp)
         for run in runs:
-            if run.request != attempt.request:
+            method, target, body = run.request
+            if (method, target) != attempt.request[:2] or body not in (None, attempt.request[2]):
                 self.add("UNASKED", attempt.id, "%r reached %s as %r", attempt.request, run.stamp, run.request)
             if attempt.tokens and run.headers.get("Token-Count") != "%d,%d" % attempt.tokens:
                 self.add("UNASKED", attempt.id, "Token-Count is %s", run.headers.get("Token-Count"))
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -2,10 +2,13 @@
 
 import collections
 import random
+import socket
+import struct
 import threading
 import time
 
 from platformstandin import Engine, Store, format_answer, shared_parts
+from standinserver import body_length, read_head, read_request
 
 COPY_KEEP_S = 10.0  # how far the store can go back
 SLOW_S = 1.2
@@ -13,6 +16,13 @@
 WORK_S, LONG_WORK_S, LONG_WORK_SHARE = (0.005, 0.06), (0.2, 0.6), 0.1  # of plain services
 FIRST_TOKEN_S = (0.005, 0.1)
 ENDLESS_S = 6.0  # bounds an endless answer whose reader never closes
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER with no time: close() resets the connection
+# Changes of a sound head that make it unsound: what is replaced, and by what.
+HEAD_FAULTS = (
+    (b" 200 ", b" 000 "), (b" 200 ", b" 099 "), (b"Server-Stamp:", b"Retry After: 1\r\nServer-Stamp:"),
+    (b"Server-Stamp:", b"Retry\x02After: 1\r\nServer-Stamp:"), (b"Server-Stamp:", b" Retry-After: 1\r\nServer-Stamp:"),
+    (b"Server-Stamp:", b"Transfer-Encoding: gzip\r\nServer-Stamp:"), (b"Server-Stamp", b"Server-Stamp "),
+)
 FIRST_EVENT_SHARE = 0.4  # of the streams that break off or pause, that do so within their first event
 
 
@@ -60,7 +70,7 @@
         self.version = version
         self.headers = headers
         self.attempt = headers.get("Attempt-Id", "")
-        self.request = (method, target, body)
+        self.request = (method, target, body)  # without a body that was not read: None
         self.status = None
         self.body = b""
         self.whole = False
@@ -130,6 +140,36 @@
         self.sequence += 1
         return dict(self.instance_record(self.service, state=self.listed_state), seq=self.sequence)
 
+    def read_request(self, connection, data):
+        if self.fault != "early-reset":
+            return read_request(connection, data)
+        head = read_head(connection, data)
+        if head is None:
+            return None
+        method, target, headers, rest = head
+        length = body_length(headers)
+        if length <= len(rest) or self.dark or dict(headers).get("Expect-Instance", self.instance) != self.instance:
+            lines = ["%s %s HTTP/1.1" % (method, target)] + ["%s: %s" % (name, value) for name, value in headers]
+            return read_request(connection, ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + rest)
+        self.answer_and_reset(connection, Run(self, self.version, dict(headers), method, target, None))
+        raise ConnectionResetError("the connection was reset behind an unread upload")
+
+    def answer_and_reset(self, connection, run):
+        """Sends a part of an answer without length that ends like a whole one, and resets the connection."""
+        run.stamp = "%s.%d" % (self.instance, self.journal.add_run(run))
+        run.status = 200
+        lines = ["HTTP/1.1 200 X", "Attempt-Id: " + run.attempt, "Server-Stamp: " + run.stamp]
+        if self.service == "engines":
+            lines.append("Content-Type: text/event-stream")
+            first = int(run.headers.get("Last-Event-Id", "0")) + 1
+            run.body = ("id: %d\ndata: %s/%d/%s\n\n" % (first, run.attempt, first, run.stamp)).encode()
+        else:
+            run.body = ("answer to %s by %s\n" % (run.attempt, run.stamp)).encode()
+        connection.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + run.body)
+        time.sleep(self.rng.choice([0, 0.02]))
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        connection.close()
+
     def handle_request(self, connection, method, target, headers, body):
         now = time.monotonic()
         version = self.version  # never newer than the instance
@@ -177,6 +217,10 @@
             head = format_answer(200, headers, b"")
             connection.sendall(head[:self.rng.randrange(1, len(head) - 1)])
             return False
+        if fault == "unsound-head":
+            replaced, replacement = self.rng.choice(HEAD_FAULTS)
+            connection.sendall(format_answer(200, headers, b"of an unsound head\n").replace(replaced, replacement, 1))
+            return False
         if fault == "garbage":
             connection.sendall(b"\x00\x01 this is no answer\r\n\r\n")
             return False
