Log: why a target's answer could not be read

A caller whose target sent no sound answer got 502, and the log said malformed-answer only. The line answer-unreadable names the request, the target and what the parser found, such as bad status.

--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -171,6 +171,7 @@
     void onAnswerEnd() override;
     bool isBodyOwn(std::string_view following) override;
     void onBoundExceeded(AnswerBound bound) override;
+    void onUnreadable(std::string_view why) override;
     void onAnswerFailed(TargetFailure failure) override;
     bool onGranted(std::uint64_t reservation, const std::string &targetId) override;
     void onQueued(std::uint64_t reservation, const std::string &targetId) override;
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -287,6 +287,15 @@
     this->state.log.decision(line);
 }
 
+void RequestFlow::onUnreadable(std::string_view why)
+{
+    DecisionLine line("entry", "answer-unreadable");
+    line.text("request", this->request.id)
+        .text("target", this->attempt->target.id)
+        .text("why", why);
+    this->state.log.decision(line);
+}
+
 bool RequestFlow::isBodyOwn(std::string_view following)
 {
     const std::size_t bodySize = this->attempt->body.size();
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -321,7 +321,10 @@
             return;
         }
     }
-    this->fail(this->headReceived ? TargetFailure::Truncated : TargetFailure::Malformed);
+    this->handler->onUnreadable(error.message());
+    if (this->handler != nullptr) {
+        this->fail(this->headReceived ? TargetFailure::Truncated : TargetFailure::Malformed);
+    }
 }
 
 bool TargetConnection::parseOnce(std::string_view &pending, error_code &error)
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -66,6 +66,9 @@
     virtual void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) = 0;
     /// The answer exceeds a bound; onAnswerFailed() follows. Does nothing by default.
     virtual void onBoundExceeded(AnswerBound /*bound*/) { }
+    /// What was received is no answer; onAnswerFailed() follows. Does nothing by default.
+    /// \param why The parser's message.
+    virtual void onUnreadable(std::string_view /*why*/) { }
     virtual void onAnswerFailed(TargetFailure failure) = 0;
 };
 
