Requests with a coding that is not chunked alone are refused

What callers could do: a request with "Transfer-Encoding: gzip" and no length ran without its body, and its body was read as the next request on the connection; with "gzip, chunked" the target got a coded body without the field that says so (UNASKED).

Cause: that of the answers with such codings; the parser ignores the field.

Change: hasKnownCoding() is a rule of a request's head as well, at the users' platform and at the product's own interface (400). What a sound head is stands in messagehead.cpp for both kinds of messages. testsuite/platform-path sends answers with status 000, a folded line and an unknown coding on real processes too, and looks for their lines in the log.

--- a/src/include/wigeonsill/http.h
+++ b/src/include/wigeonsill/http.h
@@ -40,6 +40,11 @@
 /// \param head Any leading part of the message, at most up to and including the empty line.
 bool isAmbiguousHead(std::string_view head);
 
+/// Whether a message has no transfer coding, or `chunked` alone, named once in HTTP/1.1 (RFC 9112,
+/// section 6.1). The parser ignores other codings, and takes their framing for the body or for the
+/// next message. Thread-safe.
+bool hasKnownCoding(const HttpFields &fields, int httpVersion);
+
 /// Position of the first beginning of an answer's status line, such as "HTTP/1.1 200", in a text;
 /// std::string_view::npos without one. Thread-safe.
 std::size_t findStatusLine(std::string_view text);
@@ -118,7 +123,8 @@
     /// further bytes. Errors: those of Beast's http::error; header_limit and body_limit are those
     /// of the constructor, buffer_overflow that of chunkFramingLimit.
     std::size_t consume(std::string_view bytes, boost::system::error_code &error);
-    /// Whether the head was read. That of an answer is sound then, see checkAnswerHead().
+    /// Whether the head was read. It is sound then: a status of 100 to 599 without 101, no
+    /// line that continues another one, no other head in a field, and hasKnownCoding().
     bool isHeadComplete() const;
     bool isComplete() const;
     /// \pre isHeadComplete().
--- a/src/libhttp/httpsession.cpp
+++ b/src/libhttp/httpsession.cpp
@@ -26,14 +26,21 @@
     return ResultCode::MalformedRequest;
 }
 
+HttpFields toHttpFields(const http::fields &fields)
+{
+    HttpFields result;
+    for (const auto &field : fields) {
+        result.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    }
+    return result;
+}
+
 HttpRequest toHttpRequest(http::request<http::string_body> &message)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
-    for (const auto &field : message) {
-        request.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    }
+    request.fields = toHttpFields(message);
     request.body = std::move(message.body());
     return request;
 }
@@ -169,6 +176,10 @@
             = co_await http::async_read_header(this->stream, this->buffer, parser, useTuple);
     }
     this->stopReadTimeout();
+    if (!headError
+        && !hasKnownCoding(toHttpFields(parser.get()), static_cast<int>(parser.get().version()))) {
+        headError = http::make_error_code(http::error::bad_transfer_encoding);
+    }
     if (headError) {
         co_await this->rejectRequest(headError);
         co_return std::nullopt;
--- a/src/libhttp/answerhead.cpp
+++ b/src/libhttp/messagehead.cpp
@@ -1,10 +1,11 @@
-/// \file answerhead.cpp
-/// What a sound head of an answer is.
-#include "answerhead.h"
+/// \file messagehead.cpp
+/// What a sound head of a message is.
+#include "messagehead.h"
 
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
+#include <span>
 
 namespace wigeonsill {
 
@@ -38,17 +39,9 @@
     });
 }
 
-/// RFC 9112, section 6.1: no request offers another coding than `chunked`, and HTTP/1.0 has none.
-/// The parser takes a body with any other coding as it is sent, with the coding and its framing.
-bool hasKnownCoding(const MessageHead &head)
+bool hasOnlyKnownCoding(const MessageHead &head)
 {
-    const auto isCoding = [](const HttpField &field) {
-        return equalsIgnoringCase(field.name, "Transfer-Encoding");
-    };
-    const auto codings = std::count_if(head.fields.begin(), head.fields.end(), isCoding);
-    return codings == 0
-        || (codings == 1 && head.httpVersion == 11
-            && equalsIgnoringCase(fieldValue(head.fields, "Transfer-Encoding"), "chunked"));
+    return hasKnownCoding(head.fields, head.httpVersion);
 }
 
 struct HeadRule
@@ -56,19 +49,21 @@
     bool (*holds)(const MessageHead &head);
     error violation;
 };
-constexpr std::array headRules = {
+constexpr std::array answerRules = {
     HeadRule{ hasValidStatus, error::bad_status },
     HeadRule{ keepsProtocol, error::bad_status },
     HeadRule{ hasOwnReason, error::bad_reason },
     HeadRule{ hasOwnValues, error::bad_value },
-    HeadRule{ hasKnownCoding, error::bad_transfer_encoding },
+    HeadRule{ hasOnlyKnownCoding, error::bad_transfer_encoding },
 };
 
-} // namespace
+constexpr std::array requestRules = {
+    HeadRule{ hasOnlyKnownCoding, error::bad_transfer_encoding },
+};
 
-boost::system::error_code checkAnswerHead(const MessageHead &head)
+boost::system::error_code check(const MessageHead &head, std::span<const HeadRule> rules)
 {
-    for (const HeadRule &rule : headRules) {
+    for (const HeadRule &rule : rules) {
         if (!rule.holds(head)) {
             return rule.violation;
         }
@@ -76,6 +71,27 @@
     return {};
 }
 
+} // namespace
+
+bool hasKnownCoding(const HttpFields &fields, int httpVersion)
+{
+    const auto codings = std::count_if(fields.begin(), fields.end(),
+        [](const HttpField &field) { return equalsIgnoringCase(field.name, "Transfer-Encoding"); });
+    return codings == 0
+        || (codings == 1 && httpVersion == 11
+            && equalsIgnoringCase(fieldValue(fields, "Transfer-Encoding"), "chunked"));
+}
+
+boost::system::error_code checkAnswerHead(const MessageHead &head)
+{
+    return check(head, answerRules);
+}
+
+boost::system::error_code checkRequestHead(const MessageHead &head)
+{
+    return check(head, requestRules);
+}
+
 bool FoldedLineFinder::feed(std::string_view bytes)
 {
     for (auto byte = bytes.begin(); byte != bytes.end() && !this->headEnded && !this->found;
--- a/src/libhttp/answerhead.h
+++ b/src/libhttp/messagehead.h
@@ -1,5 +1,5 @@
-/// \file answerhead.h
-/// What a sound head of an answer is.
+/// \file messagehead.h
+/// What a sound head of a message is.
 #pragma once
 
 #include "wigeonsill/http.h"
@@ -10,6 +10,8 @@
 /// nor the end of its body can be relied on. Thread-safe. Errors: bad_status, bad_reason,
 /// bad_value and bad_transfer_encoding of Beast's http::error.
 boost::system::error_code checkAnswerHead(const MessageHead &head);
+/// As checkAnswerHead(), of a request. Errors: bad_transfer_encoding.
+boost::system::error_code checkRequestHead(const MessageHead &head);
 
 /// Finds lines of a head that continue the line before them. The parser joins the two, so that a
 /// field in such a line would be lost, or be passed on as part of another one. Not thread-safe.
--- a/src/libhttp/answerhead_test.cpp
+++ b/src/libhttp/messagehead_test.cpp
@@ -1,4 +1,4 @@
-/// \file answerhead_test.cpp
+/// \file messagehead_test.cpp
 /// Tests of what a sound head of an answer is, whatever the pieces in which it is received.
 #include "wigeonsill/http.h"
 
--- a/src/libhttp/messagereader.cpp
+++ b/src/libhttp/messagereader.cpp
@@ -1,6 +1,6 @@
 /// \file messagereader.cpp
 /// Incremental reading of HTTP/1.1 messages with Beast's parser.
-#include "answerhead.h"
+#include "messagehead.h"
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -124,9 +124,7 @@
         }
         this->head.keepAlive = this->keep_alive();
         this->head.endsAtClose = !isRequest && this->need_eof();
-        if (!isRequest) {
-            error = checkAnswerHead(this->head);
-        }
+        error = isRequest ? checkRequestHead(this->head) : checkAnswerHead(this->head);
         this->headComplete = !error;
     }
     void on_body_init_impl(
--- a/testsuite/bad-input/run.py
+++ b/testsuite/bad-input/run.py
@@ -93,6 +93,13 @@
             400,
             1001,
         ),
+        ("an unknown coding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n0\r\n\r\n", 400, 1001),
+        (
+            "two codings",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            400,
+            1001,
+        ),
         ("a bad chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, 1001),
         ("header too slow", "GET / HT", 408, 1008),
         ("body too slow", completion(valid_body)[:-3], 408, 1008),
--- a/testsuite/platform-path/run.py
+++ b/testsuite/platform-path/run.py
@@ -53,6 +53,9 @@
         ("length and chunks", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"),
         ("two lengths", "Content-Length: 4\r\nContent-Length: 5\r\n"),
         ("a bare line feed", "X: a\nContent-Length: 0\r\n"),
+        ("an unknown coding", "Transfer-Encoding: gzip\r\n"),
+        ("two codings", "Transfer-Encoding: gzip, chunked\r\n"),
+        ("a coding that begins like chunked", "Transfer-Encoding: chunked;a=b\r\n"),
     ]:
         reply = send_raw(deployment.entry, head + fields + "\r\n0\r\n\r\nGET /look/plain HTTP/1.1\r\n\r\n")
         check(reply.startswith("HTTP/1.1 400 "), what + " is refused: " + reply[:40])
@@ -76,10 +79,16 @@
             check(
                 client.exchange("/book/plain").body == b"whole answer",
                 behaviour + ": the next request gets its own answer too")
-    reply = client.exchange("/book/garbage")
-    check(
-        reply.status == 502 and count_runs(deployment, client.last_request) == 1,
-        "a malformed answer gives 502 and the request is not sent again")
+    for behaviour in ("garbage", "status-000", "odd-field", "odd-coding"):
+        reply = client.exchange("/book/" + behaviour)
+        check(
+            reply.status == 502 and reply.body == b"" and count_runs(deployment, client.last_request) == 1,
+            behaviour + ": a malformed answer gives 502 and the request is not sent again")
+        reply = client.exchange("/draft/" + behaviour)
+        check(reply.status == 502 and reply.body == b"", behaviour + ": so does one of an engine")
+    wait_until(
+        lambda: sum('"event":"answer-unreadable"' in line for line in deployment.entry.lines) >= 8,
+        "the log tells why the answers could not be read")
     reply = client.exchange("/book/vanish")
     check(
         reply.status == 502 and count_runs(deployment, client.last_request) == 1,
--- a/testsuite/platformstandin.py
+++ b/testsuite/platformstandin.py
@@ -212,6 +212,14 @@
             return False
         if behaviour.startswith("endless-"):
             return self.send_without_end(connection, behaviour.removeprefix("endless-"), common_headers)
+        if behaviour in ("status-000", "odd-field", "odd-coding"):
+            replaced, replacement = {
+                "status-000": (b" 200 ", b" 000 "),
+                "odd-field": (b"Server-Stamp:", b" Retry-After: 1\r\nServer-Stamp:"),
+                "odd-coding": (b"Content-Length:", b"Transfer-Encoding: gzip\r\nLength:"),
+            }[behaviour]
+            connection.sendall(format_answer(200, common_headers, b"whole answer").replace(replaced, replacement, 1))
+            return False
         if behaviour == "garbage":
             connection.sendall(b"\x00\x01 this is no answer\r\n\r\n")
             return False
