--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -156,6 +156,7 @@
 
     def answer_and_reset(self, connection, run):
         """Sends a part of an answer without length that ends like a whole one, and resets the connection."""
+        self.journal.arrivals.append(Arrival(run.at, self.service, run.attempt, self.instance, 200, 0.0))
         run.stamp = "%s.%d" % (self.instance, self.journal.add_run(run))
         run.status = 200
         lines = ["HTTP/1.1 200 X", "Attempt-Id: " + run.attempt, "Server-Stamp: " + run.stamp]
