--- a/src/libforward/mixedanswers_test.cpp
+++ b/src/libforward/mixedanswers_test.cpp
@@ -28,8 +28,8 @@
     this->connection.close();
     this->queueReservations(milliseconds(100));
     ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation());
-    this->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(event(1).size())
-        + "\r\n\r\n" + event(1));
+    this->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(event(1).size()) + "\r\n\r\n"
+        + event(1));
     this->queueReservations(milliseconds(100));
     ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation()) << "the stream is resumed elsewhere";
     this->writeStreamHead();
