--- a/src/include/wigeonsill/http.h
+++ b/src/include/wigeonsill/http.h
@@ -123,15 +123,17 @@
     /// further bytes. Errors: those of Beast's http::error; header_limit and body_limit are those
     /// of the constructor, buffer_overflow that of chunkFramingLimit.
     std::size_t consume(std::string_view bytes, boost::system::error_code &error);
-    /// Whether the head was read. It is sound then: a status of 100 to 599 without 101, no
-    /// line that continues another one, no other head in a field, and hasKnownCoding().
+    /// Whether the head was read and is sound: hasKnownCoding(), and that of an answer has a status
+    /// of 100 to 599 without 101, no line that continues another one, and no other head in a field.
     bool isHeadComplete() const;
+    /// Whether the head and the body were read.
     bool isComplete() const;
     /// \pre isHeadComplete().
     const MessageHead &head() const;
+    /// What was read of the body and not removed.
     std::string &body();
 
-    struct Parser;
+    struct Parser; ///< Hides Beast's parser.
 
 protected:
     explicit MessageReader(std::unique_ptr<Parser> messageParser);
--- a/src/libforward/mixedanswers_test.cpp
+++ b/src/libforward/mixedanswers_test.cpp
@@ -5,38 +5,43 @@
 namespace wigeonsill {
 namespace {
 
+/// A second target is to resume the stream.
+class StreamAtSecondTarget : public BegunStream
+{
+protected:
+    void SetUp() override
+    {
+        this->connection.close();
+        this->queueReservations(milliseconds(100));
+        ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation());
+    }
+    /// The second target's answer is not used, and a third target gives the rest.
+    void expectRestOfThirdTarget()
+    {
+        this->queueReservations(milliseconds(100));
+        ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation()) << "the stream is resumed elsewhere";
+        this->writeStreamHead();
+        this->writeEvent(2);
+        this->write("0\r\n\r\n");
+        EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+        EXPECT_TRUE(this->complete);
+    }
+};
+
 /// The target that was to resume a stream begins it anew.
-TEST_F(BegunStream, eventsThatTheCallerHasAreNotRelayedAgain)
+TEST_F(StreamAtSecondTarget, eventsThatTheCallerHasAreNotRelayedAgain)
 {
-    this->connection.close();
-    this->queueReservations(milliseconds(100));
-    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation());
     this->writeStreamHead();
     this->writeChunk(event(1) + event(2));
-    this->queueReservations(milliseconds(100));
-    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation()) << "the stream is resumed elsewhere";
-    this->writeStreamHead();
-    this->writeEvent(2);
-    this->write("0\r\n\r\n");
-    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
-    EXPECT_TRUE(this->complete);
+    this->expectRestOfThirdTarget();
 }
 
 /// The same, in an answer that states a length and no type.
-TEST_F(BegunStream, eventsThatTheCallerHasAreNotRelayedAgainAsADocument)
+TEST_F(StreamAtSecondTarget, eventsThatTheCallerHasAreNotRelayedAgainAsADocument)
 {
-    this->connection.close();
-    this->queueReservations(milliseconds(100));
-    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation());
     this->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(event(1).size()) + "\r\n\r\n"
         + event(1));
-    this->queueReservations(milliseconds(100));
-    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation()) << "the stream is resumed elsewhere";
-    this->writeStreamHead();
-    this->writeEvent(2);
-    this->write("0\r\n\r\n");
-    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
-    EXPECT_TRUE(this->complete);
+    this->expectRestOfThirdTarget();
 }
 
 /// The target that was to resume a stream has nothing more to say.
