Bodies that were cut are not filled with a late answer in pieces

Cause: the check for another answer within a body of known length ran once, on the bytes that were there when the body was complete. Without bytes behind the body it didn't run, and a head that was not complete counted as quoted.

Change: JoinedAnswerScanner follows each place of a body where a status line may begin until the bytes decide, across pieces and behind the end of the body. A body that may be cut is held for up to 0.25 s, and what may belong to another answer isn't handed on. Another answer that ends exactly with the body counts as one behind a cut; a second target that sends the same confirms a quote. Large bodies, bodies in chunks and those that end with their connection are covered.

Ruled out: bytes lost between pieces; the size of the pieces made no difference.

--- a/src/include/wigeonsill/http.h
+++ b/src/include/wigeonsill/http.h
@@ -48,6 +48,11 @@
 /// Position of the first beginning of an answer's status line, such as "HTTP/1.1 200", in a text;
 /// std::string_view::npos without one. Thread-safe.
 std::size_t findStatusLine(std::string_view text);
+/// Bytes of a status line that findStatusLine() compares.
+inline constexpr std::size_t statusLineMarkSize = 12;
+/// Whether a text is the beginning of a status line, as far as its first statusLineMarkSize bytes
+/// show. Thread-safe.
+bool mayBeginStatusLine(std::string_view text);
 
 struct HttpRequest
 {
@@ -162,6 +167,51 @@
     void consumeEnd(ConnectionEnd end, boost::system::error_code &error);
 };
 
+/// Whether a complete body is what the target sent for it.
+enum class BodyVerdict : std::uint8_t {
+    Whole,
+    Undecided, ///< Bytes that follow the body would tell. Without any, it is whole.
+    Joined, ///< The body was cut, and other answers take the place of its rest.
+};
+
+/// Decides whether a body was cut and filled with other answers, which a body of known length
+/// doesn't show by its framing. A body that quotes an answer is told from a cut one by the end of
+/// the quoted answer: other answers go on until the end of the body, or behind it. Not thread-safe.
+class JoinedAnswerScanner
+{
+public:
+    /// Whether a head within a body may be that of another answer. One that a target sends carries
+    /// a request id.
+    using HeadPredicate = std::function<bool(const MessageHead &head)>;
+
+    explicit JoinedAnswerScanner(HeadPredicate answerPredicate);
+    ~JoinedAnswerScanner();
+    JoinedAnswerScanner(const JoinedAnswerScanner &) = delete;
+    JoinedAnswerScanner &operator=(const JoinedAnswerScanner &) = delete;
+
+    /// Takes the next bytes of the body. \pre feedFollowing() was not called.
+    void feedBody(std::string_view bytes);
+    /// Number of the last bytes of the body so far that may belong to other answers.
+    std::uint64_t suspectedSize() const;
+    /// Takes the next bytes behind the body on its connection. \pre the body is complete.
+    void feedFollowing(std::string_view bytes);
+    /// \pre the body is complete.
+    BodyVerdict verdict() const;
+    /// Size in bytes of the other answers where they end exactly with the body, and nothing
+    /// follows; 0 otherwise. A sound body may quote them as well. \pre the body is complete.
+    std::uint64_t endingAnswersSize() const;
+
+private:
+    class Candidate;
+    void feedCandidates(std::string_view bytes);
+    void addCandidate(std::string_view bytes);
+
+    HeadPredicate isAnswer;
+    std::vector<std::unique_ptr<Candidate>> candidates; ///< In the order of their places.
+    std::string following; ///< The first bytes behind the body.
+    bool joined = false; ///< By what followed.
+};
+
 // ---------------------------------------------------------------------------------------------
 // Server
 
--- a/src/libforward/answerbytes_test.cpp
+++ b/src/libforward/answerbytes_test.cpp
@@ -42,6 +42,14 @@
     UnknownCoding, ///< Of a body in chunks.
 };
 
+/// Where a target breaks off the body of its answer before it sends the messages behind it.
+enum class BodyCut : std::uint8_t {
+    None,
+    Anywhere,
+    LastBytes,
+    BySizeBehind, ///< What is missing has the size of the messages behind it.
+};
+
 template <class T, std::size_t count>
 using NameList = std::array<const char *, count>;
 constexpr NameList<Framing, 3> framingNames = { "sized", "chunked", "until-close" };
@@ -52,6 +60,8 @@
 constexpr NameList<HeadFault, 6> headFaultNames = { "sound", "status", "blank-in-name",
     "control-byte-in-name", "folded-line", "unknown-coding" };
 
+constexpr NameList<BodyCut, 4> cutNames = { "none", "anywhere", "last-bytes", "by-size-behind" };
+
 template <class T, std::size_t count>
 const char *nameOf(const std::array<const char *, count> &names, T value)
 {
@@ -89,6 +99,10 @@
     /// it if the connection is kept.
     bool isEarly = false;
     int bodySize = 20;
+    bool quotesHead = false; ///< A body that is no stream quotes the head of another answer.
+    BodyCut cut = BodyCut::None;
+    int cutPerMille = 0; ///< Where the body is cut, or the quoted head stands.
+    int pieceSize = 0; ///< The target pauses for 1 ms behind each piece; 0 for none.
     std::vector<Pause> pauses;
     EndKind end = EndKind::Keep;
     int endPerMille = 1'000; ///< Position of the end; Keep sends everything.
@@ -177,6 +191,13 @@
     for (const Message &message : script.after) {
         out << " " << message;
     }
+    if (script.quotesHead || script.cut != BodyCut::None) {
+        out << (script.quotesHead ? " quoting" : "") << " cut " << nameOf(cutNames, script.cut)
+            << "@" << script.cutPerMille;
+    }
+    if (script.pieceSize > 0) {
+        out << " pieces of " << script.pieceSize;
+    }
     for (const Pause &pause : script.pauses) {
         out << " pause@" << pause.perMille << "=" << pause.ms << "ms";
     }
@@ -297,9 +318,42 @@
         longest, rc::gen::container<std::vector<T>>(rc::gen::resize(rc::kNominalSize, element)));
 }
 
+/// Longest pause within which an answer behind a cut body is recognised.
+constexpr int longestPauseBehindCut = 90;
+
+/// What stands behind a cut body are sound answers, all of which are sent. The entry can't tell
+/// other bytes from the rest of the body.
+Script withAnswersBehindCut(Script script)
+{
+    if (script.cut == BodyCut::None) {
+        return script;
+    }
+    script.end = EndKind::Keep;
+    script.own.headFault = HeadFault::None;
+    if (script.after.empty()) {
+        script.after.emplace_back();
+    }
+    for (Message &message : script.after) {
+        const bool isOther = message.kind == MessageKind::Elsewhere;
+        const Framing framing
+            = message.framing == Framing::UntilClose ? Framing::Sized : message.framing;
+        message = Message();
+        message.kind = isOther ? MessageKind::Elsewhere : MessageKind::Repeat;
+        message.framing = framing;
+    }
+    for (Pause &pause : script.pauses) {
+        pause.ms = std::min(pause.ms, longestPauseBehindCut);
+    }
+    return script;
+}
+
 /// An answer without length ends with its connection, so that nothing follows it.
 Script withoutContradictions(Script script)
 {
+    if (script.own.framing == Framing::UntilClose) {
+        script.cut = BodyCut::None;
+    }
+    script = withAnswersBehindCut(std::move(script));
     if (script.own.framing == Framing::UntilClose) {
         script.after.clear();
         if (script.end == EndKind::Keep) {
@@ -330,6 +384,13 @@
                     { { 2, rc::gen::just(std::vector<Message>()) },
                         { 1, shortList(2, anyMessageAfter()) } })),
             rc::gen::set(&Script::bodySize, anyBodySize()),
+            rc::gen::set(&Script::quotesHead, weighted<bool>({ { 9, false }, { 1, true } })),
+            rc::gen::set(&Script::cut,
+                weighted<BodyCut>({ { 15, BodyCut::None }, { 1, BodyCut::Anywhere },
+                    { 1, BodyCut::LastBytes }, { 1, BodyCut::BySizeBehind } })),
+            rc::gen::set(&Script::cutPerMille, rc::gen::inRange(0, 1'000)),
+            rc::gen::set(&Script::pieceSize,
+                weighted<int>({ { 6, 0 }, { 1, 1 }, { 1, 7 }, { 1, 30 }, { 1, 200 } })),
             rc::gen::set(&Script::pauses, shortList(2, anyPause())),
             rc::gen::set(&Script::end,
                 weighted<EndKind>({ { 8, EndKind::Keep }, { 2, EndKind::Close },
@@ -448,6 +509,7 @@
     bool notRun = false;
     bool isHead = false; ///< Answers a HEAD request.
     std::string body;
+    std::size_t missing = 0; ///< Bytes at the end of the body that are not sent.
 };
 
 struct Serialized
@@ -502,7 +564,8 @@
         return result;
     }
     const std::size_t sent
-        = parts.body.size() * static_cast<std::size_t>(message.bodyPerMille) / 1'000;
+        = parts.body.size() * static_cast<std::size_t>(message.bodyPerMille) / 1'000
+        - parts.missing;
     result.bytes += isChunked ? formatChunks(parts.body, sent) : parts.body.substr(0, sent);
     return result;
 }
@@ -583,10 +646,16 @@
     AnswerParts partsOf(const Message &message, const AnswerParts &own);
     std::string bytesOf(const Message &message, const AnswerParts &own);
     void addBefore(Performance &performance, const Script &script, const AnswerParts &own);
-    void addAfter(Performance &performance, const Script &script, const AnswerParts &own);
+    /// The messages behind an answer that are sent at once. The late ones are held.
+    std::string takeAfter(const Script &script, const AnswerParts &own);
     /// Whether the entry skips a message that is not the answer it waits for.
     static bool isSkippable(const Message &message, const AnswerParts &own);
     static void place(Performance &performance, const Script &script);
+    /// A body with the head of another answer, which would be longer than what follows its head.
+    static std::string withQuote(std::string body, const Script &script);
+    /// \param behind Size of the messages behind the answer.
+    static std::size_t missingBytes(
+        const Script &script, const AnswerParts &own, std::size_t behind);
     /// An answer without length is as long as what was sent of it.
     static void limitToSentBody(
         Attempt &attempt, const Performance &performance, std::size_t bodyAt);
@@ -610,6 +679,9 @@
     parts.body = isStream(plan) && parts.status == 200
         ? eventsFrom(stamp, script.startsAnew ? 1 : request.lastEvent + 1, plan.eventCount)
         : markedBody(stamp, script.bodySize);
+    if (script.quotesHead && !isStream(plan)) {
+        parts.body = withQuote(std::move(parts.body), script);
+    }
     return parts;
 }
 
@@ -662,13 +734,47 @@
     }
 }
 
-void Composer::addAfter(Performance &performance, const Script &script, const AnswerParts &own)
+std::string Composer::takeAfter(const Script &script, const AnswerParts &own)
 {
+    std::string result;
     for (const Message &message : script.after) {
         this->followable = this->followable && message.late && isSkippable(message, own);
-        std::string &place = message.late ? this->held : performance.bytes;
-        place += this->bytesOf(message, own);
+        (message.late ? this->held : result) += this->bytesOf(message, own);
+    }
+    return result;
+}
+
+std::string Composer::withQuote(std::string body, const Script &script)
+{
+    const std::size_t at = body.size() * static_cast<std::size_t>(script.cutPerMille) / 1'000;
+    const std::string head = "HTTP/1.1 200 Status\r\nRequest-Id: quoted\r\nContent-Length: "
+        + std::to_string(body.size() + 1) + "\r\n\r\n";
+    return body.insert(at, head);
+}
+
+std::size_t Composer::missingBytes(const Script &script, const AnswerParts &own, std::size_t behind)
+{
+    constexpr std::size_t lastBytes = 150;
+    const std::size_t size = own.body.size();
+    if (size == 0 || own.isHead) {
+        return 0;
+    }
+    switch (script.cut) {
+    case BodyCut::None:
+        return 0;
+    case BodyCut::BySizeBehind:
+        if (behind <= size) {
+            return behind;
+        }
+        [[fallthrough]];
+    case BodyCut::Anywhere:
+        return 1 + (size - 1) * static_cast<std::size_t>(script.cutPerMille) / 1'000;
+    case BodyCut::LastBytes:
+        return 1
+            + (std::min(size, lastBytes) - 1) * static_cast<std::size_t>(script.cutPerMille)
+            / 1'000;
     }
+    return 0;
 }
 
 void Composer::place(Performance &performance, const Script &script)
@@ -678,6 +784,15 @@
         const auto at = size * static_cast<std::size_t>(pause.perMille) / 1'000;
         performance.pauses.push_back({ static_cast<int>(at), pause.ms });
     }
+    // Large bodies are cut into fewer pieces.
+    constexpr std::size_t mostPieces = 400;
+    const std::size_t pieceSize
+        = std::max(static_cast<std::size_t>(script.pieceSize), size / mostPieces);
+    for (std::size_t at = pieceSize; script.pieceSize > 0 && at < size; at += pieceSize) {
+        performance.pauses.push_back({ static_cast<int>(at), 1 });
+    }
+    std::stable_sort(performance.pauses.begin(), performance.pauses.end(),
+        [](const Pause &left, const Pause &right) { return left.perMille < right.perMille; });
     performance.end = script.end;
     performance.endAt = script.end == EndKind::Keep
         ? size
@@ -712,9 +827,12 @@
     std::vector<Attempt> &attempts = this->ledger.attempts[request.id];
     const std::string stamp
         = request.id + "." + this->targetName + "." + std::to_string(attempts.size());
-    const AnswerParts own = this->ownParts(request, plan, script, stamp);
+    AnswerParts own = this->ownParts(request, plan, script, stamp);
     Performance performance;
     this->addBefore(performance, script, own);
+    const bool wasFollowable = this->followable;
+    const std::string behind = this->takeAfter(script, own);
+    own.missing = missingBytes(script, own, behind.size());
     const Serialized answer = serialize(script.own, own);
     const std::size_t bodyAt = performance.bytes.size() + answer.bodyAt;
     performance.bytes += answer.bytes;
@@ -726,18 +844,19 @@
     attempt.framing = script.own.framing;
     attempt.body = own.body;
     const std::size_t answerEnd = performance.bytes.size();
-    const bool wasFollowable = this->followable;
-    this->addAfter(performance, script, own);
+    performance.bytes += behind;
     place(performance, script);
-    const bool isPaused = std::any_of(script.pauses.begin(), script.pauses.end(),
+    const bool isPaused = std::any_of(performance.pauses.begin(), performance.pauses.end(),
         [](const Pause &pause) { return pause.ms > 0; });
     const bool isSent = performance.endAt >= answerEnd && (!isPaused || !mayMove(plan))
         && script.end != EndKind::Reset
         && (script.own.framing != Framing::UntilClose || script.end == EndKind::Close);
     // What is unread of an upload resets the connection that is closed.
     const bool endsByReset = isAnsweredEarly(plan, script) && script.end != EndKind::Keep;
+    // Bytes that are no answer may be the rest of the quoted one.
+    const bool isQuoteAmbiguous = script.quotesHead && !behind.empty();
     attempt.isDeliverable = wasFollowable && isSent && !endsByReset && attempt.isSound
-        && script.own.hasId && own.status == 200;
+        && script.own.hasId && own.status == 200 && own.missing == 0 && !isQuoteAmbiguous;
     if (!endsByReset) {
         limitToSentBody(attempt, performance, bodyAt);
     }
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -169,7 +169,8 @@
     void onAnswerBody(std::string_view bytes) override;
     void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) override;
     void onAnswerEnd() override;
-    bool isBodyOwn(std::string_view following) override;
+    bool confirmQuote(std::string_view answers) override;
+    void onBodyHeld() override { this->recordProgress(); }
     void onBoundExceeded(AnswerBound bound) override;
     void onUnreadable(std::string_view why) override;
     void onAnswerFailed(TargetFailure failure) override;
@@ -258,6 +259,7 @@
     bool headSentToCaller = false;
     MessageHead relayedHead; ///< That the caller got.
     std::uint64_t relayedEvents = 0; ///< Number of events that the caller got.
+    std::string suspectedAnswers; ///< At the end of a body that looked cut; see confirmQuote().
     std::string lastRelayedEventId; ///< Empty when the last event that the caller got has none.
     std::optional<Duration> timeToFirstEvent;
     std::optional<Duration> timeToSend;
--- a/src/libforward/requestrelay.cpp
+++ b/src/libforward/requestrelay.cpp
@@ -296,23 +296,12 @@
     this->state.log.decision(line);
 }
 
-bool RequestFlow::isBodyOwn(std::string_view following)
+bool RequestFlow::confirmQuote(std::string_view answers)
 {
-    const std::size_t bodySize = this->attempt->body.size();
-    const std::string bytes = this->attempt->body + std::string(following);
-    for (std::size_t at = findStatusLine(bytes); at < bodySize;) {
-        const std::string_view rest = std::string_view(bytes).substr(at);
-        AnswerReader reader(answerBufferLimit, answerBufferLimit);
-        boost::system::error_code error; // Of a body behind the head, which doesn't matter.
-        reader.consume(rest, error);
-        if (reader.isHeadComplete()
-            && !this->state.dialect.decodeAnswer(reader.head()).requestId.empty()) {
-            return false;
-        }
-        const std::size_t next = findStatusLine(rest.substr(1));
-        at = next == std::string_view::npos ? next : at + 1 + next;
-    }
-    return true;
+    // Late answers of two targets differ in their request ids.
+    const bool isRepeated = answers == this->suspectedAnswers;
+    this->suspectedAnswers = answers;
+    return isRepeated;
 }
 
 void RequestFlow::onAnswerFailed(TargetFailure failure)
--- a/src/libforward/targetpool.cpp
+++ b/src/libforward/targetpool.cpp
@@ -37,6 +37,11 @@
 /// Time within which another request's answer has to end. It is late already, so what is left of it
 /// is due at once.
 constexpr Duration skippedTimeLimit = seconds(2);
+/// Time within which an answer that was sent in place of the rest of a body goes on behind it.
+/// Longer than TCP takes to send a lost segment again. Only bodies that look cut are held for it.
+constexpr Duration followingTimeLimit = milliseconds(250);
+/// Largest part of a body that is held because it may belong to another answer, in bytes.
+constexpr std::uint64_t heldBodyLimit = 262'144;
 /// The bounds that the reader checks.
 constexpr std::array readerBounds = {
     std::pair{ http::error::header_limit, AnswerBound::Head },
@@ -148,6 +153,8 @@
     this->startReader();
     this->skippedBytes = 0;
     this->headReceived = false;
+    this->awaitingFollowing = false;
+    this->bytesFollow = false;
     this->sent = false;
     this->writeError = {};
     this->endedWhileWriting = false;
@@ -259,6 +266,14 @@
         this->close();
         return;
     }
+    if (!error && this->awaitingFollowing) {
+        this->bytesFollow = true;
+        this->scanner->feedFollowing({ this->readBuffer.data(), bytes });
+        if (this->endBody()) {
+            this->read();
+        }
+        return;
+    }
     if (!error) {
         this->receiveBuffer.append(this->readBuffer.data(), bytes);
         if (this->parse()) {
@@ -271,6 +286,11 @@
 
 void TargetConnection::onEnd(const error_code &error)
 {
+    if (this->awaitingFollowing) {
+        this->reusable = false;
+        this->finishBody();
+        return;
+    }
     const bool isAnswer = this->headReceived && !this->skippingAnswer;
     if (isAnswer && this->reader->head().endsAtClose && error == asio::error::eof
         && this->writing) {
@@ -282,7 +302,11 @@
     this->reader->consumeEnd(classifyEnd(error, this->writeError), endError);
     if (isAnswer && !endError) {
         this->reusable = false;
-        this->finish(false);
+        if (this->scanner && this->scanner->verdict() == BodyVerdict::Joined) {
+            this->finishJoined();
+        } else {
+            this->finishBody();
+        }
         return;
     }
     this->fail(this->headReceived ? TargetFailure::Truncated : TargetFailure::ClosedWithoutAnswer);
@@ -349,7 +373,7 @@
         const std::string bytes = std::move(this->reader->body());
         this->reader->body().clear();
         if (!this->skippingAnswer) {
-            this->handler->onAnswerBody(bytes);
+            this->passOnBody(bytes);
             if (this->handler == nullptr) {
                 return false;
             }
@@ -363,15 +387,114 @@
         this->startReader();
         return true;
     }
-    if (!pending.empty() && this->reader->head().length && !this->handler->isBodyOwn(pending)) {
-        this->pool.metrics.count("wigeonsill_joined_answers_total");
-        this->fail(TargetFailure::Truncated);
+    this->bytesFollow = !pending.empty();
+    if (!this->scanner || this->reader->head().chunked) {
+        this->finishBody(); // The end of a body in chunks shows by itself.
+        return false;
+    }
+    this->scanner->feedFollowing(pending);
+    pending = {};
+    return this->endBody();
+}
+
+bool TargetConnection::endBody()
+{
+    switch (this->scanner->verdict()) {
+    case BodyVerdict::Undecided:
+        this->awaitFollowingBytes();
+        return true;
+    case BodyVerdict::Joined:
+        this->finishJoined();
         return false;
+    case BodyVerdict::Whole:
+        break;
     }
-    this->finish(!pending.empty());
+    this->finishBody();
     return false;
 }
 
+void TargetConnection::awaitFollowingBytes()
+{
+    if (!this->awaitingFollowing) {
+        this->awaitingFollowing = true;
+        this->readingPaused = false; // The handler has the whole body.
+        this->pool.metrics.count("wigeonsill_bodies_held_total");
+    }
+    const auto self = this->shared_from_this();
+    this->timer.expires_after(followingTimeLimit);
+    this->timer.async_wait([self](const error_code &error) {
+        if (!error) {
+            self->onFollowingTimeOver();
+        }
+    });
+}
+
+void TargetConnection::onFollowingTimeOver()
+{
+    // Further bytes may have been received since.
+    if (this->handler == nullptr || !this->awaitingFollowing
+        || this->timer.expiry() > asio::steady_timer::clock_type::now()) {
+        return;
+    }
+    if (this->hasUnexpectedInput()) {
+        this->awaitFollowingBytes(); // The process was late, and not they.
+    } else {
+        this->reusable = false; // They may still come.
+        this->finishBody();
+    }
+}
+
+void TargetConnection::passOnBody(const std::string &bytes)
+{
+    if (!this->scanner) {
+        this->handler->onAnswerBody(bytes);
+        return;
+    }
+    this->scanner->feedBody(bytes);
+    const std::uint64_t suspected = this->scanner->suspectedSize();
+    if (suspected == 0 && this->heldBody.empty()) {
+        this->handler->onAnswerBody(bytes);
+        return;
+    }
+    this->heldBody += bytes;
+    this->handler->onBodyHeld();
+    this->releaseBody(std::min(suspected, heldBodyLimit));
+}
+
+void TargetConnection::releaseBody(std::uint64_t kept)
+{
+    if (this->heldBody.size() > kept) {
+        const std::string released = this->heldBody.substr(0, this->heldBody.size() - kept);
+        this->heldBody.erase(0, released.size());
+        this->handler->onAnswerBody(released);
+    }
+}
+
+void TargetConnection::finishBody()
+{
+    this->releaseBody(0);
+    if (this->handler != nullptr) {
+        this->finish();
+    }
+}
+
+void TargetConnection::finishJoined()
+{
+    const auto self = this->shared_from_this();
+    const std::uint64_t size = this->scanner->endingAnswersSize();
+    if (size > 0 && size <= this->heldBody.size()
+        && this->handler->confirmQuote(
+            std::string_view(this->heldBody).substr(this->heldBody.size() - size))) {
+        this->finishBody();
+        return;
+    }
+    this->pool.metrics.count("wigeonsill_joined_answers_total");
+    this->handler->onUnreadable("another answer takes the place of the rest of the body");
+    if (this->handler != nullptr) {
+        this->fail(TargetFailure::Truncated);
+    }
+}
+
 void TargetConnection::onSkippedTimeOver()
 {
     // A later answer may be skipped by now.
@@ -386,6 +509,8 @@
     if (this->request.isHead) {
         this->reader->expectNoBody();
     }
+    this->scanner.reset();
+    this->heldBody.clear();
     this->headBytes.clear();
     this->skippingAnswer = false;
 }
@@ -440,6 +565,7 @@
     } else {
         this->headReceived = true;
         this->updateIdleTime(head);
+        this->startScanner();
         this->handler->onAnswerHead(head);
     }
     return this->handler != nullptr;
@@ -467,14 +593,25 @@
     this->reusable = this->reusable && head.keepAlive && idleTimeout > Duration::zero();
 }
 
-void TargetConnection::finish(bool bytesFollow)
+void TargetConnection::startScanner()
+{
+    if (this->request.id.empty()) {
+        return;
+    }
+    this->scanner = std::make_unique<JoinedAnswerScanner>(
+        [&dialect = this->pool.dialect](const MessageHead &embedded) {
+            return !dialect.decodeAnswer(embedded).requestId.empty();
+        });
+}
+
+void TargetConnection::finish()
 {
     const auto self = this->shared_from_this();
     AnswerHandler *finishedHandler = this->handler;
     this->handler = nullptr;
     // Bytes after a complete answer belong to no request, and a target that answered before it had
     // read the complete body would read the next request as the rest of that body.
-    if (!this->reusable || this->boreForeignAnswer || bytesFollow || this->writing
+    if (!this->reusable || this->boreForeignAnswer || this->bytesFollow || this->writing
         || this->writeError) {
         this->close();
     } else {
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -55,10 +55,12 @@
     virtual void onAnswerHead(const MessageHead &head) = 0;
     virtual void onAnswerBody(std::string_view bytes) = 0;
     virtual void onAnswerEnd() = 0;
-    /// Whether a body of known length that is complete is the answer's own, where further bytes
-    /// follow it; otherwise onAnswerFailed() follows. The target may have broken it off and begun
-    /// another answer within its length. \param following The bytes that were received behind it.
-    virtual bool isBodyOwn(std::string_view /*following*/) { return true; }
+    /// Whether a complete body may be passed on although its last bytes look like other answers
+    /// that were sent in place of its rest; otherwise onAnswerFailed() follows. No by default.
+    virtual bool confirmQuote(std::string_view /*answers*/) { return false; }
+    /// Bytes of the body were received that are held until more is known of them. Does nothing by
+    /// default.
+    virtual void onBodyHeld() { }
     /// An answer that is not this request's was received and is kept from the handler.
     /// \param answerId Request id that it carries, and it is skipped; empty when it carries none,
     /// and onAnswerFailed() follows with Unattributed.
@@ -66,8 +68,8 @@
     virtual void onForeignAnswer(std::string_view answerId, std::uint64_t earlierRequests) = 0;
     /// The answer exceeds a bound; onAnswerFailed() follows. Does nothing by default.
     virtual void onBoundExceeded(AnswerBound /*bound*/) { }
-    /// What was received is no answer; onAnswerFailed() follows. Does nothing by default.
-    /// \param why The parser's message.
+    /// What was received is no answer, or not one answer; onAnswerFailed() follows. Does nothing by
+    /// default.
     virtual void onUnreadable(std::string_view /*why*/) { }
     virtual void onAnswerFailed(TargetFailure failure) = 0;
 };
@@ -153,6 +155,20 @@
     /// \param pending Received bytes; those that were parsed are removed from its beginning.
     bool parseOnce(std::string_view &pending, boost::system::error_code &error);
     void failParsing(const boost::system::error_code &error);
+    /// Hands bytes of the body on, except those that may belong to another answer.
+    void passOnBody(const std::string &bytes);
+    /// Hands on what is held of the body, except its last bytes.
+    void releaseBody(std::uint64_t kept);
+    /// Ends the answer whose body is complete, or waits for what may follow it. Returns false when
+    /// the answer ended.
+    bool endBody();
+    /// Waits for further bytes, which tell whether the body was cut.
+    void awaitFollowingBytes();
+    void onFollowingTimeOver();
+    /// Ends the answer whose body is whole.
+    void finishBody();
+    /// Ends the answer whose body is complete, and other answers may take the place of its rest.
+    void finishJoined();
     void startReader();
     /// Decides whose answer begins. Returns false when the connection was closed.
     bool onHeadRead();
@@ -160,7 +176,9 @@
     void skipForeignAnswer();
     bool isAttributable(const AnswerFacts &facts) const;
     void onSkippedTimeOver();
-    void finish(bool bytesFollow);
+    /// Looks for other answers in the body from now on.
+    void startScanner();
+    void finish();
     void fail(TargetFailure failure);
     /// Closes the connection whose request is given up on.
     void reset();
@@ -171,10 +189,14 @@
     std::string targetId;
     boost::asio::ip::tcp::endpoint endpoint;
     boost::asio::ip::tcp::socket socket;
-    boost::asio::steady_timer timer; ///< Of connecting, later of skipping an answer.
+    /// Of connecting, later of skipping an answer or waiting behind a body.
+    boost::asio::steady_timer timer;
     std::array<char, 8'192> readBuffer;
     std::string receiveBuffer;
     std::unique_ptr<AnswerReader> reader;
+    /// Of the body; nullptr for answers without a request id.
+    std::unique_ptr<JoinedAnswerScanner> scanner;
+    std::string heldBody; ///< Received and not handed on.
     std::string headBytes; ///< Of the answer being read; kept only for HEAD requests.
     OutgoingRequest request;
     AnswerHandler *handler = nullptr; ///< nullptr while idle.
@@ -186,6 +208,8 @@
     bool endedWhileWriting = false; ///< The target has closed its side; see onEnd().
     bool sent = false;
     bool headReceived = false;
+    bool awaitingFollowing = false; ///< The body is complete; see awaitFollowingBytes().
+    bool bytesFollow = false; ///< The complete body.
     bool skippingAnswer = false; ///< The answer being read is informational or another request's.
     bool boreForeignAnswer = false; ///< What follows on the connection is not trusted further.
     std::size_t skippedBytes = 0; ///< Read for the current request before its own answer's head.
--- a/src/libhttp/httpmessage.cpp
+++ b/src/libhttp/httpmessage.cpp
@@ -69,18 +69,23 @@
         [name](std::string_view field) { return equalsIgnoringCase(field, name); });
 }
 
+bool mayBeginStatusLine(std::string_view text)
+{
+    constexpr std::string_view format = "HTTP/1.0 000"; // 0 stands for any digit.
+    static_assert(format.size() == statusLineMarkSize);
+    const std::string_view mark = text.substr(0, format.size());
+    return std::equal(mark.begin(), mark.end(), format.begin(), [](char found, char expected) {
+        return expected == '0' ? found >= '0' && found <= '9' : found == expected;
+    });
+}
+
 std::size_t findStatusLine(std::string_view text)
 {
     constexpr std::string_view version = "HTTP/1.";
-    constexpr std::string_view format = "HTTP/1.0 000"; // 0 stands for any digit.
     for (std::size_t at = text.find(version); at != std::string_view::npos;
          at = text.find(version, at + 1)) {
-        const std::string_view candidate = text.substr(at, format.size());
-        const bool matches = std::equal(format.begin(), format.end(), candidate.begin(),
-            candidate.end(), [](char expected, char found) {
-                return expected == '0' ? found >= '0' && found <= '9' : found == expected;
-            });
-        if (matches) {
+        const std::string_view candidate = text.substr(at, statusLineMarkSize);
+        if (candidate.size() == statusLineMarkSize && mayBeginStatusLine(candidate)) {
             return at;
         }
     }
