Soak: answers in pieces behind a cut body, and quoted heads

The soak repeated whole answers and sent nothing behind a cut. Plain servers now break off within a body and send a late answer in pieces, or one as long as the missing bytes ("joined"), and quote a head in a sound body ("quote").

--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -362,7 +362,8 @@
         elif sort == "store":
             self.change_store(fault)
         elif fault.kind in ("pause", "torn", "twice", "garbage", "endless", "unframed", "error",
-                            "refuse", "half-event", "half-unframed", "half-head", "unsound-head", "early-reset"):
+                            "refuse", "half-event", "half-unframed", "half-head", "unsound-head", "early-reset",
+                            "joined", "quote"):
             self.change_engine(fault)
         elif fault.kind.startswith("store-"):
             self.harm_link(self.links["store of " + fault.subject], fault.kind[6:], fault)
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -23,6 +23,8 @@
     (b"Server-Stamp:", b"Retry\x02After: 1\r\nServer-Stamp:"), (b"Server-Stamp:", b" Retry-After: 1\r\nServer-Stamp:"),
     (b"Server-Stamp:", b"Transfer-Encoding: gzip\r\nServer-Stamp:"), (b"Server-Stamp", b"Server-Stamp "),
 )
+LAST_BYTES = 150  # of a body, within which half of the cuts lie that have another answer behind them
+JOIN_PAUSES_S = (0, 0.001, 0.004, 0.05)  # between the pieces of that answer
 FIRST_EVENT_SHARE = 0.4  # of the streams that break off or pause, that do so within their first event
 
 
@@ -238,7 +240,16 @@
         run.status = 500 if fault == "error" else 200
         text = "answer to %s by %s\n" % (run.attempt, run.stamp)
         run.body = (text * self.rng.randint(1, 40)).encode()
+        if fault == "quote":
+            run.body = self.quote_head(run.body)
         answer = format_answer(run.status, headers, run.body)
+        if fault == "joined":
+            self.send_joined(connection, answer, run.body)
+            return True
+        if fault == "quote":
+            self.send_in_pieces(connection, answer)
+            run.whole = True
+            return self.state != "draining"
         if fault == "unframed":
             answer = b"\r\n".join(line for line in answer.split(b"\r\n") if not line.startswith(b"Content-Length"))
         if fault in ("torn", "pause"):
@@ -255,6 +266,35 @@
             connection.sendall(answer)
         return fault != "unframed" and self.state != "draining"
 
+    def late_answer(self, size):
+        """Returns an answer to a request that another caller has sent."""
+        number = self.rng.randrange(10 ** 8, 10 ** 9)
+        stamp = [("Attempt-Id", "late-%d" % number), ("Server-Stamp", "%s.late-%d" % (self.instance, number))]
+        return format_answer(200, stamp, size * b"L")
+
+    def send_in_pieces(self, connection, answer):
+        size, pause_s = self.rng.choice([1, 7, 40, len(answer)]), self.rng.choice(JOIN_PAUSES_S[:3])
+        size = max(size, len(answer) // 200)
+        for at in range(0, len(answer), size):
+            connection.sendall(answer[at:at + size])
+            time.sleep(pause_s)
+
+    def send_joined(self, connection, answer, body):
+        """Breaks off within a body, and sends a late answer in pieces, behind the body or as long as its rest."""
+        late = self.late_answer(self.rng.randrange(800))
+        missing = self.rng.randint(1, min(LAST_BYTES, len(body)) if self.rng.random() < 0.5 else len(body))
+        if self.rng.random() < 0.3 and len(late) <= len(body):
+            missing = len(late)
+        connection.sendall(answer[:len(answer) - missing])
+        time.sleep(self.rng.choice(JOIN_PAUSES_S))
+        self.send_in_pieces(connection, late)
+
+    def quote_head(self, body):
+        """Returns a body within which a head is quoted, whose own body would be longer than the rest."""
+        head = self.late_answer(len(body) + 1)
+        at = self.rng.randrange(len(body))
+        return body[:at] + head[:head.index(b"\r\n\r\n") + 4] + body[at:]
+
     def stream_events(self, connection, fault, run, headers):
         time.sleep(self.rng.uniform(*FIRST_TOKEN_S))
         run.status = 200
