Streams of an entry that doesn't see a new version go on elsewhere

Cause: while an entry knew one version of a service, it told nobody at which one its streams began, and did so once it knew of a second one itself.

Change: three agents are told of each stream before its caller gets the first event. An entry that takes a stream up also asks the agents that an entry knowing one version only would have chosen. What an agent says of several versions comes from entries that know them. Refusals for an unknown version have a line, origin-unknown.

Ruled out: excluding versions by what agents of the others say (one that ended says nothing), and the age of a stream (no caller states it).

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -21,6 +21,8 @@
 ORGANISATIONS = 38000
 CONFIGURATION_CHANGES_PER_DAY = 1700
 PACKET_OVERHEAD_BYTES = 52  # IP and TCP headers with the timestamp option
+DATAGRAM_OVERHEAD_BYTES = 28  # IP and UDP headers
+AGENTS_TOLD_OF_A_STREAM = 3
 CANDIDATES_PER_REQUEST = 2
 ENTRIES_PER_AGENT = 3
 MEAN_WAIT_S = 2  # mean waiting time of a request at the peak rate
@@ -39,11 +41,12 @@
 
 
 def control_bytes_per_request():
-    """Bytes of the reserve, withdraw and pull messages of one request."""
+    """Bytes of the reserve, withdraw and pull messages of one request, and of the records of its stream."""
     return (
         CANDIDATES_PER_REQUEST * packet_bytes("reserve")
         + (CANDIDATES_PER_REQUEST - 1) * packet_bytes("withdraw")
         + packet_bytes("pull")
+        + AGENTS_TOLD_OF_A_STREAM * (FRAME_BYTES["streamRecord"] + DATAGRAM_OVERHEAD_BYTES)
     )
 
 
--- a/src/include/wigeonsill/versions.h
+++ b/src/include/wigeonsill/versions.h
@@ -72,11 +72,6 @@
     /// Forgets a stream that has ended whole.
     void forget(std::uint64_t stream) { this->origins.erase(stream); }
     std::optional<std::string> find(std::uint64_t stream, TimePoint now) const;
-    /// Whether any stream was recorded within the time for which records are kept.
-    bool wasRecordedLately(TimePoint now) const
-    {
-        return !this->order.empty() && now - this->order.back().first <= memory;
-    }
     /// All streams with their versions.
     std::vector<std::pair<std::uint64_t, std::string>> all(TimePoint now) const;
 
@@ -99,8 +94,8 @@
     bool isVersionListed = false; ///< The process knows that version.
     std::optional<std::string> onlyVersion; ///< That served lately, as far as the process knows.
     bool isListConfirmed = false; ///< The versions were read since the stream was taken up.
-    /// An agent was told of streams lately, as entries do that know several versions.
-    bool areStreamsShared = false;
+    /// An entry that knows several versions told an agent of a stream lately.
+    bool areSeveralVersionsKnown = false;
     std::size_t askedAgents = 0;
     std::size_t answeredAgents = 0;
     bool isTimeOver = false; ///< No further answer is waited for.
@@ -127,13 +122,9 @@
     OriginVerdict verdict = OriginVerdict::Pending;
     std::string version = {}; ///< If it is known.
     OriginSource source = OriginSource::OwnRecord;
+    OriginEvidence evidence = {}; ///< From which an unknown version was concluded.
 };
 
-/// Decides whether a stream can go on, and where. A list that was read before the stream was taken
-/// up may lack the version that began it, so a process that knows one version only must not trust
-/// it. Always decides once the time is over.
-OriginDecision decideOrigin(const OriginEvidence &evidence);
-
 /// Hash of the id of a request, under which a stream that it began is known.
 std::uint64_t streamHash(std::string_view requestId);
 
@@ -143,4 +134,35 @@
 std::vector<const Target *> chooseOriginKeepers(
     std::vector<const Target *> targets, std::uint64_t stream, std::size_t count);
 
+/// The agents that keep the origins of streams. All processes that know the same targets choose
+/// the same ones. Not thread-safe.
+class OriginKeepers
+{
+public:
+    /// \param engines All targets with agents. \pre they outlive this object.
+    explicit OriginKeepers(std::vector<const Target *> engines)
+        : targets(std::move(engines))
+    {
+    }
+
+    /// The targets whose agents are told of a stream: some of those that stay, and of all, since a
+    /// process that has an older list doesn't know which of them leave.
+    std::vector<const Target *> toTell(std::uint64_t stream) const;
+    /// The targets whose agents are asked for a stream of a service: those that were told of it by
+    /// a process that knows the same targets, or only those of one of the versions. \param versions
+    /// Of all services, that served lately.
+    std::vector<const Target *> toAsk(std::uint64_t stream, std::string_view service,
+        const std::set<ServiceVersion> &versions) const;
+
+private:
+    std::vector<const Target *> stayingTargets() const;
+
+    std::vector<const Target *> targets;
+};
+
+/// Decides whether a stream can go on, and where. A list that was read before the stream was taken
+/// up may lack the version that began it, so a process that knows one version only must not trust
+/// it. Always decides once the time is over.
+OriginDecision decideOrigin(const OriginEvidence &evidence);
+
 } // namespace wigeonsill
--- a/src/libforward/grant.capnp
+++ b/src/libforward/grant.capnp
@@ -123,5 +123,6 @@
   stream @34 :UInt64;         # in streamBegan, streamQuery, streamOrigin: hash of the id of the request that began it
   version @35 :Text;          # in streamBegan, streamOrigin: of the targets' software
   streamKnown @36 :Bool;      # in streamOrigin
-  streamsShared @37 :Bool;    # in streamOrigin: the agent was told of streams lately
+  streamsShared @37 :Bool;    # in streamOrigin: an entry that knows several versions told the agent of streams lately
+  onlyVersion @38 :Bool;      # in streamBegan: the entry knows no other version of the service
 }
--- a/src/libforward/grant.capnp.h
+++ b/src/libforward/grant.capnp.h
@@ -1080,6 +1080,8 @@
 
     inline bool getStreamsShared() const;
 
+    inline bool getOnlyVersion() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1274,6 +1276,9 @@
     inline bool getStreamsShared();
     inline void setStreamsShared(bool value);
 
+    inline bool getOnlyVersion();
+    inline void setOnlyVersion(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2949,6 +2954,20 @@
     _builder.setDataField<bool>(::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GrantMessage::Reader::getOnlyVersion() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+
+inline bool GrantMessage::Builder::getOnlyVersion()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+inline void GrantMessage::Builder::setOnlyVersion(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
+}
+
 } // namespace schema
 } // namespace wigeonsill
 
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -88,6 +88,8 @@
     bool rateInReports = false; ///< The last report stated the target's rate.
     Quarantine quarantine; ///< What the entries know, kept for those that don't yet.
     StreamOrigins streams; ///< Kept for the entries.
+    /// When an entry that knows several versions of a service told of a stream last.
+    std::optional<TimePoint> severalVersionsKnownAt;
     struct TargetQuery
     {
         asio::ip::udp::endpoint entry;
@@ -160,6 +162,9 @@
         return;
     case GrantKind::StreamBegan:
         this->streams.record(message.stream, message.version, now);
+        if (!message.isOnlyVersion) {
+            this->severalVersionsKnownAt = now;
+        }
         return;
     case GrantKind::StreamQuery:
         this->replyToStreamQuery(message);
@@ -234,7 +239,8 @@
     answer.kind = GrantKind::StreamOrigin;
     answer.stream = query.stream;
     answer.isStreamKnown = version.has_value();
-    answer.areStreamsShared = this->streams.wasRecordedLately(now);
+    answer.areSeveralVersionsKnown = this->severalVersionsKnownAt
+        && now - *this->severalVersionsKnownAt <= StreamOrigins::memory;
     answer.version = version.value_or("");
     this->sendTo(this->sender, std::move(answer));
 }
--- a/src/libforward/grantclient.cpp
+++ b/src/libforward/grantclient.cpp
@@ -151,12 +151,13 @@
 }
 
 void GrantClient::shareStreamVersion(
-    const Target &keeper, std::uint64_t stream, const std::string &version)
+    const Target &keeper, std::uint64_t stream, const std::string &version, bool isOnlyVersion)
 {
     GrantMessage message;
     message.kind = GrantKind::StreamBegan;
     message.stream = stream;
     message.version = version;
+    message.isOnlyVersion = isOnlyVersion;
     this->send(keeper, std::move(message));
 }
 
--- a/src/libforward/grantclient.h
+++ b/src/libforward/grantclient.h
@@ -63,7 +63,9 @@
     void requestPermits(
         const Target &issuer, const RateStatement &statement, int wanted, bool asDeputy);
     /// Tells an agent at which version a stream began.
-    void shareStreamVersion(const Target &keeper, std::uint64_t stream, const std::string &version);
+    /// \param isOnlyVersion This entry knows no other version of the service.
+    void shareStreamVersion(
+        const Target &keeper, std::uint64_t stream, const std::string &version, bool isOnlyVersion);
     /// Asks an agent at which version a stream began.
     void queryStreamVersion(const Target &keeper, std::uint64_t stream);
     /// Sends a report or directive of a rollout to another entry.
--- a/src/libforward/grantmessage.cpp
+++ b/src/libforward/grantmessage.cpp
@@ -122,6 +122,29 @@
     return messages;
 }
 
+namespace {
+
+void encodeUses(const GrantMessage &message, capnp::List<schema::OrganisationUse>::Builder target)
+{
+    unsigned index = 0;
+    for (const auto &[organisation, use] : message.ownUsage) {
+        auto record = target[index++];
+        record.setOrganisation(organisation.c_str());
+        record.setAmount(use.inWindow);
+        record.setTotal(use.total);
+        record.setDemand(use.demand);
+    }
+    for (const auto &[organisation, amount] : message.usage.othersUsage) {
+        auto record = target[index++];
+        record.setOrganisation(organisation.c_str());
+        record.setAmount(amount);
+        const auto demand = message.usage.othersDemand.find(organisation);
+        record.setDemand(demand == message.usage.othersDemand.end() ? 0 : demand->second);
+    }
+}
+
+} // namespace
+
 std::string encode(const GrantMessage &message)
 {
     capnp::MallocMessageBuilder builder;
@@ -129,7 +152,9 @@
     root.setKind(static_cast<schema::GrantKind>(message.kind));
     root.setSender(message.sender);
     root.setTicket(message.profile.reservationId.number);
-    root.setRequestId(message.profile.requestId.c_str());
+    if (!message.profile.requestId.empty()) {
+        root.setRequestId(message.profile.requestId.c_str());
+    }
     root.setPromptTokens(message.profile.promptTokens);
     root.setOutputTokens(message.profile.outputTokens);
     root.setGenerated(message.generated);
@@ -149,43 +174,40 @@
     root.setEntries(static_cast<std::uint32_t>(message.usage.sharingEntries));
     root.setMemoryUs(message.usage.collectorAge.count());
     const std::size_t count = message.ownUsage.size() + message.usage.othersUsage.size();
-    auto uses = root.initUses(static_cast<unsigned>(count));
-    unsigned index = 0;
-    for (const auto &[organisation, use] : message.ownUsage) {
-        uses[index].setOrganisation(organisation.c_str());
-        uses[index].setAmount(use.inWindow);
-        uses[index].setTotal(use.total);
-        uses[index].setDemand(use.demand);
-        ++index;
-    }
-    for (const auto &[organisation, amount] : message.usage.othersUsage) {
-        uses[index].setOrganisation(organisation.c_str());
-        uses[index].setAmount(amount);
-        const auto demand = message.usage.othersDemand.find(organisation);
-        uses[index].setDemand(demand == message.usage.othersDemand.end() ? 0 : demand->second);
-        ++index;
+    if (count > 0) {
+        encodeUses(message, root.initUses(static_cast<unsigned>(count)));
     }
     root.setCrashDigest(message.crashDigest);
     root.setMoreFollow(message.moreFollow);
-    root.setTargetId(message.targetId.c_str());
+    if (!message.targetId.empty()) {
+        root.setTargetId(message.targetId.c_str());
+    }
     root.setTargetEnded(message.targetEnded);
-    encodeRates(message.rates, root.initRates(static_cast<unsigned>(message.rates.size())));
+    if (!message.rates.empty()) {
+        encodeRates(message.rates, root.initRates(static_cast<unsigned>(message.rates.size())));
+    }
     root.setPermits(static_cast<std::uint32_t>(message.permits.permits));
     root.setUntilNextUs(message.permits.untilNext.count());
     root.setAsDeputy(message.asDeputy);
     root.setUnused(message.unused);
     root.setStream(message.stream);
-    root.setVersion(message.version.c_str());
+    if (!message.version.empty()) {
+        root.setVersion(message.version.c_str());
+    }
     root.setStreamKnown(message.isStreamKnown);
-    root.setStreamsShared(message.areStreamsShared);
-    encodeReports(message.crashReports,
-        root.initCrashReports(static_cast<unsigned>(message.crashReports.size())));
+    root.setStreamsShared(message.areSeveralVersionsKnown);
+    root.setOnlyVersion(message.isOnlyVersion);
+    if (!message.crashReports.empty()) {
+        encodeReports(message.crashReports,
+            root.initCrashReports(static_cast<unsigned>(message.crashReports.size())));
+    }
     if (message.rolloutReport) {
         encodeRollout(*message.rolloutReport, root.initRollout());
     } else if (message.rolloutDirective) {
         encodeRollout(*message.rolloutDirective, root.initRollout());
     }
-    // Packed encoding: traffic between failure domains is charged, and most fields are zero.
+    // Packed encoding: traffic between failure domains is charged, and most fields are zero. An
+    // empty text or list that is set takes more than one that is not.
     kj::VectorOutputStream packed;
     capnp::writePackedMessage(packed, builder);
     const auto bytes = packed.getArray().asChars();
@@ -252,7 +274,8 @@
         message.stream = root.getStream();
         message.version = root.getVersion().cStr();
         message.isStreamKnown = root.getStreamKnown();
-        message.areStreamsShared = root.getStreamsShared();
+        message.areSeveralVersionsKnown = root.getStreamsShared();
+        message.isOnlyVersion = root.getOnlyVersion();
         message.crashReports = decodeReports(root.getCrashReports());
         if (message.kind == GrantKind::RolloutReport) {
             message.rolloutReport = decodeReportPart(root.getRollout());
--- a/src/libforward/grantmessage.h
+++ b/src/libforward/grantmessage.h
@@ -55,7 +55,9 @@
     std::uint64_t stream = 0; ///< In StreamBegan, StreamQuery and StreamOrigin: see streamHash().
     std::string version; ///< In StreamBegan and StreamOrigin: of the targets' software.
     bool isStreamKnown = false; ///< In StreamOrigin.
-    bool areStreamsShared = false; ///< In StreamOrigin: the agent was told of streams lately.
+    /// In StreamOrigin: an entry that knows several versions told the agent of a stream lately.
+    bool areSeveralVersionsKnown = false;
+    bool isOnlyVersion = false; ///< In StreamBegan: the entry knows no other one of the service.
     std::optional<RolloutReportPart> rolloutReport; ///< In RolloutReport, and always there.
     std::optional<RolloutDirective> rolloutDirective; ///< In RolloutDirective, and always there.
 };
--- a/src/libforward/requestversions.cpp
+++ b/src/libforward/requestversions.cpp
@@ -88,6 +88,16 @@
         return;
     }
     this->state.metrics.count("wigeonsill_streams_of_unknown_version_total");
+    const OriginEvidence &evidence = decision.evidence;
+    DecisionLine line("entry", "origin-unknown");
+    line.text("request", this->request.id)
+        .text("resumes", this->request.resumedRequest)
+        .number("asked", static_cast<double>(evidence.askedAgents))
+        .number("answered", static_cast<double>(evidence.answeredAgents))
+        .number("list_read", evidence.isListConfirmed ? 1 : 0)
+        .number("several_versions_known", evidence.areSeveralVersionsKnown ? 1 : 0)
+        .ms("waited_ms", this->elapsed());
+    this->state.log.decision(line);
     this->refuse(ResultCode::NoTargetAvailable,
         "the version at which the stream began is not known, and several may serve");
 }
--- a/src/libforward/streamversions.cpp
+++ b/src/libforward/streamversions.cpp
@@ -8,74 +8,55 @@
 
 namespace {
 
-/// Agents that are told of a stream, so that it stays known when two of them are lost.
-constexpr std::size_t keeperCount = 3;
-/// Agents that are asked: more than are told, since targets may have been added since.
-constexpr std::size_t askedCount = 4;
 /// Shortest time between two rounds that share all streams.
 constexpr Duration shareInterval = seconds(2);
 
-/// The targets whose agents keep a stream: of those that stay, and of all, since an entry that has
-/// an older list doesn't know which of them leave.
-std::vector<const Target *> keepersOf(
-    std::uint64_t stream, const std::vector<const Target *> &targets, std::size_t stayingCount)
-{
-    std::vector<const Target *> result = chooseOriginKeepers(targets, stream, keeperCount);
-    std::vector<const Target *> staying = targets;
-    std::erase_if(staying, [](const Target *target) { return target->leaving; });
-    for (const Target *target : chooseOriginKeepers(std::move(staying), stream, stayingCount)) {
-        if (std::find(result.begin(), result.end(), target) == result.end()) {
-            result.push_back(target);
-        }
-    }
-    return result;
-}
-
 } // namespace
 
 void StreamVersions::setRecent(std::set<ServiceVersion> versions)
 {
     this->recent = std::move(versions);
-    this->anyShared = std::any_of(this->recent.begin(), this->recent.end(),
-        [this](const ServiceVersion &version) { return this->isShared(version.service); });
-    if (!this->anyShared) {
+    this->anySeveralVersions = std::any_of(
+        this->recent.begin(), this->recent.end(), [this](const ServiceVersion &version) {
+            return this->hasSeveralVersions(version.service);
+        });
+    if (!this->anySeveralVersions) {
         this->sharedTargetsVersion.reset();
     }
 }
 
-bool StreamVersions::isShared(const std::string &service) const
+bool StreamVersions::hasSeveralVersions(const std::string &service) const
 {
     return !onlyVersion(this->recent, service);
 }
 
 void StreamVersions::update(std::uint64_t targetsVersion, TimePoint now)
 {
-    if (!this->anyShared || this->sharedTargetsVersion == targetsVersion
+    if (!this->anySeveralVersions || this->sharedTargetsVersion == targetsVersion
         || now - this->sharedAt < shareInterval) {
         return;
     }
     this->sharedTargetsVersion = targetsVersion;
     this->sharedAt = now;
-    const std::vector<const Target *> targets = this->engines();
+    const OriginKeepers keepers(this->engines());
     for (const auto &[stream, version] : this->origins.all(now)) {
-        this->share(stream, version, targets);
+        this->share(stream, version, keepers, false);
     }
 }
 
 void StreamVersions::recordBegan(std::uint64_t stream, const ServiceVersion &version, TimePoint now)
 {
     this->origins.record(stream, version.version, now);
-    if (this->isShared(version.service)) {
-        this->share(stream, version.version, this->engines());
-    }
+    this->share(stream, version.version, OriginKeepers(this->engines()),
+        !this->hasSeveralVersions(version.service));
 }
 
-void StreamVersions::share(
-    std::uint64_t stream, const std::string &version, const std::vector<const Target *> &targets)
+void StreamVersions::share(std::uint64_t stream, const std::string &version,
+    const OriginKeepers &keepers, bool isOnlyVersion)
 {
     this->metrics.count("wigeonsill_stream_versions_shared_total");
-    for (const Target *keeper : keepersOf(stream, targets, keeperCount)) {
-        this->grants.shareStreamVersion(*keeper, stream, version);
+    for (const Target *keeper : keepers.toTell(stream)) {
+        this->grants.shareStreamVersion(*keeper, stream, version, isOnlyVersion);
     }
 }
 
@@ -98,7 +79,8 @@
 void StreamVersions::queryAgents(Question &question)
 {
     question.unanswered.clear();
-    for (const Target *target : keepersOf(question.stream, this->engines(), askedCount)) {
+    for (const Target *target :
+        OriginKeepers(this->engines()).toAsk(question.stream, question.service, this->recent)) {
         const auto endpoint = parseEndpoint(target->address);
         if (endpoint && question.unanswered.insert(endpoint.value().address()).second) {
             this->metrics.count("wigeonsill_stream_versions_asked_total");
@@ -152,7 +134,7 @@
         }
         confirmed.push_back(listener);
         question.evidence.isListConfirmed = true;
-        if (this->isShared(question.service)) {
+        if (this->hasSeveralVersions(question.service)) {
             this->queryAgents(question);
         }
     }
@@ -168,7 +150,8 @@
         }
         answered.push_back(listener);
         OriginEvidence &evidence = question.evidence;
-        evidence.areStreamsShared = evidence.areStreamsShared || message.areStreamsShared;
+        evidence.areSeveralVersionsKnown
+            = evidence.areSeveralVersionsKnown || message.areSeveralVersionsKnown;
         if (message.isStreamKnown) {
             evidence.version = message.version;
         }
--- a/src/libforward/streamversions.h
+++ b/src/libforward/streamversions.h
@@ -16,9 +16,10 @@
     virtual void onStreamOrigin(const OriginDecision &decision) = 0;
 };
 
-/// Keeps the version of each stream that this entry began, and shares it with some agents while a
-/// service has targets of more than one version, so that another entry, or this one after a
-/// restart, can go on with the stream. Not thread-safe.
+/// Keeps the version of each stream that this entry began, and shares it with some agents, so that
+/// another entry, or this one after a restart, can go on with the stream. It is shared also while
+/// one version serves: another one may join, and this process may end before it knows of that. Not
+/// thread-safe.
 class StreamVersions
 {
 public:
@@ -38,8 +39,8 @@
 
     /// Sets the versions that served lately.
     void setRecent(std::set<ServiceVersion> versions);
-    /// Shares the streams that are under way when they have to be known elsewhere from now on, or
-    /// when the agents that keep them may have changed. Must be called regularly.
+    /// Shares the streams that are under way again when a service gets several versions, or the
+    /// agents that keep the streams of such a service may have changed. Must be called regularly.
     /// \param targetsVersion Changes when the targets do.
     void update(std::uint64_t targetsVersion, TimePoint now);
     /// Records that the first event of a stream was received, or that it goes on.
@@ -72,9 +73,9 @@
         std::set<boost::asio::ip::address> unanswered;
         OriginEvidence evidence; ///< But for what follows from other members.
     };
-    bool isShared(const std::string &service) const;
-    void share(std::uint64_t stream, const std::string &version,
-        const std::vector<const Target *> &targets);
+    bool hasSeveralVersions(const std::string &service) const;
+    void share(std::uint64_t stream, const std::string &version, const OriginKeepers &keepers,
+        bool isOnlyVersion);
     /// Sends the question to all agents that may know the stream by the current list.
     void queryAgents(Question &question);
     OriginDecision decide(const Question &question) const;
@@ -87,7 +88,7 @@
     EngineList engines;
     std::function<void()> readList;
     std::set<ServiceVersion> recent;
-    bool anyShared = false; ///< A service has several recent versions.
+    bool anySeveralVersions = false; ///< A service has several recent versions.
     std::optional<std::uint64_t> sharedTargetsVersion; ///< When all streams were shared last.
     TimePoint sharedAt;
     StreamOrigins origins;
--- a/src/libforward/takenupstreams_test.cpp
+++ b/src/libforward/takenupstreams_test.cpp
@@ -47,6 +47,32 @@
     this->nextMessage(GrantKind::Reserve);
 }
 
+/// LOST, review case 9: an entry told nobody of its streams while it knew one version.
+TEST_F(BegunStream, isKnownToAgentsBeforeASecondVersionIs)
+{
+    const GrantMessage record = this->nextMessage(GrantKind::StreamBegan).second;
+    EXPECT_EQ(record.stream, streamHash("request-1"));
+    EXPECT_TRUE(record.isOnlyVersion);
+}
+
+/// Three such datagrams for each stream are a part of what a daemon spends on control.
+TEST(StreamRecord, takesFewBytes)
+{
+    GrantMessage record;
+    record.kind = GrantKind::StreamBegan;
+    record.sender = ~std::uint64_t(0);
+    record.stream = ~std::uint64_t(0);
+    record.version = "2026.11.3";
+    record.isOnlyVersion = true;
+    // docs/CAPACITY.md: 2.6 KB a second are left of 14, for 8.2 streams a second.
+    EXPECT_LE(3 * 8.2 * (static_cast<double>(encode(record).size()) + 28), 2.6 * 1'024);
+    const auto decoded = decodeGrantMessage(encode(record));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->stream, record.stream);
+    EXPECT_EQ(decoded->version, record.version);
+    EXPECT_TRUE(decoded->isOnlyVersion);
+}
+
 /// LOST: callers that had a part of their stream waited behind those that had nothing.
 TEST_F(TakenUpStream, isWaitedForAsTheRestOfAnAnswer)
 {
--- a/src/libversions/streamorigins.cpp
+++ b/src/libversions/streamorigins.cpp
@@ -3,6 +3,7 @@
 #include "wigeonsill/versions.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace wigeonsill {
 
@@ -50,7 +51,7 @@
 OriginDecision decideOrigin(const OriginEvidence &evidence)
 {
     const auto known = [](const std::string &version, OriginSource source) {
-        return OriginDecision{ OriginVerdict::Known, version, source };
+        return OriginDecision{ OriginVerdict::Known, version, source, {} };
     };
     if (evidence.version) {
         // The targets of a version that joined just now are in the list that is being read.
@@ -59,15 +60,17 @@
         return isUsable ? known(*evidence.version, OriginSource::Agent) : OriginDecision{};
     }
     const bool allAnswered = evidence.answeredAgents >= evidence.askedAgents;
+    OriginDecision unknown{ OriginVerdict::Unknown };
+    unknown.evidence = evidence;
     if (!evidence.onlyVersion) {
         // An older list names other agents than those that were told.
         const bool isAnswered = allAnswered && evidence.isListConfirmed;
-        return { isAnswered || evidence.isTimeOver ? OriginVerdict::Unknown
-                                                   : OriginVerdict::Pending };
+        return isAnswered || evidence.isTimeOver ? unknown : OriginDecision{};
     }
     if (evidence.isListConfirmed) {
         // Streams are shared for a time after the other versions have left.
-        const bool mayBeKept = evidence.areStreamsShared && !allAnswered && !evidence.isTimeOver;
+        const bool mayBeKept
+            = evidence.areSeveralVersionsKnown && !allAnswered && !evidence.isTimeOver;
         return mayBeKept ? OriginDecision{} : known(*evidence.onlyVersion, OriginSource::List);
     }
     if (!evidence.isTimeOver) {
@@ -75,9 +78,9 @@
     }
     const bool mostAnswered
         = evidence.answeredAgents > 0 && 2 * evidence.answeredAgents >= evidence.askedAgents;
-    return mostAnswered && !evidence.areStreamsShared
+    return mostAnswered && !evidence.areSeveralVersionsKnown
         ? known(*evidence.onlyVersion, OriginSource::AgentsUnaware)
-        : OriginDecision{ OriginVerdict::Unknown };
+        : unknown;
 }
 
 std::uint64_t streamHash(std::string_view requestId)
@@ -88,19 +91,84 @@
 std::vector<const Target *> chooseOriginKeepers(
     std::vector<const Target *> targets, std::uint64_t stream, std::size_t count)
 {
-    const auto weight = [stream](const Target *target) {
+    struct Candidate
+    {
+        std::uint64_t weight = 0;
+        const Target *target = nullptr;
+    };
+    std::vector<Candidate> candidates;
+    candidates.reserve(targets.size());
+    for (const Target *target : targets) {
         // The agent's address stays when the target's port or incarnation changes.
         const std::string_view address = target->address;
-        return stableHash(address.substr(0, address.rfind(':')), stream);
-    };
-    const std::size_t chosen = std::min(count, targets.size());
-    std::partial_sort(targets.begin(), targets.begin() + static_cast<std::ptrdiff_t>(chosen),
-        targets.end(), [&weight](const Target *left, const Target *right) {
-            return std::pair(weight(left), left->address)
-                > std::pair(weight(right), right->address);
+        candidates.push_back({ stableHash(address.substr(0, address.rfind(':')), stream), target });
+    }
+    const std::size_t chosen = std::min(count, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(chosen),
+        candidates.end(), [](const Candidate &left, const Candidate &right) {
+            return std::tie(left.weight, left.target->address)
+                > std::tie(right.weight, right.target->address);
         });
     targets.resize(chosen);
+    std::transform(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(chosen),
+        targets.begin(), [](const Candidate &candidate) { return candidate.target; });
     return targets;
 }
 
+namespace {
+
+/// Agents that are told of a stream, so that it stays known when two of them are lost.
+constexpr std::size_t toldCount = 3;
+/// Agents of targets that stay that are asked: more than are told, since targets may have been
+/// added since.
+constexpr std::size_t askedCount = 4;
+
+void appendMissing(
+    std::vector<const Target *> &targets, const std::vector<const Target *> &additional)
+{
+    for (const Target *target : additional) {
+        if (std::find(targets.begin(), targets.end(), target) == targets.end()) {
+            targets.push_back(target);
+        }
+    }
+}
+
+} // namespace
+
+std::vector<const Target *> OriginKeepers::toTell(std::uint64_t stream) const
+{
+    std::vector<const Target *> result = chooseOriginKeepers(this->targets, stream, toldCount);
+    const bool anyLeaves = std::any_of(this->targets.begin(), this->targets.end(),
+        [](const Target *target) { return target->leaving; });
+    if (anyLeaves) {
+        appendMissing(result, chooseOriginKeepers(this->stayingTargets(), stream, toldCount));
+    }
+    return result;
+}
+
+std::vector<const Target *> OriginKeepers::toAsk(
+    std::uint64_t stream, std::string_view service, const std::set<ServiceVersion> &versions) const
+{
+    std::vector<const Target *> result = chooseOriginKeepers(this->targets, stream, toldCount);
+    appendMissing(result, chooseOriginKeepers(this->stayingTargets(), stream, askedCount));
+    for (const ServiceVersion &version : versions) {
+        if (version.service != service) {
+            continue;
+        }
+        std::vector<const Target *> known = this->targets;
+        std::erase_if(known, [&version](const Target *target) {
+            return target->service == version.service && target->version != version.version;
+        });
+        appendMissing(result, chooseOriginKeepers(std::move(known), stream, toldCount));
+    }
+    return result;
+}
+
+std::vector<const Target *> OriginKeepers::stayingTargets() const
+{
+    std::vector<const Target *> result = this->targets;
+    std::erase_if(result, [](const Target *target) { return target->leaving; });
+    return result;
+}
+
 } // namespace wigeonsill
--- a/src/libversions/versionhistory_test.cpp
+++ b/src/libversions/versionhistory_test.cpp
@@ -112,7 +112,7 @@
 {
     OriginEvidence evidence = evidenceOfOneVersion(3);
     evidence.isListConfirmed = true;
-    evidence.areStreamsShared = true;
+    evidence.areSeveralVersionsKnown = true;
     EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Pending);
     evidence.answeredAgents = 4;
     EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Known);
@@ -124,7 +124,7 @@
     evidence.isTimeOver = true;
     EXPECT_EQ(decideOrigin(evidence).source, OriginSource::AgentsUnaware);
     EXPECT_EQ(decideOrigin(evidence).version, "v1");
-    evidence.areStreamsShared = true;
+    evidence.areSeveralVersionsKnown = true;
     EXPECT_EQ(decideOrigin(evidence).verdict, OriginVerdict::Unknown);
     for (const std::size_t answered : { 0U, 1U }) {
         evidence = evidenceOfOneVersion(answered);
@@ -194,5 +194,55 @@
     EXPECT_EQ(chooseOriginKeepers({}, 7, 3).size(), 0U);
 }
 
+/// LOST, review case 9: an entry that knew the targets of one version chose the agents.
+TEST(OriginKeepers, areAskedAlsoIfTheyWereChosenAmongOneVersion)
+{
+    std::vector<Target> targets;
+    for (int i = 1; i <= 60; ++i) {
+        targets.push_back(makeTarget(std::to_string(i), i <= 6 ? "v1" : "v2"));
+    }
+    std::vector<const Target *> all;
+    for (const Target &target : targets) {
+        all.push_back(&target);
+    }
+    const OriginKeepers keepersThen(std::vector(all.begin(), all.begin() + 6));
+    const OriginKeepers keepersNow(all);
+    for (std::uint64_t stream = 0; stream < 1'000; ++stream) {
+        const auto told = keepersThen.toTell(stream);
+        const auto asked = keepersNow.toAsk(stream, "engines", { oldVersion, newVersion });
+        ASSERT_EQ(told.size(), 3U);
+        ASSERT_LE(asked.size(), 10U);
+        ASSERT_TRUE(std::all_of(told.begin(), told.end(), [&asked](const Target *target) {
+            return std::find(asked.begin(), asked.end(), target) != asked.end();
+        }));
+    }
+}
+
+/// One of the processes knows that half of the targets leave, and the other doesn't.
+TEST(OriginKeepers, areSharedWithAProcessThatDoesNotKnowWhoLeaves)
+{
+    std::vector<Target> targets;
+    for (int i = 1; i <= 10; ++i) {
+        targets.push_back(makeTarget(std::to_string(i), "v1"));
+    }
+    std::vector<Target> leaving = targets;
+    std::vector<const Target *> older;
+    std::vector<const Target *> newer;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        leaving[i].leaving = i < 5;
+        older.push_back(&targets[i]);
+        newer.push_back(&leaving[i]);
+    }
+    for (std::uint64_t stream = 0; stream < 100; ++stream) {
+        std::set<std::string> asked;
+        for (const Target *target : OriginKeepers(older).toAsk(stream, "engines", { oldVersion })) {
+            asked.insert(target->id);
+        }
+        const auto told = OriginKeepers(newer).toTell(stream);
+        ASSERT_TRUE(std::any_of(told.begin(), told.end(),
+            [&asked](const Target *target) { return asked.contains(target->id); }));
+    }
+}
+
 } // namespace
 } // namespace wigeonsill
--- a/testsuite/joined-versions/run.py
+++ b/testsuite/joined-versions/run.py
@@ -1,19 +1,18 @@
 """Streams joined from two software versions of a service, within one answer and over a caller's tries."""
 
-import http.client
 import pathlib
 import random
 import signal
 import sys
 import tempfile
-import threading
 import time
 
 sys.path.append(str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
 
 from harness import check, wait_until  # noqa: E402
 from link import Link, Proxies  # noqa: E402
-from platformdeployment import Client, Deployment  # noqa: E402
+from platformdeployment import Deployment  # noqa: E402
+from takenupstreams import Stream, joined, kill, versions_of, went_on  # noqa: E402
 
 SERVICE = "engines"
 EVENT_COUNT = 12
@@ -23,43 +22,6 @@
 REPORT_S = 1.0  # Until an agent has read its engine's report.
 
 
-class Stream:
-    """A caller that reads a stream until it ends or breaks off."""
-
-    def __init__(self, entry, path, **options):
-        self.client = Client(entry)
-        self.request = self.client.send(path, **options)
-        self.status, self.body, self.complete = 0, b"", False
-        self.thread = threading.Thread(target=self.read, daemon=True)
-        self.thread.start()
-
-    def read(self):
-        try:
-            response = self.client.connection.getresponse()
-            self.status = response.status
-            while piece := response.read1(65536):
-                self.body += piece
-            self.complete = True
-        except (http.client.HTTPException, OSError):
-            pass  # It broke off.
-
-    def last_event(self):
-        """Returns the id of the last whole event, 0 without one."""
-        whole = self.body.decode().split("\n\n")[:-1]
-        return int(whole[-1].split("\n")[0].removeprefix("id: ")) if whole else 0
-
-    def take_up(self, entry, first_request):
-        """Returns a stream that goes on behind this one."""
-        return Stream(entry, "/ask/x", extra={"Last-Event-Id": str(self.last_event()), "Resumes": first_request})
-
-
-def versions_of(deployment, *requests):
-    """Returns the versions of the engines that ran requests with these ids."""
-    return {
-        engine.version for engine in deployment.engines for run in engine.runs
-        if run["headers"]["Attempt-Id"] in requests}
-
-
 def set_versions(deployment, versions):
     for engine, version in zip(deployment.engines, versions):
         engine.version = version
@@ -87,11 +49,6 @@
     time.sleep(REPORT_S)
 
 
-def kill(node):
-    node.popen.kill()
-    node.popen.wait()
-
-
 def break_off_and_take_up(deployment, between=lambda: None, agents_too=False):
     """Kills the entry while streams are under way. Returns the streams and those that take them up."""
     streams = [Stream(deployment.entry, "/ask/slow") for _ in range(CALLERS)]
@@ -136,16 +93,6 @@
     return list(zip(streams, taken_up))
 
 
-def joined(deployment, pairs):
-    return [
-        (first.request, again.request) for first, again in pairs
-        if len(versions_of(deployment, first.request, again.request)) > 1]
-
-
-def went_on(pairs):
-    return sum(again.status == 200 and again.complete and again.last_event() == EVENT_COUNT for _, again in pairs)
-
-
 def check_one_answer(deployment):
     """A stream that its engine breaks off goes on at its version."""
     set_versions(deployment, ["v1", "v1", "v1", "v2", "v2", "v2"])
@@ -164,7 +111,7 @@
     pairs = break_off_and_take_up(deployment)
     both = joined(deployment, pairs)
     check(not both, "streams that are taken up keep their version (%d of %d joined)" % (len(both), CALLERS))
-    check(went_on(pairs) >= CALLERS // 2, "most of them go on (%d of %d)" % (went_on(pairs), CALLERS))
+    check(went_on(pairs, EVENT_COUNT) >= CALLERS // 2, "most of them go on (%d of %d)" % (went_on(pairs, EVENT_COUNT), CALLERS))
 
 
 def check_old_version_gone(deployment):
@@ -179,8 +126,8 @@
     both = joined(deployment, pairs)
     check(not both, "no stream of the version that left goes on at the other (%d joined)" % len(both))
     began_at_new = [pair for pair in pairs if versions_of(deployment, pair[0].request) == {"v2"}]
-    check(went_on(began_at_new) >= len(began_at_new) // 2, "streams of the version that is left go on (%d of %d)"
-          % (went_on(began_at_new), len(began_at_new)))
+    check(went_on(began_at_new, EVENT_COUNT) >= len(began_at_new) // 2, "streams of the version that is left go on (%d of %d)"
+          % (went_on(began_at_new, EVENT_COUNT), len(began_at_new)))
     refused = [again for first, again in pairs if versions_of(deployment, first.request) == {"v1"}]
     check(all(again.status == 503 for again in refused), "the others are refused as not run")
 
@@ -189,7 +136,7 @@
     """One version serves, and entries and agents are killed: nothing is known of the streams."""
     set_versions(deployment, ["v1"] * 6)
     pairs = break_off_and_take_up(deployment, agents_too=True)
-    check(went_on(pairs) == CALLERS, "streams go on where only one version serves (%d of %d)" % (went_on(pairs), CALLERS))
+    check(went_on(pairs, EVENT_COUNT) == CALLERS, "streams go on where only one version serves (%d of %d)" % (went_on(pairs, EVENT_COUNT), CALLERS))
 
 
 def check_all_killed(deployment):
@@ -209,7 +156,7 @@
         lambda: other.popen.send_signal(signal.SIGSTOP), lambda: other.popen.send_signal(signal.SIGCONT))
     both = joined(deployment, pairs)
     check(not both, "no stream goes on at another version (%d of %d joined)" % (len(both), CALLERS))
-    check(went_on(pairs) >= CALLERS // 2, "most of them go on (%d of %d)" % (went_on(pairs), CALLERS))
+    check(went_on(pairs, EVENT_COUNT) >= CALLERS // 2, "most of them go on (%d of %d)" % (went_on(pairs, EVENT_COUNT), CALLERS))
 
 
 def check_joining_unseen_without_the_store(deployment):
@@ -221,7 +168,7 @@
     both = joined(deployment, pairs)
     check(not both, "no stream goes on at another version (%d of %d joined)" % (len(both), CALLERS))
     old = [pair for pair in pairs if versions_of(deployment, pair[0].request) == {"v1"}]
-    check(went_on(old) >= len(old) // 2, "streams of the version that it knows go on (%d of %d)" % (went_on(old), len(old)))
+    check(went_on(old, EVENT_COUNT) >= len(old) // 2, "streams of the version that it knows go on (%d of %d)" % (went_on(old, EVENT_COUNT), len(old)))
     others = [again for first, again in pairs if versions_of(deployment, first.request) == {"v2"}]
     check(others and all(again.status == 503 for again in others), "the others are refused as not run")
 
@@ -253,7 +200,7 @@
     pairs = [(stream, stream.take_up(other, stream.request)) for stream in streams]
     for _, again in pairs:
         again.thread.join()
-    check(went_on(pairs) == CALLERS, "streams go on while the store is away (%d of %d)" % (went_on(pairs), CALLERS))
+    check(went_on(pairs, EVENT_COUNT) == CALLERS, "streams go on while the store is away (%d of %d)" % (went_on(pairs, EVENT_COUNT), CALLERS))
 
 
 for case in (check_one_answer, check_two_versions, check_old_version_gone, check_one_version, check_all_killed,
