Streams of a killed target that was leaving are resumed

Cause: the entry asked whether the process had ended only for usable targets; one that leaves may refuse connections while it gives its last answers.

Change: where the rest can be asked for after the last event, it is asked for also if the target leaves or is gone. A target that has nothing to add leaves the stream whole. Answers that can't be gone on with are passed on as before.

--- a/src/libforward/answerend.cpp
+++ b/src/libforward/answerend.cpp
@@ -23,9 +23,14 @@
 
 bool RequestFlow::mayHaveBeenKilled() const
 {
-    // One that leaves ends once it has answered.
-    return this->attempt->head.endsAtClose && this->attempt->head.status < 300
-        && this->state.targets.isUsable(this->attempt->target.id);
+    if (!this->attempt->head.endsAtClose || this->attempt->head.status >= 300) {
+        return false;
+    }
+    // One that leaves may take no connections while it gives its last answers. Only the rest of a
+    // stream can be asked for without harm if nothing is missing.
+    const bool canAskForRest
+        = this->attempt->streaming && this->headSentToCaller && this->canContinueElsewhere();
+    return canAskForRest || this->state.targets.isUsable(this->attempt->target.id);
 }
 
 void RequestFlow::confirmEnd()
--- a/src/libforward/brokenstreams_test.cpp
+++ b/src/libforward/brokenstreams_test.cpp
@@ -116,6 +116,29 @@
     EXPECT_TRUE(this->complete);
 }
 
+/// ORDER, review case 7: the process of a target that leaves is killed behind an event.
+TEST_F(ResumableStream, ofATargetThatLeavesAndIsKilledIsResumed)
+{
+    this->write("HTTP/1.1 200 OK\r\nTest-Leaving: 1\r\n\r\n" + event(1));
+    this->endTarget();
+    ASSERT_NO_FATAL_FAILURE(this->resumeElsewhere());
+    EXPECT_EQ(this->receivedBody(), event(1) + event(2));
+    EXPECT_TRUE(this->complete);
+}
+
+/// Where the stream was whole, the next target has nothing to add.
+TEST_F(ResumableStream, ofATargetThatLeavesAndEndsIsWholeIfNothingIsMissing)
+{
+    this->write("HTTP/1.1 200 OK\r\nTest-Leaving: 1\r\n\r\n" + event(1));
+    this->endTarget();
+    this->queueReservations(milliseconds(100));
+    ASSERT_NO_FATAL_FAILURE(this->moveToLastReservation());
+    this->writeStreamHead();
+    this->write("0\r\n\r\n");
+    EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_TRUE(this->complete);
+}
+
 /// A stream of another writer, whose lines end with CRLF.
 TEST_F(ResumableStream, withoutLengthAndWithCarriageReturnsIsWhole)
 {
--- a/src/libversions/versionhistory_test.cpp
+++ b/src/libversions/versionhistory_test.cpp
@@ -202,6 +202,7 @@
         targets.push_back(makeTarget(std::to_string(i), i <= 6 ? "v1" : "v2"));
     }
     std::vector<const Target *> all;
+    all.reserve(targets.size());
     for (const Target &target : targets) {
         all.push_back(&target);
     }
