Soak: releases that an entry doesn't see, and streams that go on elsewhere

The soak checked that streams that are taken up keep their version, and not that they go on. An entry with long streams now stands still, is killed or loses the store as a new version joins ("release-unseen"), and of 12 or more streams that are taken up while two engines of their version serve, the share that goes on is at least half of that of new ones that begin.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -26,6 +26,7 @@
 SUBJECTS = ("a1", "a2", "a3", "a4", "a5")
 CRASHING_PER_S = 5
 REPEATS_PER_S = 3
+LONG_STREAMS, LONG_STREAM_EVENTS = 6, 100
 
 
 class KeptStream:
@@ -74,6 +75,8 @@
     """Sends requests one after another until the soak stops."""
 
     ids = itertools.count(1)
+    longest_silence_s = float("inf")  # after which a caller leaves
+    deadline_s = DEADLINE_S
 
     def __init__(self, deployment, name, key, pause_s, attempts):
         self.deployment, self.key, self.pause_s = deployment, key, pause_s
@@ -113,7 +116,7 @@
         return attempt
 
     def request(self):
-        deadline = time.monotonic() + DEADLINE_S
+        deadline = time.monotonic() + self.deadline_s
         attempt = self.choose_request()
         for _ in range(ATTEMPTS):
             self.send_and_record(attempt, deadline)
@@ -144,9 +147,11 @@
             return False
         return attempt.status in PROMISES or attempt.kind in ("ask", "look")
 
+    def choose_entry(self):
+        return self.rng.choice(sorted(self.deployment.rotation) or self.deployment.entries)
+
     def connect(self):
-        ready = sorted(self.deployment.rotation) or self.deployment.entries
-        self.entry = self.rng.choice(ready)
+        self.entry = self.choose_entry()
         host, port = self.deployment.links[self.entry].address.split(":")
         self.connection = socket.create_connection((host, int(port)), timeout=CONNECT_TIMEOUT_S)
         self.stream = KeptStream(self.connection)
@@ -209,7 +214,7 @@
             lines += ["Last-Event-Id: %d" % (attempt.first_event - 1), "Resumes: " + attempt.origin]
         attempt.request = (method, attempt.target, body)
         attempt.sent_at = time.monotonic()
-        self.connection.settimeout(max(0.1, deadline - attempt.sent_at) + 0.5)
+        self.connection.settimeout(min(self.longest_silence_s, max(0.1, deadline - attempt.sent_at) + 0.5))
         self.connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         owners = self.deployment.links[self.entry].owners
         response = http.client.HTTPResponse(self.stream, method=method)
@@ -255,6 +260,30 @@
             self.disconnect()
 
 
+class StreamCaller(Caller):
+    """Reads a long stream at one entry. If nothing comes for a time, it takes the stream up at another one."""
+
+    longest_silence_s = 2.0
+    deadline_s = 8.0
+
+    def __init__(self, deployment, entry, attempts):
+        super().__init__(deployment, "streams of " + entry, "key-stable", 0, attempts)
+        self.first_entry = entry
+
+    def choose_request(self):
+        return Attempt("ask", "/ask/%d?n=%d" % (self.rng.randrange(1000), LONG_STREAM_EVENTS), self.key, (100, 20))
+
+    def choose_entry(self):
+        if self.entry is None:
+            return self.first_entry
+        others = self.deployment.rotation - {self.first_entry}
+        return self.rng.choice(sorted(others)) if others else super().choose_entry()
+
+    def send(self):
+        self.request()
+        self.disconnect()
+
+
 class Prober(Caller):
     """Asks one entry for the routes of the newest configurations."""
 
@@ -262,11 +291,8 @@
         super().__init__(deployment, "prober of " + entry, None, PROBE_PAUSE_S, attempts)
         self.probed = entry
 
-    def connect(self):
-        self.entry = self.probed
-        host, port = self.deployment.links[self.entry].address.split(":")
-        self.connection = socket.create_connection((host, int(port)), timeout=CONNECT_TIMEOUT_S)
-        self.stream = KeptStream(self.connection)
+    def choose_entry(self):
+        return self.probed
 
     def request(self):
         sent = sorted(self.deployment.operator.sent)[-3:]
@@ -287,6 +313,10 @@
     def send_crashing_request(kind, target, body, seconds):
         name = "repeating " + target
         RepeatingCaller(deployment, name, "key-stable", 0, attempts).send(kind, target, body, seconds)
+    def read_streams(entry):
+        for _ in range(LONG_STREAMS):
+            deployment.start_thread(StreamCaller(deployment, entry, attempts).send)
+    deployment.read_streams = read_streams
     deployment.send_crashing = send_crashing
     deployment.send_crashing_request = send_crashing_request
     threads = [threading.Thread(target=caller.run, daemon=True) for caller in callers]
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -33,6 +33,8 @@
 SOFTWARE_VERSIONS = ("v1", "v2")  # side by side in each service, for odd seeds; for others all begin with the first
 RELEASED_SHARE = 0.34  # of the engines, that one release replaces
 RELEASE_GAP_S = 0.3
+STREAMS_BEGIN_S = 0.4
+UNSEEN_S = 0.2  # from the harm of an entry to the release that it doesn't see
 UNFRAMED_S = 0.4  # for which an engine answers without length before it is killed
 STORE_BYTES_PER_S = 800_000  # to each entry
 ENGINES_PER_HEARTBEAT = 24  # more engines write less often, which bounds the writes to the store
@@ -355,7 +357,7 @@
             "back": self.go_back, "config": self.change_configuration, "revoke": self.change_configuration,
             "quota": self.change_configuration, "grow": self.change_configuration, "crashing-part": self.add_crashing_part,
             "limit": self.limit_engine, "crashing-request": self.add_crashing_request, "release": self.release,
-            "killed": self.kill_engine,
+            "killed": self.kill_engine, "release-unseen": self.release_unseen,
         }
         if fault.kind in methods:
             methods[fault.kind](fault)
@@ -535,6 +537,18 @@
             self.engines[name].next_version = version
             self.replace(Fault(fault.at_s, "replace", name, 0.0, RELEASE_GAP_S))
 
+    def release_unseen(self, fault):
+        """An entry stands still, is killed or doesn't reach the store as a new version joins."""
+        self.read_streams(fault.subject)
+        time.sleep(STREAMS_BEGIN_S)
+        kind = ("freeze", "kill", "store-cut")[int(3 * fault.amount)]
+        harm = Fault(fault.at_s, kind, fault.subject, fault.for_s, fault.amount)
+        harming = self.start_thread(self.strike, harm)
+        time.sleep(UNSEEN_S)
+        names = [name for name in self.engines if name.startswith("engine")]
+        self.release(Fault(fault.at_s, "release", names[int(1000 * fault.amount) % len(names)], 0.0, 0.0))
+        harming.join()
+
     def drain(self, fault):
         engine, link = self.engines[fault.subject], self.links[fault.subject]
         if engine.state != "ready" or engine.dark:
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -48,6 +48,7 @@
     "sizes": (0.08, {"operator": {"grow": (1, 0, 0)}}),
     "limits": (0.15, {"engine": {"limit": (2, 7, 14)}, "plain": {"limit": (1, 7, 14)}}),
     "releases": (0.12, {"engine": {"release": (1, 0, 0)}}),
+    "unseen": (0.1, {"entry": {"release-unseen": (1, 1, 4)}}),
     "ends": (0.3, {"engine": {"killed": (2, 0.5, 2)}, "plain": {"killed": (1, 0.5, 2)}}),
     "answers": (0.3, {
         "engine": {"unsound-head": (2, 1, 4), "early-reset": (2, 1, 4)},
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -20,6 +20,7 @@
 LATE_REQUESTS_WITH_PART = 3
 LATE_SENDS_OF_REQUEST = 3
 FEWEST_FOR_SHARE = 20
+FEWEST_TAKEN_UP = 12
 
 Finding = collections.namedtuple("Finding", "promise request text")
 
@@ -52,6 +53,7 @@
         for request in set(self.runs) - set(self.attempts):
             self.add("UNASKED", request, "no caller sent this request")
         self.check_versions()
+        self.check_taken_up()
         self.check_denials()
         self.check_attempts()
         self.check_drains()
@@ -137,6 +139,30 @@
             if len(of_stream) > 1:
                 self.add("ORDER", request, "the stream has events of versions %s", sorted(of_stream))
 
+    def check_taken_up(self):
+        """Streams that callers take up go on at least half as often as new ones begin."""
+        asked = [attempt for attempt in self.attempts.values()
+                 if attempt.kind == "ask" and attempt.key == "key-stable" and attempt.entry is not None
+                 and attempt.status not in (401, 429) and self.disturbances.in_touch(attempt.entry, attempt.sent_at)]
+        taken_up = [attempt for attempt in asked if attempt.origin and self.has_two_engines(attempt)]
+        began = [attempt for attempt in asked if not attempt.origin]
+        if len(taken_up) < FEWEST_TAKEN_UP or not began:
+            return
+        went_on = sum(attempt.status == 200 for attempt in taken_up) / len(taken_up)
+        new = sum(attempt.status == 200 for attempt in began) / len(began)
+        if went_on < 0.5 * new:
+            lost = next(attempt for attempt in taken_up if attempt.status != 200)
+            self.add("LOST", lost.id, "%.2f of %d streams that were taken up went on, %.2f of %d new ones began",
+                     went_on, len(taken_up), new, len(began))
+
+    def has_two_engines(self, attempt):
+        """Returns whether two sound engines of the version that began a stream served when it was taken up."""
+        began = next(iter(self.runs[attempt.origin]), None)
+        latest = {name: version for at, name, version in self.journal.versions if at <= attempt.sent_at}
+        names = [name for name, version in latest.items() if began is not None and version == began.version
+                 and self.disturbances.calm((name,), attempt.sent_at - CONTACT_S, attempt.ended_at)]
+        return len(names) >= 2
+
     def cut_by_end(self, attempt):
         """The kernel ends the connections of a killed process in order: without a length, all looks well."""
         return attempt.version_1_0 and any(
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -118,6 +118,8 @@
         self.incarnation += 1
         self.instance = "%s.%d" % (self.name, self.incarnation)
         self.version = self.next_version  # after the instance, see handle_request()
+        if self.service == "engines":
+            self.journal.versions.append((time.monotonic(), self.name, self.version))
         self.load = Load(self.slots)
         self.state = self.listed_state = "ready"
         self.dark = False
@@ -352,6 +354,7 @@
         self.request_ends = []  # (when a server ended, the request, its instance)
         self.part_ends = []  # (when an engine ended, the parts, its instance)
         self.limits = []  # [instance, requests a second, from, until]
+        self.versions = []  # (when an engine began to serve, its name, its software version)
         self.drains = []  # (acknowledged at, engine's name, its instance)
         self.lock = threading.Lock()
 
