Stream queries: entries that share quotas are asked; order of a header

The agent kept the times of entries' reports a second time, without a bound; the usage collector has them. decideOrigin() stands beside its decision again.

--- a/src/include/wigeonsill/gateway.h
+++ b/src/include/wigeonsill/gateway.h
@@ -290,6 +290,8 @@
     /// Sums up the usage in the window of all entries but the given one.
     UsageReport reportFor(std::uint64_t entry, TimePoint now);
     std::size_t entryCount() const { return this->entries.size(); }
+    /// The entries that reported lately, and so share the quotas.
+    std::vector<std::uint64_t> reportingEntryIds(TimePoint now) const;
 
 private:
     struct Amounts
--- a/src/include/wigeonsill/versions.h
+++ b/src/include/wigeonsill/versions.h
@@ -126,6 +126,11 @@
     OriginEvidence evidence = {}; ///< From which an unknown version was concluded.
 };
 
+/// Decides whether a stream can go on, and where. A list that was read before the stream was taken
+/// up may lack the version that began it, so a process that knows one version only must not trust
+/// it. Always decides once the time is over.
+OriginDecision decideOrigin(const OriginEvidence &evidence);
+
 /// Questions for streams that an agent passes on to the entries, which keep those that they began.
 /// It answers them once an entry has told of the stream. Bounded. Not thread-safe.
 class RelayedQueries
@@ -178,8 +183,8 @@
     /// process that has an older list doesn't know which of them leave.
     std::vector<const Target *> toTell(std::uint64_t stream) const;
     /// The targets whose agents are asked for a stream of a service: those that were told of it by
-    /// a process that knows the same targets, or only those of one of the versions. \param versions
-    /// Of all services, that served lately.
+    /// a process that knows the same targets, or only those of one of the versions.
+    /// \param versions Those of all services that served lately.
     std::vector<const Target *> toAsk(std::uint64_t stream, std::string_view service,
         const std::set<ServiceVersion> &versions) const;
 
@@ -189,9 +194,4 @@
     std::vector<const Target *> targets;
 };
 
-/// Decides whether a stream can go on, and where. A list that was read before the stream was taken
-/// up may lack the version that began it, so a process that knows one version only must not trust
-/// it. Always decides once the time is over.
-OriginDecision decideOrigin(const OriginEvidence &evidence);
-
 } // namespace wigeonsill
--- a/src/libforward/grantagent.cpp
+++ b/src/libforward/grantagent.cpp
@@ -17,8 +17,6 @@
 /// Interval between requests for the target's report. A request on the same machine causes no
 /// charged traffic and costs about 50 us of CPU time.
 constexpr Duration targetReportInterval = milliseconds(400);
-/// Longest time since the last report of an entry that is asked for streams.
-constexpr Duration reportingEntryTime = seconds(2);
 /// Interval between checks for requests whose maximum wait is over.
 constexpr Duration expiryInterval = milliseconds(50);
 /// Queries that wait for one report; there is one for each entry and incarnation.
@@ -95,7 +93,6 @@
     Quarantine quarantine; ///< What the entries know, kept for those that don't yet.
     StreamOrigins streams; ///< Kept for the entries.
     RelayedQueries relayedQueries; ///< For streams that entries may know.
-    std::map<std::uint64_t, TimePoint> reportedAt; ///< When entries reported last.
     /// When an entry that knows several versions of a service told of a stream last.
     std::optional<TimePoint> severalVersionsKnownAt;
     struct TargetQuery
@@ -205,7 +202,6 @@
 {
     const TimePoint now = currentTime();
     this->usage.addReport(message.sender, message.ownUsage, now);
-    this->reportedAt[message.sender] = now;
     GrantMessage answer;
     answer.kind = GrantKind::OthersUsage;
     answer.usage = this->usage.reportFor(message.sender, now);
@@ -253,9 +249,7 @@
         return;
     }
     this->metrics.count("wigeonsill_stream_queries_relayed_total");
-    std::erase_if(this->reportedAt,
-        [now](const auto &record) { return now - record.second > reportingEntryTime; });
-    for (const auto &[entry, at] : this->reportedAt) {
+    for (const std::uint64_t entry : this->usage.reportingEntryIds(now)) {
         const auto endpoint = this->entryEndpoints.find(entry);
         if (entry != query.sender && endpoint != this->entryEndpoints.end()) {
             GrantMessage relayed;
--- a/src/libforward/targetpool.h
+++ b/src/libforward/targetpool.h
@@ -57,6 +57,7 @@
     virtual void onAnswerEnd() = 0;
     /// Whether a complete body may be passed on although its last bytes look like other answers
     /// that were sent in place of its rest; otherwise onAnswerFailed() follows. No by default.
+    /// \param answers These last bytes.
     virtual bool confirmQuote(std::string_view /*answers*/) { return false; }
     /// Bytes of the body were received that are held until more is known of them. Does nothing by
     /// default.
--- a/src/libgateway/usagecollector.cpp
+++ b/src/libgateway/usagecollector.cpp
@@ -42,6 +42,17 @@
     this->removeExpired(now);
 }
 
+std::vector<std::uint64_t> UsageCollector::reportingEntryIds(TimePoint now) const
+{
+    std::vector<std::uint64_t> result;
+    for (const auto &[id, entry] : this->entries) {
+        if (now - entry.samples.back().at < reportTimeout) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 void UsageCollector::adoptTotals(Entry &entry, const UsageByOrganisation &usage, TimePoint now)
 {
     for (const auto &[organisation, use] : usage) {
