--- a/review/13/run.py
+++ b/review/13/run.py
@@ -1,84 +1,89 @@
-"""Callers send bodies of the largest size that the configuration allows, and the entries outgrow their memory."""
+"""Engines leave and exit while they still answer; their streams have neither a length nor chunks."""
 
+import collections
 import pathlib
-import signal
+import socket
 import sys
 import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "rig-3"))
 import rig  # noqa: E402
-from platformdeployment import Client  # noqa: E402
+from platformstandin import events  # noqa: E402
+from takenupstreams import Stream  # noqa: E402
 
-MEMORY_MB = 110  # Of an edge machine of sciabica-neve.
-LARGEST_BODY = 4194304  # maxBodyBytes.
-CALLERS = 18  # At each entry; the site has 39 clients, each with several connections.
-BURSTS = 3
-ENDS_ALLOWED = 2  # Of one machine; two machines may not end three times each.
+STREAMS = 20
+EVENTS = 80
+EVENT_PAUSE_S = 0.1
+DRAIN_S = 2.5  # drainMs
+LONGER_S = 1.0  # for which an engine goes on serving after drainMs
+LEAVING = 1  # engine of six
 
 
-class Platform:
-    """Kills a process whose memory exceeds that of its machine, and starts it again after a second."""
+def serve_without_length(engine, runs, record):
+    """Makes an engine send streams that end with their connection."""
+    original = engine.respond
 
-    def __init__(self, deployment, name, address, record):
-        self.deployment, self.name, self.address, self.record = deployment, name, address, record
-        self.ends = 0
-        self.highest = 0
-        self.entry = deployment.start_entry(name, address)
-        self.stopped = threading.Event()
-        threading.Thread(target=self.watch, daemon=True).start()
+    def respond(connection, behaviour, headers, common_headers):
+        if behaviour != "unframed-stream":
+            return original(connection, behaviour, headers, common_headers)
+        request = headers.get("Attempt-Id")
+        record.line("%s runs %s", engine.instance, request)
+        fields = common_headers + engine.leaving_headers() + [("Content-Type", "text/event-stream")]
+        head = "HTTP/1.1 200 X\r\n" + "".join("%s: %s\r\n" % field for field in fields) + "\r\n"
+        connection.sendall(head.encode())
+        for event in events(1, EVENTS):
+            time.sleep(EVENT_PAUSE_S)
+            connection.sendall(event)
+            runs[request] += 1
+        return False
+    engine.respond = respond
 
-    def memory_mb(self):
-        with open("/proc/%d/status" % self.entry.popen.pid) as status:
-            return next(int(line.split()[1]) / 1024 for line in status if line.startswith("VmRSS"))
 
-    def watch(self):
-        while not self.stopped.wait(0.005):
-            try:
-                used = self.memory_mb()
-            except (OSError, StopIteration):
-                continue
-            self.highest = max(self.highest, used)
-            if used > MEMORY_MB:
-                self.ends += 1
-                self.record.line("%s uses %d MB of %d and is killed", self.name, used, MEMORY_MB)
-                self.entry.popen.send_signal(signal.SIGKILL)
-                self.entry.popen.wait()
-                time.sleep(1)
-                self.entry = self.deployment.start_entry("%s-%d" % (self.name, self.ends), self.address)
-                self.record.line("%s is ready again", self.name)
-
-
-def send(entry, body, record):
-    client = Client(entry)
-    try:
-        client.send("/book/plain", tokens=None, body=body, extra={"Deadline-Ms": "3000"})
-        reply = client.read()
-        record.line("a request of %d bytes at %s is answered %d", len(body), entry.ports["listen"], reply.status)
-    except Exception as failure:  # noqa: BLE001
-        record.line("a request of %d bytes at %s ends with %s", len(body), entry.ports["listen"],
-                    type(failure).__name__)
+def leave(deployment, engine, record):
+    """Reports that an engine drains, serves on for its time, and ends its process."""
+    engine.state = "draining"
+    record.line("%s reports that it drains", engine.instance)
+    deployment.store.put("servers/" + engine.instance, dict(
+        engine.instance_record("engines", state="draining"), born=engine.born, seq=10000))
+    engine.is_up = False  # No further heartbeats that say it is ready.
+    time.sleep(DRAIN_S + LONGER_S)
+    record.line("%s exits", engine.instance)
+    deployment.store.remove("servers/" + engine.instance)
+    engine.server.shutdown(socket.SHUT_RDWR)
+    engine.server.close()
+    for connection in engine.connections:
+        try:
+            connection.shutdown(socket.SHUT_RDWR)  # As a system does for a process that has ended.
+        except OSError:
+            pass
 
 
 def play(folder, record):
-    body = b"x" * (LARGEST_BODY if rig.TROUBLE else 600)
-    with rig.SmallDeployment(folder) as deployment:
-        machines = [Platform(deployment, "edge-%d" % number, "127.0.2.%d" % number, record) for number in (1, 2)]
-        for burst in range(BURSTS):
-            record.line("burst %d", burst + 1)
-            callers = [
-                threading.Thread(target=send, args=(machine.entry, body, record), daemon=True)
-                for machine in machines for _ in range(CALLERS)]
-            for caller in callers:
-                caller.start()
-            for caller in callers:
-                caller.join(timeout=10)
-            time.sleep(4)
-        for machine in machines:
-            machine.stopped.set()
-            record.line("%s: %d ends by its memory, at most %d MB", machine.name, machine.ends, machine.highest)
-        print("ends by memory:", [machine.ends for machine in machines])
-        return all(machine.ends > ENDS_ALLOWED for machine in machines)
+    runs = collections.Counter()
+    with rig.SmallDeployment(folder, slots=4) as deployment:
+        for engine in deployment.engines:
+            serve_without_length(engine, runs, record)
+        time.sleep(3)
+        streams = []
+        for _ in range(STREAMS):
+            streams.append(Stream(deployment.entry, "/draft/unframed-stream", extra={"Deadline-Ms": "12000"}))
+            record.line("stream %s is asked for", streams[-1].request)
+        time.sleep(1)
+        if rig.TROUBLE:
+            for engine in deployment.engines[:LEAVING]:
+                threading.Thread(target=leave, args=(deployment, engine, record), daemon=True).start()
+        for stream in streams:
+            stream.thread.join(timeout=15)
+        early = 0
+        for stream in streams:
+            record.line("stream %s: status %d, looks %s, %d of %d events, %d sent by its engine", stream.request,
+                        stream.status, "complete" if stream.complete else "broken off", stream.last_event(), EVENTS,
+                        runs[stream.request])
+            early += stream.complete and stream.status == 200 and stream.last_event() < EVENTS
+        record.line("streams that ended as complete before their last event: %d", early)
+        print("streams that ended as complete before their last event:", early)
+        return early > 0
 
 
 rig.run("13", play)
