Versions of streams survive the loss of all processes

Cause: the version at which a stream began was kept in the memory of entries and agents only. Refusals have the line origin-unknown with as many agents that answered as were asked, so neither room nor silent agents are the cause.

Change: each entry writes the versions of its streams to one key of the store, streams/INCARNATION, under a lease. OriginWriter decides when: all entries together use 1% of the store's writes while each service has one version, 5% while one has several, at most 100 a second. No stream waits for a write. What all entries wrote arrives by the watch call that exists, and is used where no agent knows a stream. Records that contradict one another or an agent refuse the stream.

Tests changed: restarted-agents and silent-agents asked for refusals where only the store now knows the streams; they ask for the same refusals with the store's records removed, and have a case each with the records there.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -206,6 +206,23 @@
     virtual void refresh() = 0;
 };
 
+/// Keeps the versions at which streams began where they outlive all processes. No call waits for
+/// anything. Not thread-safe.
+class StreamOriginStore
+{
+public:
+    virtual ~StreamOriginStore() = default;
+    /// Records that a stream began or goes on; written soon.
+    virtual void record(std::uint64_t stream, std::string_view version) = 0;
+    /// Records that a stream has ended whole, and need not be kept.
+    virtual void forget(std::uint64_t stream) = 0;
+    /// What was read last of a stream.
+    virtual StoredOrigin find(std::uint64_t stream) const = 0;
+    /// Sets what the period of the writes follows. \param entries Number of entries that write.
+    /// \param severalVersions Whether a service has several versions. \pre entries is positive.
+    virtual void setDemand(int entries, bool severalVersions) = 0;
+};
+
 // ---------------------------------------------------------------------------------------------
 // Entry
 
@@ -259,6 +276,9 @@
     void setRollouts(const RolloutSnapshot &snapshot);
     /// Sets the store that the owner of the rollouts writes to. \pre it outlives the entry.
     void setRolloutStore(RolloutStore &store);
+    /// Sets the store that keeps the versions at which streams began. Without a call, only
+    /// processes keep them. \pre it outlives the entry's io_context runs.
+    void setStreamOriginStore(StreamOriginStore &store);
     /// Sets the handler that re-reads the list of targets. It is called each time a target turns
     /// out to have been replaced at its address.
     void setTargetsOutdatedHandler(std::function<void()> refresh);
--- a/src/include/wigeonsill/versions.h
+++ b/src/include/wigeonsill/versions.h
@@ -80,6 +80,10 @@
     std::optional<std::string> find(std::uint64_t stream, TimePoint now) const;
     /// All streams with their versions.
     std::vector<std::pair<std::uint64_t, std::string>> all(TimePoint now) const;
+    /// The streams that were recorded last, with their versions, newest first.
+    /// \param age Longest time since the record.
+    std::vector<std::pair<std::uint64_t, std::string>> newest(
+        std::size_t count, Duration age, TimePoint now) const;
 
 private:
     struct Origin
@@ -93,10 +97,105 @@
     std::deque<std::pair<TimePoint, std::uint64_t>> order; ///< Of the records, oldest first.
 };
 
+/// Streams by the version at which they began.
+using StreamsByVersion = std::map<std::string, std::vector<std::uint64_t>, std::less<>>;
+
+/// Limits of the writes that keep the origins of streams in the store.
+struct OriginWriteLimits
+{
+    double storeWritesPerSecond = 400; ///< That the store takes from all processes together.
+    /// Share of these that all entries use while each service has one version: only processes that
+    /// are lost while another version joins need the records.
+    double shareOfOneVersion = 0.01;
+    double shareOfSeveralVersions = 0.05; ///< While a service has several.
+    /// Of all entries. Bounds the bytes that an entry sends and reads for the records.
+    double mostWritesPerSecond = 100;
+};
+
+/// Decides when an entry writes the origins of its streams to the store, and which. Each write
+/// replaces the one before, so that one key holds all that the entry knows. The period between two
+/// writes grows with the number of entries, so that the store gets as many calls from many entries
+/// as from few. Not thread-safe.
+class OriginWriter
+{
+public:
+    /// How long a stream is written after its last record. Streams that go on are recorded again
+    /// well within it (StreamOrigins::renewalInterval), and callers whose stream broke off come
+    /// back sooner.
+    static constexpr Duration memory = seconds(30);
+    /// Streams of one write at most; the newest are kept.
+    static constexpr std::size_t capacity = 1'024;
+    /// Streams that begin together are gathered for this long.
+    static constexpr Duration gatherTime = milliseconds(20);
+    static constexpr Duration shortestPeriod = milliseconds(100);
+    /// Entries that are assumed before their number is known.
+    static constexpr int assumedEntries = 8;
+
+    explicit OriginWriter(const OriginWriteLimits &writeLimits = {})
+        : limits(writeLimits)
+    {
+    }
+
+    void record(std::uint64_t stream, std::string_view version, TimePoint now);
+    /// Forgets a stream that has ended whole. Not written by itself, since the record stays true.
+    void forget(std::uint64_t stream) { this->origins.forget(stream); }
+    /// \param count Number of entries that write. \pre count is positive.
+    void setEntries(int count) { this->entries = count; }
+    void setSeveralVersions(bool several) { this->areSeveralVersions = several; }
+    /// Shortest time between the starts of two writes.
+    Duration period() const;
+    /// When the next write is due; empty while nothing is to be written or a write is in progress.
+    std::optional<TimePoint> dueAt() const;
+    bool isInProgress() const { return this->isWriting; }
+    /// Begins a write, and returns what it must hold. \pre no write is in progress.
+    StreamsByVersion begin(TimePoint now);
+    /// Ends the write in progress. A failed one is repeated after a delay that doubles each time.
+    void end(bool isWritten, TimePoint now);
+    /// Records that the store may have lost what was written.
+    void invalidate(TimePoint now);
+
+private:
+    OriginWriteLimits limits;
+    int entries = assumedEntries;
+    bool areSeveralVersions = false;
+    StreamOrigins origins;
+    std::optional<TimePoint> unwrittenSince; ///< When the first stream came that isn't written.
+    std::optional<TimePoint> begunAt; ///< Of the last write.
+    std::optional<TimePoint> retryAt; ///< After failures.
+    int failuresInRow = 0;
+    bool isWriting = false;
+};
+
+/// At which version a stream began, by the store.
+struct StoredOrigin
+{
+    std::optional<std::string> version;
+    bool isAmbiguous = false; ///< Records name several versions, of which none can be trusted.
+};
+
+/// The origins of streams that entries have written to the store, each to a key of its own. Any
+/// client can write such keys. Not thread-safe.
+class StoredOrigins
+{
+public:
+    /// Records what a key holds now.
+    void set(const std::string &key, StreamsByVersion streams)
+    {
+        this->streamsByKey.insert_or_assign(key, std::move(streams));
+    }
+    void remove(const std::string &key) { this->streamsByKey.erase(key); }
+    /// Searches all records: for streams that are taken up, which are few.
+    StoredOrigin find(std::uint64_t stream) const;
+
+private:
+    std::map<std::string, StreamsByVersion, std::less<>> streamsByKey;
+};
+
 /// What a process knows of a stream that a caller takes up.
 struct OriginEvidence
 {
     std::optional<std::string> version; ///< At which it began, as an agent keeps it.
+    StoredOrigin stored;
     bool isVersionListed = false; ///< The process knows that version.
     std::optional<std::string> onlyVersion; ///< That served lately, as far as the process knows.
     bool isListConfirmed = false; ///< The versions were read since the stream was taken up.
@@ -117,12 +216,14 @@
 enum class OriginSource : std::uint8_t {
     OwnRecord, ///< The process saw the stream begin, or go on.
     Agent, ///< An agent keeps it.
+    Store, ///< An entry, which may have ended, wrote it to the store.
     List, ///< No other version served, by what was read since the stream was taken up.
     AgentsUnaware, ///< The store doesn't answer, and no agent knows of a second version.
 };
 inline constexpr std::array originSourceNames = {
     EnumName<OriginSource>{ OriginSource::OwnRecord, "own-record" },
     EnumName<OriginSource>{ OriginSource::Agent, "agent" },
+    EnumName<OriginSource>{ OriginSource::Store, "store" },
     EnumName<OriginSource>{ OriginSource::List, "list" },
     EnumName<OriginSource>{ OriginSource::AgentsUnaware, "agents-unaware" },
 };
--- a/src/libforward/forwardentry.cpp
+++ b/src/libforward/forwardentry.cpp
@@ -196,6 +196,7 @@
         EntryState &state = this->d->state;
         state.quotas.applyReport(report, currentTime());
         state.retryBudget.setSharingEntries(state.quotas.sharingEntries());
+        state.streamVersions.setEntries(report.sharingEntries);
         if (state.rollouts) {
             state.rollouts->setEntries(state.quotas.sharingEntries(), report.sharingEntries);
         }
@@ -312,6 +313,11 @@
     this->state.streamVersions.setRecent(std::move(versions));
 }
 
+void ForwardEntry::setStreamOriginStore(StreamOriginStore &store)
+{
+    this->d->state.streamVersions.setStore(store);
+}
+
 void ForwardEntry::setTargetsOutdatedHandler(std::function<void()> refresh)
 {
     this->d->state.refreshTargets = std::move(refresh);
--- a/src/libforward/streamversions.cpp
+++ b/src/libforward/streamversions.cpp
@@ -13,6 +13,25 @@
 
 } // namespace
 
+void StreamVersions::setStore(StreamOriginStore &originStore)
+{
+    this->store = &originStore;
+    this->updateStoreDemand();
+}
+
+void StreamVersions::setEntries(int count)
+{
+    this->entries = std::max(count, 1);
+    this->updateStoreDemand();
+}
+
+void StreamVersions::updateStoreDemand()
+{
+    if (this->store != nullptr) {
+        this->store->setDemand(this->entries, this->anySeveralVersions);
+    }
+}
+
 void StreamVersions::setRecent(std::set<ServiceVersion> versions)
 {
     this->recent = std::move(versions);
@@ -23,6 +42,7 @@
     if (!this->anySeveralVersions) {
         this->sharedTargetsVersion.reset();
     }
+    this->updateStoreDemand();
 }
 
 bool StreamVersions::hasSeveralVersions(const std::string &service) const
@@ -47,10 +67,21 @@
 void StreamVersions::recordBegan(std::uint64_t stream, const ServiceVersion &version, TimePoint now)
 {
     this->origins.record(stream, version.version, now);
+    if (this->store != nullptr) {
+        this->store->record(stream, version.version);
+    }
     this->share(stream, version.version, OriginKeepers(this->engines()),
         !this->hasSeveralVersions(version.service));
 }
 
+void StreamVersions::recordEnded(std::uint64_t stream)
+{
+    this->origins.forget(stream);
+    if (this->store != nullptr) {
+        this->store->forget(stream);
+    }
+}
+
 void StreamVersions::recordGoesOn(
     std::uint64_t stream, const ServiceVersion &version, TimePoint now)
 {
@@ -125,8 +156,11 @@
     OriginEvidence evidence = question.evidence;
     evidence.answeredAgents = evidence.askedAgents - question.unanswered.size();
     evidence.onlyVersion = onlyVersion(this->recent, question.service);
-    evidence.isVersionListed
-        = evidence.version && this->recent.contains({ question.service, *evidence.version });
+    if (this->store != nullptr && question.stream != 0) {
+        evidence.stored = this->store->find(question.stream);
+    }
+    const auto &version = evidence.version ? evidence.version : evidence.stored.version;
+    evidence.isVersionListed = version && this->recent.contains({ question.service, *version });
     return decideOrigin(evidence);
 }
 
--- a/src/libforward/streamversions.h
+++ b/src/libforward/streamversions.h
@@ -41,6 +41,10 @@
     {
     }
 
+    /// Sets where the versions are kept as well. \pre originStore outlives this object's use.
+    void setStore(StreamOriginStore &originStore);
+    /// Sets the number of entries that share the store. \pre count is positive.
+    void setEntries(int count);
     /// Sets the versions that served lately.
     void setRecent(std::set<ServiceVersion> versions);
     /// Shares the streams that are under way again when a service gets several versions, or the
@@ -53,7 +57,7 @@
     /// ends.
     void recordGoesOn(std::uint64_t stream, const ServiceVersion &version, TimePoint now);
     /// Records that a stream has ended whole.
-    void recordEnded(std::uint64_t stream) { this->origins.forget(stream); }
+    void recordEnded(std::uint64_t stream);
     /// The version at which a stream began, if this entry saw it.
     std::optional<std::string> find(std::uint64_t stream, TimePoint now) const
     {
@@ -85,6 +89,7 @@
         OriginEvidence evidence; ///< But for what follows from other members.
     };
     bool hasSeveralVersions(const std::string &service) const;
+    void updateStoreDemand();
     void share(std::uint64_t stream, const std::string &version, const OriginKeepers &keepers,
         bool isOnlyVersion);
     /// Sends the question to all agents that may know the stream by the current list.
@@ -108,6 +113,8 @@
     std::optional<std::uint64_t> sharedTargetsVersion; ///< When all streams were shared last.
     TimePoint sharedAt;
     StreamOrigins origins;
+    StreamOriginStore *store = nullptr;
+    int entries = OriginWriter::assumedEntries;
     std::map<StreamOriginListener *, Question> questions;
 };
 
--- a/src/libversions/streamorigins.cpp
+++ b/src/libversions/streamorigins.cpp
@@ -3,6 +3,7 @@
 #include "wigeonsill/versions.h"
 
 #include <algorithm>
+#include <ranges>
 #include <tuple>
 
 namespace wigeonsill {
@@ -54,20 +55,47 @@
     return result;
 }
 
+std::vector<std::pair<std::uint64_t, std::string>> StreamOrigins::newest(
+    std::size_t count, Duration age, TimePoint now) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> result;
+    for (const auto &[recordedAt, stream] : std::views::reverse(this->order)) {
+        if (result.size() == count || now - recordedAt > age) {
+            break;
+        }
+        const auto found = this->origins.find(stream);
+        // It may have ended, or been recorded again since.
+        if (found != this->origins.end() && found->second.recordedAt == recordedAt) {
+            result.emplace_back(stream, found->second.version);
+        }
+    }
+    return result;
+}
+
 OriginDecision decideOrigin(const OriginEvidence &evidence)
 {
     const auto known = [](const std::string &version, OriginSource source) {
         return OriginDecision{ OriginVerdict::Known, version, source, {} };
     };
     const bool isDue = evidence.isDue || evidence.isTimeOver;
-    if (evidence.version) {
+    OriginDecision unknown{ OriginVerdict::Unknown };
+    unknown.evidence = evidence;
+    const bool isContradicted = evidence.stored.isAmbiguous
+        || (evidence.version && evidence.stored.version
+            && *evidence.version != *evidence.stored.version);
+    if (isContradicted) {
+        return unknown;
+    }
+    if (evidence.version || evidence.stored.version) {
         // The targets of a version that joined just now are in the list that is being read.
         const bool isUsable = evidence.isVersionListed || evidence.isListConfirmed || isDue;
-        return isUsable ? known(*evidence.version, OriginSource::Agent) : OriginDecision{};
+        if (!isUsable) {
+            return {};
+        }
+        return evidence.version ? known(*evidence.version, OriginSource::Agent)
+                                : known(*evidence.stored.version, OriginSource::Store);
     }
     const bool allAnswered = evidence.answeredAgents >= evidence.askedAgents;
-    OriginDecision unknown{ OriginVerdict::Unknown };
-    unknown.evidence = evidence;
     if (!evidence.onlyVersion) {
         // An older list names other agents than those that were told.
         const bool isAnswered
--- a/testsuite/restarted-agents/run.py
+++ b/testsuite/restarted-agents/run.py
@@ -28,19 +28,32 @@
     judge(deployment, take_up_at_other(deployment, streams))
 
 
+def check_only_the_store_knows_the_streams(deployment):
+    """LOST, review case 13: the entry is gone as well."""
+    time.sleep(READ_S)
+    streams = begin(deployment, deployment.entry)
+    restart_agents(deployment)
+    kill(deployment.entry)
+    time.sleep(REPORTED_S)
+    judge(deployment, take_up_at_other(deployment, streams))
+
+
 def check_nobody_knows_the_streams(deployment):
-    """The entry is gone as well: streams are refused, and not joined."""
+    """The store has lost its records too: streams are refused, and not joined."""
     time.sleep(READ_S)
     streams = begin(deployment, deployment.entry)
     restart_agents(deployment)
     kill(deployment.entry)
+    for key in [key for key in deployment.store.items if key.startswith("streams/")]:
+        deployment.store.remove(key)
     time.sleep(REPORTED_S)
     pairs = take_up_at_other(deployment, streams)
     whole = sum(again.complete and again.last_event() == EVENT_COUNT for _, again in pairs)
     check(whole == 0 and all(again.status == 503 for _, again in pairs), "all are refused as not run")
 
 
-for case in (check_agents_start_again_in_turn, check_nobody_knows_the_streams):
+for case in (
+        check_agents_start_again_in_turn, check_only_the_store_knows_the_streams, check_nobody_knows_the_streams):
     print(case.__name__, flush=True)
     with tempfile.TemporaryDirectory() as folder:
         with Deployment(pathlib.Path(folder)) as running:
--- a/testsuite/silent-agents/run.py
+++ b/testsuite/silent-agents/run.py
@@ -13,6 +13,7 @@
 from twoentries import EVENT_COUNT, READ_S, STREAMS, TIMEOUT_MS, begin, list_engines
 
 VERSIONS = ["v1"] * 3 + ["v2"] * 3
+LIST_READ_S = 2.0  # Until a running entry has read that the keys were removed.
 WAIT_MS = 1500  # For which an entry asks.
 
 
@@ -86,13 +87,32 @@
     check_all_go_on(deployment, streams)
 
 
+def check_no_agent_answers(deployment):
+    """The store names the versions, and no agent grants room: streams go on at their version or are refused."""
+    time.sleep(READ_S)
+    streams = begin(deployment, deployment.entry)
+    kill(deployment.entry)
+    for agent in deployment.agents:
+        kill(agent)
+    began = time.monotonic()
+    pairs = take_up_all(deployment, streams)
+    took_s = time.monotonic() - began
+    both = joined(deployment, pairs)
+    check(not both, "no stream goes on at another version (%d of %d joined)" % (len(both), STREAMS))
+    check(all(stream.status in (200, 503) for _, stream in pairs), "the others are refused as not run")
+    check(took_s < WAIT_MS / 1000 + 1, "within the time (%.1f s)" % took_s)
+
+
 def check_nobody_answers(deployment):
-    """Without any agent, streams are refused as not run, and not joined."""
+    """Without any agent and the store's records, streams are refused as not run, and not joined."""
     time.sleep(READ_S)
     streams = begin(deployment, deployment.entry)
     kill(deployment.entry)
     for agent in deployment.agents:
         kill(agent)
+    for key in [key for key in deployment.store.items if key.startswith("streams/")]:
+        deployment.store.remove(key)
+    time.sleep(LIST_READ_S)
     began = time.monotonic()
     again = [stream for _, stream in take_up_all(deployment, streams)]
     took_s = time.monotonic() - began
@@ -102,7 +122,8 @@
 
 CASES = (
     (check_agents_stand_still, 0.4), (check_agents_stand_still, 1.0), (check_agents_stand_still_in_turn,),
-    (check_agents_have_just_started_again, 3), (check_agents_have_just_started_again, 6), (check_nobody_answers,),
+    (check_agents_have_just_started_again, 3), (check_agents_have_just_started_again, 6), (check_no_agent_answers,),
+    (check_nobody_answers,),
 )
 
 failures = []
