Streams that are taken up cost what their callers lack

Agents choose by worth for cost, and the cost of a stream that a caller takes up was that of the whole, while one that goes on within an answer costs the rest.

Change: RequestFlow::deliveredTokens() counts the events up to Last-Event-Id as well, where ids are numbers.

Measured: TakenUpStream.costsWhatItsCallerLacks failed before (40 tokens instead of 10).

--- a/src/libforward/entryfixture.h
+++ b/src/libforward/entryfixture.h
@@ -22,6 +22,8 @@
         const std::string_view id = fieldValue(head.fields, "Test-Id");
         request.id = id.empty() ? "request-1" : id;
         request.promptTokens = 100;
+        const std::string output(fieldValue(head.fields, "Test-Output-Tokens"));
+        request.outputTokens = output.empty() ? 0 : std::stoul(output);
         request.hasCondition = !fieldValue(head.fields, "Test-Condition").empty();
         request.lastEventId = fieldValue(head.fields, "Test-Last-Event");
         request.resumedRequest = fieldValue(head.fields, "Test-Resumes");
--- a/src/libforward/requestflow.h
+++ b/src/libforward/requestflow.h
@@ -155,6 +155,8 @@
     /// the wait begins.
     Duration waitEnd(Duration start) const;
     double requestSize() const;
+    /// Estimate of the tokens that the caller has, also from earlier answers.
+    std::uint32_t deliveredTokens() const;
     ReservationProfile profile() const;
     /// \param reservation Under which the target was reserved; 0 without one.
     void sendTo(const Target &target, std::uint64_t reservation = 0, bool byGrant = false);
--- a/src/libforward/requestplacement.cpp
+++ b/src/libforward/requestplacement.cpp
@@ -3,6 +3,7 @@
 #include "requestflow.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace wigeonsill {
 
@@ -30,6 +31,22 @@
     return generationSize(this->request.promptTokens, this->request.estimatedOutputTokens());
 }
 
+std::uint32_t RequestFlow::deliveredTokens() const
+{
+    const auto tokensPerEvent = static_cast<std::uint64_t>(this->service->tokensPerEvent);
+    std::uint64_t inEarlierAnswers = 0;
+    if (this->takesUpStream()) {
+        // Targets mostly number events from one. Ids of another kind count for nothing.
+        const std::string &id = this->request.lastEventId;
+        std::uint64_t events = 0;
+        std::from_chars(id.data(), id.data() + id.size(), events);
+        const std::uint64_t most = this->request.estimatedOutputTokens();
+        inEarlierAnswers = std::min(events, most) * tokensPerEvent;
+        inEarlierAnswers = std::min(inEarlierAnswers, most);
+    }
+    return static_cast<std::uint32_t>(inEarlierAnswers + this->relayedEvents * tokensPerEvent);
+}
+
 ReservationProfile RequestFlow::profile() const
 {
     ReservationProfile result;
@@ -49,18 +66,14 @@
     result.lateShare = utility.lateShare;
     result.latencyLeft
         = this->route->latencyObjective - this->timeBeforeCallerRetry - this->elapsed();
-    if (this->relayedEvents > 0) {
+    if (this->relayedEvents > 0 || this->takesUpStream()) {
         // The rest of an answer, without which its caller would lose what it has.
-        const auto generated = static_cast<std::uint32_t>(
-            this->relayedEvents * static_cast<std::uint64_t>(this->service->tokensPerEvent));
+        const std::uint32_t generated = this->deliveredTokens();
         result.promptTokens += generated;
         result.outputTokens = std::max(result.outputTokens, generated + 1) - generated;
         result.lateShare = 1;
-        result.latencyLeft = this->route->eventGapObjective - (currentTime() - this->lastEventAt);
-    } else if (this->takesUpStream()) {
-        // As above; the caller has a part of it from an earlier answer.
-        result.lateShare = 1;
-        result.latencyLeft = this->route->eventGapObjective - this->elapsed();
+        result.latencyLeft = this->route->eventGapObjective
+            - (this->relayedEvents > 0 ? currentTime() - this->lastEventAt : this->elapsed());
     }
     result.waitLeft = this->maximumWait - this->elapsed();
     result.timeLeft = this->timeLeft();
--- a/src/libforward/takenupstreams_test.cpp
+++ b/src/libforward/takenupstreams_test.cpp
@@ -81,6 +81,27 @@
     EXPECT_GT(profile.waitLeft, milliseconds(1'500));
 }
 
+/// LOST: streams that were nearly whole waited behind new ones, as if all of them were to be made.
+TEST_F(TakenUpStream, costsWhatItsCallerLacks)
+{
+    const auto profileOf = [this](const char *lastEvent) {
+        asio::ip::tcp::socket other(this->io);
+        this->sendRequest(other, "HTTP/1.1",
+            "Test-Output-Tokens: 40\r\nTest-Resumes: request-0\r\nTest-Last-Event: "
+                + std::string(lastEvent) + "\r\n");
+        this->runFor(milliseconds(50));
+        this->entry->confirmTargets(currentTime());
+        return this->nextMessage(GrantKind::Reserve).second.profile;
+    };
+    const ReservationProfile profile = profileOf("30");
+    EXPECT_EQ(profile.outputTokens, 10U);
+    EXPECT_EQ(profile.promptTokens, 130U) << "its target reads the part that there is";
+    for (const char *unusable : { "abc", "99999999999999999999" }) {
+        EXPECT_EQ(profileOf(unusable).outputTokens, 40U) << unusable;
+    }
+    EXPECT_EQ(profileOf("4000").outputTokens, 1U);
+}
+
 TEST_F(Reservations, ofANewStreamWaitAsLongAsItsRouteSays)
 {
     asio::ip::tcp::socket caller(this->io);
