Records of services that nobody configures take over no address

Cause: the record with the latest start at an address was taken for the one that is there, whatever service it names. No request goes to a service that is not configured, so no 421 ever refutes such a record.

Change: TargetDirectory knows which services are configured; their records go first at an address.

--- a/src/include/wigeonsill/directory.h
+++ b/src/include/wigeonsill/directory.h
@@ -7,6 +7,7 @@
 
 #include "wigeonsill/util.h"
 
+#include <functional>
 #include <set>
 
 namespace wigeonsill {
@@ -36,6 +37,13 @@
 class TargetDirectory
 {
 public:
+    /// Returns whether a service is one that requests may be sent to.
+    using ServiceCheck = std::function<bool(std::string_view service)>;
+
+    /// Sets which services are configured; without a call, all are. Any client can write records,
+    /// and those of other services get no requests, so that no answer ever refutes them: they don't
+    /// take over the address of a target. Applied by the next change of the directory.
+    void setServiceCheck(ServiceCheck check) { this->isConfigured = std::move(check); }
     /// Replaces the directory's contents with a list read from the store.
     /// \param listMayBeIncomplete Records of live targets may be absent from the list because they
     /// expired during an outage of the store. A known target that no list since the outage has
@@ -90,6 +98,7 @@
     std::set<std::string, std::less<>> listedSinceOutage; ///< Of the store.
     /// Targets with a more recently started one at the same address.
     std::set<std::string, std::less<>> superseded;
+    ServiceCheck isConfigured = [](std::string_view /*service*/) { return true; };
     std::map<std::string, Replacement, std::less<>> replacements; ///< By target id.
     std::map<std::string, Departure, std::less<>> departures; ///< By target id.
 };
--- a/src/libdirectory/targetdirectory.cpp
+++ b/src/libdirectory/targetdirectory.cpp
@@ -29,8 +29,9 @@
     if (listMayBeIncomplete) {
         for (const auto &[id, target] : this->targets) {
             const bool addressTaken
-                = std::any_of(updated.begin(), updated.end(), [&target](const auto &element) {
-                      return element.second.address == target.address;
+                = std::any_of(updated.begin(), updated.end(), [this, &target](const auto &element) {
+                      return element.second.address == target.address
+                          && this->isConfigured(element.second.service);
                   });
             if (!addressTaken && !this->listedSinceOutage.contains(id)) {
                 updated.try_emplace(id, target);
@@ -55,20 +56,25 @@
 
 void TargetDirectory::updateSuperseded()
 {
-    std::map<std::string_view, const Target *> newestByAddress;
+    struct Claim
+    {
+        const Target *target = nullptr;
+        std::pair<bool, std::int64_t> rank; ///< Whether the service is configured, and the start.
+    };
+    std::map<std::string_view, Claim> newestByAddress;
     this->superseded.clear();
     for (const auto &[id, target] : this->targets) {
         if (this->isReplaced(target)) {
             continue;
         }
-        const Target *&newest = newestByAddress[target.address];
-        if (newest == nullptr) {
-            newest = &target;
+        const Claim claim{ &target, { this->isConfigured(target.service), target.startedMs } };
+        const auto [newest, isFirst] = newestByAddress.try_emplace(target.address, claim);
+        if (isFirst) {
             continue;
         }
-        const bool newer = target.startedMs > newest->startedMs;
-        this->superseded.insert(newer ? newest->id : id);
-        newest = newer ? &target : newest;
+        const bool isNewer = claim.rank > newest->second.rank;
+        this->superseded.insert(isNewer ? newest->second.target->id : id);
+        newest->second = isNewer ? claim : newest->second;
     }
 }
 
--- a/src/libdirectory/targetdirectory_test.cpp
+++ b/src/libdirectory/targetdirectory_test.cpp
@@ -40,6 +40,27 @@
     EXPECT_EQ(directory.find("i2"), nullptr);
 }
 
+/// LOST, review case 14: records of a service that nobody configures took over addresses for good.
+TEST(TargetDirectory, recordsOfOtherServicesTakeOverNoAddress)
+{
+    TargetDirectory directory;
+    directory.setServiceCheck([](std::string_view service) { return service != "others"; });
+    Target foreign = makeTarget("i9", "10.0.0.1:80");
+    foreign.service = "others";
+    foreign.startedMs = 2'000;
+    Target engine = makeTarget("i1");
+    engine.startedMs = 1'000;
+    directory.replace({ engine, foreign, makeTarget("i2") }, false);
+    EXPECT_EQ(directory.usable("engines").size(), 2U);
+    directory.replace({ foreign, makeTarget("i2") }, true);
+    EXPECT_EQ(directory.usable("engines").size(), 2U) << "its record may have expired";
+    Target successor = makeTarget("i8", "10.0.0.1:80");
+    successor.startedMs = 3'000;
+    directory.replace({ engine, foreign, successor, makeTarget("i2") }, false);
+    EXPECT_FALSE(directory.isUsable("i1")) << "another configured target has the address";
+    EXPECT_TRUE(directory.isUsable("i8"));
+}
+
 TEST(TargetDirectory, leavingTargetsAreListedButNotUsable)
 {
     TargetDirectory directory;
--- a/src/libforward/entrystate.cpp
+++ b/src/libforward/entrystate.cpp
@@ -51,6 +51,9 @@
     , quotas(settingsIn.quotas)
     , random(generateIncarnation().low)
 {
+    this->targets.setServiceCheck([this](std::string_view service) {
+        return !this->configuration || this->configuration->findService(service) != nullptr;
+    });
     this->retryBudget.setSharingEntries(QuotaLimiter::largestDeploymentEntries);
     if (settingsIn.rollouts) {
         this->rollouts.emplace(context, metricsIn, logIn, this->grantClient, settingsIn);
