Streams of targets that exit while leaving are broken off

Cause: only targets that don't leave were asked whether they still run when such an answer ends, as those that leave were taken to end once they have answered. The protocol page has them exit by the time.

Change: each success that ends with its connection is confirmed.

Test changed: ofATargetThatLeavesAndEndsIsWhole held the contrary of the page ("continues serving for drainMs [...] and then exits"). It is replaced by ofATargetThatLeavesAndEndsIsBrokenOff, the same answer with the opposite end, which failed before, and ofATargetThatLeavesAndRunsIsWhole.

--- a/src/libforward/answerend.cpp
+++ b/src/libforward/answerend.cpp
@@ -49,14 +49,7 @@
 
 bool RequestFlow::mayHaveBeenKilled() const
 {
-    if (!this->attempt->head.endsAtClose || this->attempt->head.status >= 300) {
-        return false;
-    }
-    // One that leaves may take no connections while it gives its last answers. Only the rest of a
-    // stream can be asked for without harm if nothing is missing.
-    const bool canAskForRest
-        = this->attempt->streaming && this->headSentToCaller && this->canContinueElsewhere();
-    return canAskForRest || this->state.targets.isUsable(this->attempt->target.id);
+    return this->attempt->head.endsAtClose && this->attempt->head.status < 300;
 }
 
 void RequestFlow::confirmEnd()
--- a/src/libforward/brokenstreams_test.cpp
+++ b/src/libforward/brokenstreams_test.cpp
@@ -106,13 +106,23 @@
     EXPECT_TRUE(this->closed);
 }
 
-/// A target that is known to leave ends its process once it has answered.
-TEST_F(StreamOfOneRun, ofATargetThatLeavesAndEndsIsWhole)
+/// ORDER, review case 12: a target that leaves ends at its time, whether it has answered or not.
+TEST_F(StreamOfOneRun, ofATargetThatLeavesAndEndsIsBrokenOff)
 {
     this->write("HTTP/1.1 200 OK\r\nTest-Leaving: 1\r\n\r\n" + event(1));
     this->endTarget();
     this->runFor(milliseconds(100));
     EXPECT_EQ(this->receivedBody(), event(1));
+    EXPECT_FALSE(this->complete);
+    EXPECT_TRUE(this->closed);
+}
+
+TEST_F(StreamOfOneRun, ofATargetThatLeavesAndRunsIsWhole)
+{
+    this->write("HTTP/1.1 200 OK\r\nTest-Leaving: 1\r\n\r\n" + event(1));
+    this->closeInOrder();
+    this->runFor(milliseconds(100));
+    EXPECT_EQ(this->receivedBody(), event(1));
     EXPECT_TRUE(this->complete);
 }
 
