Soak: all processes killed at once while versions mix

Entries and agents are killed together during a release, now and then a second time, and callers take their streams up once entries are in touch again.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -77,6 +77,7 @@
     ids = itertools.count(1)
     longest_silence_s = float("inf")  # after which a caller leaves
     deadline_s = DEADLINE_S
+    away_s = 0.0  # until a caller takes up a stream that broke off
 
     def __init__(self, deployment, name, key, pause_s, attempts):
         self.deployment, self.key, self.pause_s = deployment, key, pause_s
@@ -127,7 +128,8 @@
                 pause_s = float(attempt.headers.get("Retry-After", "0.05"))
             except ValueError:
                 pause_s = 0.05
-            if pause_s > left_s / 3 or self.deployment.stopping.wait(pause_s):
+            away_s = self.away_s if attempt.body else 0.0
+            if pause_s > left_s / 3 or self.deployment.stopping.wait(pause_s + away_s):
                 return
             self.disconnect()  # each retry takes a new connection
             previous = attempt
@@ -264,11 +266,12 @@
     """Reads a long stream at one entry. If nothing comes for a time, it takes the stream up at another one."""
 
     longest_silence_s = 2.0
-    deadline_s = 8.0
 
-    def __init__(self, deployment, entry, attempts):
+    def __init__(self, deployment, entry, attempts, away_s):
         super().__init__(deployment, "streams of " + entry, "key-stable", 0, attempts)
         self.first_entry = entry
+        self.away_s = away_s
+        self.deadline_s = 8.0 + away_s
 
     def choose_request(self):
         return Attempt("ask", "/ask/%d?n=%d" % (self.rng.randrange(1000), LONG_STREAM_EVENTS), self.key, (100, 20))
@@ -313,9 +316,9 @@
     def send_crashing_request(kind, target, body, seconds):
         name = "repeating " + target
         RepeatingCaller(deployment, name, "key-stable", 0, attempts).send(kind, target, body, seconds)
-    def read_streams(entry):
+    def read_streams(entry, away_s=0.0):
         for _ in range(LONG_STREAMS):
-            deployment.start_thread(StreamCaller(deployment, entry, attempts).send)
+            deployment.start_thread(StreamCaller(deployment, entry, attempts, away_s).send)
     deployment.read_streams = read_streams
     deployment.send_crashing = send_crashing
     deployment.send_crashing_request = send_crashing_request
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -35,6 +35,8 @@
 RELEASED_SHARE = 0.34  # of the engines, that one release replaces
 RELEASE_GAP_S = 0.3
 STREAMS_BEGIN_S = 0.4
+KILLED_TWICE_SHARE = 0.7  # From this amount on, all processes are killed again as soon as they are back.
+STARTED_S = 1.0  # For which a process needs at most until it is ready.
 UNSEEN_S = 0.2  # from the harm of an entry to the release that it doesn't see
 UNFRAMED_S = 0.4  # for which an engine answers without length before it is killed
 STORE_BYTES_PER_S = 800_000  # to each entry
@@ -359,7 +361,7 @@
             "quota": self.change_configuration, "grow": self.change_configuration, "crashing-part": self.add_crashing_part,
             "limit": self.limit_engine, "crashing-request": self.add_crashing_request, "release": self.release,
             "killed": self.kill_engine, "release-unseen": self.release_unseen,
-            "freeze-agents": self.freeze_agents,
+            "freeze-agents": self.freeze_agents, "kill-all": self.kill_all,
         }
         if fault.kind in methods:
             methods[fault.kind](fault)
@@ -561,6 +563,22 @@
         self.release(Fault(fault.at_s, "release", names[int(1000 * fault.amount) % len(names)], 0.0, 0.0))
         harming.join()
 
+    def kill_all(self, fault):
+        """All entries and agents are killed at once while engines of several versions serve, now and then twice."""
+        names = [name for name in self.engines if name.startswith("engine")]
+        first = names[int(1000 * fault.amount) % len(names)]
+        self.release(Fault(fault.at_s, "release", first, 0.0, 0.0))
+        kills = 1 + int(fault.amount > KILLED_TWICE_SHARE)
+        for name in self.entries:
+            # They come back once the entries are in touch again.
+            self.read_streams(name, kills * (RESTART_S + fault.for_s + STARTED_S) + CONTACT_S)
+        time.sleep(STREAMS_BEGIN_S)
+        for _ in range(kills):
+            killing = [
+                self.start_thread(self.kill, dataclasses.replace(fault, subject=name)) for name in list(self.nodes)]
+            for thread in killing:
+                thread.join()
+
     def drain(self, fault):
         engine, link = self.engines[fault.subject], self.links[fault.subject]
         if engine.state != "ready" or engine.dark:
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -57,6 +57,7 @@
     "bodies": (0.15, {"plain": {"joined": (2, 1, 4), "quote": (1, 1, 4)}}),
     "odd-bodies": (0.15, {"plain": {"joined-odd": (1, 1, 4)}}),
     "silence": (0.1, {"operator": {"freeze-agents": (1, 0.3, 1)}}),
+    "all-processes": (0.08, {"operator": {"kill-all": (1, 0.1, 4)}}),
     "heads": (0.15, {"engine": {"half-head": (2, 1, 4)}, "plain": {"half-head": (1, 1, 4)}}),
 }
 SORT_WEIGHTS = {"entry": 5, "agent": 3, "engine": 6, "plain": 3, "store": 2, "operator": 4}
