Records of streams: fewer writes of large deployments with one version

Change: all entries together make at most 20 writes a second while each service has one version (100 while one has several, as before).

Measured: originwriter_test, streamkeys_test.

--- a/src/include/wigeonsill/versions.h
+++ b/src/include/wigeonsill/versions.h
@@ -108,8 +108,10 @@
     /// are lost while another version joins need the records.
     double shareOfOneVersion = 0.01;
     double shareOfSeveralVersions = 0.05; ///< While a service has several.
-    /// Of all entries. Bounds the bytes that an entry sends and reads for the records.
-    double mostWritesPerSecond = 100;
+    /// Of all entries, which bound the bytes that an entry sends and reads for the records, and the
+    /// calls that the store is paid for.
+    double mostWritesOfOneVersion = 20;
+    double mostWritesOfSeveralVersions = 100;
 };
 
 /// Decides when an entry writes the origins of its streams to the store, and which. Each write
--- a/src/libversions/originwriter.cpp
+++ b/src/libversions/originwriter.cpp
@@ -21,10 +21,12 @@
 
 Duration OriginWriter::period() const
 {
-    const double share = this->areSeveralVersions ? this->limits.shareOfSeveralVersions
-                                                  : this->limits.shareOfOneVersion;
-    const double writesPerSecond
-        = std::min(this->limits.storeWritesPerSecond * share, this->limits.mostWritesPerSecond);
+    const OriginWriteLimits &bounds = this->limits;
+    const double writesPerSecond = this->areSeveralVersions
+        ? std::min(bounds.storeWritesPerSecond * bounds.shareOfSeveralVersions,
+            bounds.mostWritesOfSeveralVersions)
+        : std::min(
+            bounds.storeWritesPerSecond * bounds.shareOfOneVersion, bounds.mostWritesOfOneVersion);
     const std::chrono::duration<double> time(this->entries / writesPerSecond);
     return std::max(std::chrono::duration_cast<Duration>(time), shortestPeriod);
 }
--- a/src/libversions/originwriter_test.cpp
+++ b/src/libversions/originwriter_test.cpp
@@ -42,7 +42,7 @@
             writer.setSeveralVersions(severalVersions);
             const double writes = entries * countWrites(writer, seconds(60)) / 60.0;
             const double share = severalVersions ? 0.05 : 0.01;
-            const double most = std::min(share * writesPerSecond, 100.0);
+            const double most = std::min(share * writesPerSecond, severalVersions ? 100.0 : 20.0);
             EXPECT_LE(writes, most * 1.05 + entries / 60.0) << entries;
         }
     }
