Soak: the link of an ended process leads nowhere until it runs again

Cause: the harness. A link kept the port of the process that had ended. Processes choose free ports as they start, so when all start together one may get the port of another. On the platform 405 comes from the administrative interface alone (rundaemon.cpp), whose port it was here.

Callers are reset meanwhile, as they were by the closed port.

--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -344,6 +344,9 @@
                 self.restart(node, RESTART_S)
 
     def restart(self, node, delay_s):
+        """Starts a process that has ended. Another one may get its port meanwhile, so its link leads nowhere until then."""
+        if node.name in self.links:
+            self.links[node.name].target = None
         time.sleep(delay_s)
         if not self.stopping.is_set():
             node.launch()
