Store calls, writes of streams and their tests: one piece for one job

Cause: a second reading of the change found logic that stood twice.

What is written, when, and what the tests ask for stay as they were.

--- a/src/include/wigeonsill/forward.h
+++ b/src/include/wigeonsill/forward.h
@@ -218,9 +218,11 @@
     virtual void forget(std::uint64_t stream) = 0;
     /// What was read last of a stream.
     virtual StoredOrigin find(std::uint64_t stream) const = 0;
-    /// Sets what the period of the writes follows. \param entries Number of entries that write.
-    /// \param severalVersions Whether a service has several versions. \pre entries is positive.
-    virtual void setDemand(int entries, bool severalVersions) = 0;
+    /// Sets the number of entries that write, which the period of the writes follows.
+    /// \pre count is positive.
+    virtual void setEntries(int count) = 0;
+    /// Sets whether a service has several versions, which the period follows as well.
+    virtual void setSeveralVersions(bool several) = 0;
 };
 
 // ---------------------------------------------------------------------------------------------
--- a/src/libforward/streamversions.cpp
+++ b/src/libforward/streamversions.cpp
@@ -16,19 +16,13 @@
 void StreamVersions::setStore(StreamOriginStore &originStore)
 {
     this->store = &originStore;
-    this->updateStoreDemand();
+    this->store->setSeveralVersions(this->anySeveralVersions);
 }
 
 void StreamVersions::setEntries(int count)
-{
-    this->entries = std::max(count, 1);
-    this->updateStoreDemand();
-}
-
-void StreamVersions::updateStoreDemand()
 {
     if (this->store != nullptr) {
-        this->store->setDemand(this->entries, this->anySeveralVersions);
+        this->store->setEntries(std::max(count, 1));
     }
 }
 
@@ -42,7 +36,9 @@
     if (!this->anySeveralVersions) {
         this->sharedTargetsVersion.reset();
     }
-    this->updateStoreDemand();
+    if (this->store != nullptr) {
+        this->store->setSeveralVersions(this->anySeveralVersions);
+    }
 }
 
 bool StreamVersions::hasSeveralVersions(const std::string &service) const
--- a/src/libforward/streamversions.h
+++ b/src/libforward/streamversions.h
@@ -43,7 +43,7 @@
 
     /// Sets where the versions are kept as well. \pre originStore outlives this object's use.
     void setStore(StreamOriginStore &originStore);
-    /// Sets the number of entries that share the store. \pre count is positive.
+    /// Sets the number of entries that share the store; a smaller one than 1 counts as 1.
     void setEntries(int count);
     /// Sets the versions that served lately.
     void setRecent(std::set<ServiceVersion> versions);
@@ -89,7 +89,6 @@
         OriginEvidence evidence; ///< But for what follows from other members.
     };
     bool hasSeveralVersions(const std::string &service) const;
-    void updateStoreDemand();
     void share(std::uint64_t stream, const std::string &version, const OriginKeepers &keepers,
         bool isOnlyVersion);
     /// Sends the question to all agents that may know the stream by the current list.
@@ -114,7 +113,6 @@
     TimePoint sharedAt;
     StreamOrigins origins;
     StreamOriginStore *store = nullptr;
-    int entries = OriginWriter::assumedEntries;
     std::map<StreamOriginListener *, Question> questions;
 };
 
--- a/testsuite/restarted-agents/run.py
+++ b/testsuite/restarted-agents/run.py
@@ -6,7 +6,7 @@
 
 from harness import check
 from platformdeployment import Deployment
-from takenupstreams import kill
+from takenupstreams import kill, remove_stored_streams
 from twoentries import EVENT_COUNT, READ_S, begin, judge, list_engines, take_up_at_other
 
 VERSIONS = ["v1"] * 3 + ["v2"] * 3
@@ -44,8 +44,7 @@
     streams = begin(deployment, deployment.entry)
     restart_agents(deployment)
     kill(deployment.entry)
-    for key in [key for key in deployment.store.items if key.startswith("streams/")]:
-        deployment.store.remove(key)
+    remove_stored_streams(deployment)
     time.sleep(REPORTED_S)
     pairs = take_up_at_other(deployment, streams)
     whole = sum(again.complete and again.last_event() == EVENT_COUNT for _, again in pairs)
--- a/testsuite/silent-agents/run.py
+++ b/testsuite/silent-agents/run.py
@@ -9,7 +9,7 @@
 
 from harness import check
 from platformdeployment import Deployment
-from takenupstreams import joined, kill, went_on
+from takenupstreams import joined, kill, remove_stored_streams, went_on
 from twoentries import EVENT_COUNT, READ_S, STREAMS, TIMEOUT_MS, begin, list_engines
 
 VERSIONS = ["v1"] * 3 + ["v2"] * 3
@@ -87,13 +87,17 @@
     check_all_go_on(deployment, streams)
 
 
-def check_no_agent_answers(deployment):
-    """The store names the versions, and no agent grants room: streams go on at their version or are refused."""
+def begin_and_lose_agents(deployment):
     time.sleep(READ_S)
     streams = begin(deployment, deployment.entry)
-    kill(deployment.entry)
-    for agent in deployment.agents:
-        kill(agent)
+    for node in [deployment.entry] + deployment.agents:
+        kill(node)
+    return streams
+
+
+def check_no_agent_answers(deployment):
+    """The store names the versions, and no agent grants room: streams go on at their version or are refused."""
+    streams = begin_and_lose_agents(deployment)
     began = time.monotonic()
     pairs = take_up_all(deployment, streams)
     took_s = time.monotonic() - began
@@ -105,13 +109,8 @@
 
 def check_nobody_answers(deployment):
     """Without any agent and the store's records, streams are refused as not run, and not joined."""
-    time.sleep(READ_S)
-    streams = begin(deployment, deployment.entry)
-    kill(deployment.entry)
-    for agent in deployment.agents:
-        kill(agent)
-    for key in [key for key in deployment.store.items if key.startswith("streams/")]:
-        deployment.store.remove(key)
+    streams = begin_and_lose_agents(deployment)
+    remove_stored_streams(deployment)
     time.sleep(LIST_READ_S)
     began = time.monotonic()
     again = [stream for _, stream in take_up_all(deployment, streams)]
--- a/testsuite/takenupstreams.py
+++ b/testsuite/takenupstreams.py
@@ -58,6 +58,12 @@
     node.popen.wait()
 
 
+def remove_stored_streams(deployment):
+    """The store loses what it holds about streams."""
+    for key in [key for key in deployment.store.items if key.startswith("streams/")]:
+        deployment.store.remove(key)
+
+
 def joined(deployment, pairs):
     return [
         (first.request, again.request) for first, again in pairs
